--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3
+VENV := .venv
+RUN := $(VENV)/bin/python
+PACKAGES := core replicas platform upstreams operators callers daemon tools
+
+.PHONY: install demo test check format reference lock bench capacity
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps $(PACKAGES:%=-e packages/%)
+	touch $@
+
+demo: install
+	$(RUN) -m hornbeamstair_tools.demo
+
+test: install
+	$(RUN) -m hornbeamstair_tools.run_tests
+
+check: install
+	$(VENV)/bin/ruff format --check packages tests
+	$(VENV)/bin/flake8 packages tests
+	$(VENV)/bin/mypy $(PACKAGES:%=-p hornbeamstair_%)
+	$(RUN) -m hornbeamstair_tools.check_imports
+	$(RUN) -m hornbeamstair_tools.reference --check
+
+format: install
+	$(VENV)/bin/ruff format packages tests
+
+reference: install
+	$(RUN) -m hornbeamstair_tools.reference
+
+bench: install
+	$(RUN) -m hornbeamstair_tools.bench_path
+
+capacity: install
+	$(RUN) -m hornbeamstair_tools.bench_capacity
+
+lock:
+	uv pip compile --quiet --generate-hashes --no-emit-index-url requirements.in -o requirements.lock
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of the callers of hornbeamstair."""
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/front_ends/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols through which callers reach the system."""
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/gates.py
@@ -0,0 +1,70 @@
+"""Admission of calls under the limits of one contract and service."""
+
+from attrs import define
+from expression import Error, Ok, Result
+
+from hornbeamstair_callers.failures import (
+    OverConcurrencyFailure,
+    OverRateFailure,
+)
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.invariants import check_invariant
+from hornbeamstair_operators.limits import ServiceLimits
+from hornbeamstair_upstreams.retries import RetryBudget
+
+__all__ = ('AdmissionGate', 'open_gate')
+
+
+@define
+class AdmissionGate:
+    """Calls admitted and the tokens left for more."""
+
+    limits: ServiceLimits
+    retry_budget: RetryBudget
+    tokens: float
+    updated_at: float
+    admitted: int = 0
+
+    def amend(self, limits: ServiceLimits) -> None:
+        """Put amended limits in force without forgetting the use."""
+        self.limits = limits
+        self.retry_budget.rate = limits.retry_rate
+        self.tokens = min(self.tokens, limits.rate_depth)
+
+    def admit(self, now: float) -> Result[None, Failure]:
+        """Admit one call or refuse it with the limit it breaks."""
+        self._refill(now)
+        limits = self.limits
+        if self.admitted >= limits.max_concurrency:
+            return Error(OverConcurrencyFailure(limits.max_concurrency))
+        if self.tokens < 1:
+            wait = (1 - self.tokens) / limits.rate
+            return Error(OverRateFailure(limits.rate, round(wait, 3)))
+        self.tokens -= 1
+        self.admitted += 1
+        return Ok(None)
+
+    def release(self) -> None:
+        """End one admitted call."""
+        self.admitted -= 1
+        check_invariant(
+            self.admitted >= 0,
+            'calls admitted are never negative',
+            f'{self.limits.customer}/{self.limits.service}',
+        )
+
+    def _refill(self, now: float) -> None:
+        earned = (now - self.updated_at) * self.limits.rate
+        depth = max(1, self.limits.rate_depth)
+        self.tokens = min(depth, self.tokens + earned)
+        self.updated_at = now
+
+
+def open_gate(limits: ServiceLimits, now: float) -> AdmissionGate:
+    """Open a gate with its whole burst allowance."""
+    return AdmissionGate(
+        limits=limits,
+        retry_budget=RetryBudget(limits.retry_rate, 1, now),
+        tokens=max(1, limits.rate_depth),
+        updated_at=now,
+    )
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/key_codec.py
@@ -0,0 +1,53 @@
+"""Encoding of request keys as CBOR, and their state machine."""
+
+from typing import Any, Final
+
+from attrs import define, field
+
+from hornbeamstair_callers.keys import (
+    ClaimKey,
+    KeyCommand,
+    KeyId,
+    KeyRecord,
+    KeyTable,
+    RecordOutcome,
+    ReleaseKey,
+)
+from hornbeamstair_core.codec import make_family_converter
+from hornbeamstair_replicas.state_machine import StateMachine
+
+__all__ = ('KeyStateMachine', 'write_key_command')
+
+
+_converter: Final = make_family_converter(
+    KeyCommand,
+    (ClaimKey, RecordOutcome, ReleaseKey),
+)
+
+
+def write_key_command(command: KeyCommand) -> bytes:
+    """Encode a command for the log."""
+    return _converter.dumps(command, unstructure_as=KeyCommand)
+
+
+@define
+class KeyStateMachine(StateMachine):
+    """Request keys that a replicated log changes."""
+
+    table: KeyTable = field(factory=KeyTable)
+
+    def apply(self, index: int, payload: bytes) -> KeyRecord | None:
+        """Apply a committed command."""
+        family: Any = KeyCommand
+        command: KeyCommand = _converter.loads(payload, family)
+        return command.apply(self.table)
+
+    def get_snapshot(self) -> bytes:
+        """Get all records as bytes."""
+        return _converter.dumps(list(self.table.records.items()))
+
+    def restore(self, state: bytes) -> None:
+        """Replace all records by those of a snapshot."""
+        stored = _converter.loads(state, list[tuple[KeyId, KeyRecord]])
+        self.table = KeyTable()
+        self.table.records.update(stored)
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/key_keeper.py
@@ -0,0 +1,118 @@
+"""Claims and outcomes of keyed calls, kept in a replicated log."""
+
+from collections.abc import Callable
+from hashlib import sha256
+from typing import cast
+
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from hornbeamstair_callers.failures import (
+    AnswerNotKeptFailure,
+    KeyInProgressFailure,
+    KeyOutcomeUnknownFailure,
+    KeyReusedFailure,
+)
+from hornbeamstair_callers.key_codec import KeyStateMachine, write_key_command
+from hornbeamstair_callers.keys import (
+    ClaimKey,
+    KeyCommand,
+    KeyId,
+    KeyPhase,
+    KeyRecord,
+    RecordedAnswer,
+    RecordOutcome,
+    ReleaseKey,
+)
+from hornbeamstair_callers.messages import CallRequest
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_replicas.groups.base import ReplicaGroup
+from hornbeamstair_upstreams.messages import UpstreamAnswer
+
+__all__ = ('KeyKeeper',)
+
+CallResult = Result[UpstreamAnswer, Failure]
+
+
+@frozen
+class KeyKeeper:
+    """Keeper of request keys for one process."""
+
+    group: ReplicaGroup
+    state_machine: KeyStateMachine
+    owner: str
+    get_wall_time: Callable[[], float]
+
+    def find(self, call: CallRequest) -> CallResult | None:
+        """Find what a resend of a keyed call is answered."""
+        known = self.state_machine.table.records.get(_get_key_id(call))
+        return None if known is None else self._replay(call, known)
+
+    async def claim(self, call: CallRequest) -> CallResult | None:
+        """Claim the key of a call; return an answer if it is taken."""
+        command = ClaimKey(
+            _get_key_id(call),
+            _get_digest(call),
+            self.owner,
+            self.get_wall_time(),
+        )
+        committed = await self._propose(command)
+        if committed.is_error():
+            return Error(committed.error)
+        known = committed.ok
+        return None if known is None else self._replay(call, known)
+
+    async def record(self, call: CallRequest, outcome: CallResult) -> None:
+        """Record the outcome of a claimed call, or free its key."""
+        await self._propose(self._get_outcome_command(call, outcome))
+
+    def _get_outcome_command(
+        self,
+        call: CallRequest,
+        outcome: CallResult,
+    ) -> KeyCommand:
+        key_id = _get_key_id(call)
+        if outcome.is_ok():
+            return _record_answer(key_id, outcome.ok)
+        if outcome.error.may_have_run:
+            return RecordOutcome(key_id, KeyPhase.unknown, None)
+        return ReleaseKey(key_id, self.owner)
+
+    async def _propose(
+        self,
+        command: KeyCommand,
+    ) -> Result[KeyRecord | None, Failure]:
+        committed = await self.group.propose(write_key_command(command))
+        return committed.map(lambda known: cast('KeyRecord | None', known))
+
+    def _replay(self, call: CallRequest, known: KeyRecord) -> CallResult:
+        if known.digest != _get_digest(call):
+            return Error(KeyReusedFailure())
+        if known.phase == KeyPhase.claimed and known.owner == self.owner:
+            return Error(KeyInProgressFailure())
+        if known.phase == KeyPhase.answer_not_kept:
+            return Error(AnswerNotKeptFailure())
+        if known.answer is None:
+            return Error(KeyOutcomeUnknownFailure())
+        kept = known.answer
+        return Ok(UpstreamAnswer(kept.status, kept.headers, kept.body))
+
+
+def _record_answer(key_id: KeyId, answer: UpstreamAnswer) -> KeyCommand:
+    if answer.stream is not None:
+        return RecordOutcome(key_id, KeyPhase.answer_not_kept, None)
+    kept = RecordedAnswer(answer.status, answer.headers, answer.body)
+    return RecordOutcome(key_id, KeyPhase.answered, kept)
+
+
+def _get_key_id(call: CallRequest) -> KeyId:
+    return KeyId(call.customer, call.idempotency_key)
+
+
+def _get_digest(call: CallRequest) -> bytes:
+    request = call.request
+    digest = sha256()
+    for part in (call.service, request.method, request.target):
+        digest.update(f'{len(part)}:{part}'.encode())
+    digest.update(request.body)
+    return digest.digest()
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/runner.py
@@ -0,0 +1,235 @@
+"""Runner that carries calls from admission to their answers."""
+
+from asyncio import (
+    FIRST_COMPLETED,
+    Future,
+    Task,
+    ensure_future,
+    get_running_loop,
+    wait,
+)
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from hornbeamstair_callers.dispatcher import ActiveCall, Dispatcher
+from hornbeamstair_callers.key_keeper import KeyKeeper
+from hornbeamstair_callers.messages import (
+    CallEffect,
+    CallRequest,
+    RefuseCall,
+    StartAttempt,
+)
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.failures import Failure, StoppingFailure
+from hornbeamstair_core.ids import ServiceName
+from hornbeamstair_core.invariants import check_invariant
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_upstreams.client import UpstreamClient
+from hornbeamstair_upstreams.failures import (
+    OutcomeUnknownFailure,
+    RanWithoutAnswerFailure,
+    UpstreamsUnreachableFailure,
+)
+from hornbeamstair_upstreams.lifecycle import Upstream
+from hornbeamstair_upstreams.messages import (
+    Attempt,
+    AttemptEnd,
+    AttemptFailure,
+    UpstreamAnswer,
+)
+
+__all__ = ('CallResult', 'CallRunner', 'HangUp')
+
+CallResult = Result[UpstreamAnswer, Failure]
+HangUp = Callable[[], Awaitable[None]]
+
+
+@define(eq=False)
+class CallRunner:
+    """Runner of the calls of one entry process."""
+
+    dispatcher: Dispatcher
+    client: UpstreamClient
+    keys: KeyKeeper
+    metrics: Metrics
+    get_time: Callable[[], float]
+    is_ready: bool = True
+    is_stopping: bool = False
+    waiting: 'dict[int, Future[CallEffect]]' = field(factory=dict)
+
+    @asynccontextmanager
+    async def run(
+        self,
+        call: CallRequest,
+        hang_up: HangUp,
+    ) -> AsyncIterator[CallResult]:
+        """Run a call; its slot is held until the context ends."""
+        admitted = self._admit(call)
+        if admitted.is_error():
+            yield self._count(call, Error(admitted.error))
+            return
+        if isinstance(admitted.ok, UpstreamAnswer):
+            yield Ok(admitted.ok)
+            return
+        active = admitted.ok
+        failed = True
+        try:
+            outcome = await self._run_keyed(active, call, hang_up)
+            failed = _is_failure(outcome)
+            yield self._count(call, outcome)
+        finally:
+            self._carry_out(
+                self.dispatcher.finish(active, self.get_time(), failed=failed),
+            )
+
+    def fill(self, service: ServiceName) -> None:
+        """Start queued calls of a service that gained slots."""
+        self._carry_out(self.dispatcher.fill(service, self.get_time()))
+
+    def _admit(
+        self,
+        call: CallRequest,
+    ) -> Result[ActiveCall | UpstreamAnswer, Failure]:
+        if self.is_stopping:
+            return Error(StoppingFailure())
+        if call.idempotency_key:
+            known = self.keys.find(call)
+            if known is not None:
+                return known.map(lambda answer: answer)
+        return self.dispatcher.admit(
+            call.customer,
+            call.service,
+            self.get_time(),
+        ).map(lambda active: active)
+
+    async def _run_keyed(
+        self,
+        active: ActiveCall,
+        call: CallRequest,
+        hang_up: HangUp,
+    ) -> CallResult:
+        started = await self._get_slot(active, hang_up)
+        if started.is_error():
+            return Error(started.error)
+        if not call.idempotency_key:
+            return await self._attempt(active, call, hang_up, started.ok)
+        taken = await self.keys.claim(call)
+        if taken is not None:
+            return taken
+        outcome = await self._attempt(active, call, hang_up, started.ok)
+        await self.keys.record(call, outcome)
+        return outcome
+
+    async def _attempt(
+        self,
+        active: ActiveCall,
+        call: CallRequest,
+        hang_up: HangUp,
+        upstream: Upstream,
+    ) -> CallResult:
+        while True:
+            sent = await self._send(call, upstream)
+            if sent.is_ok():
+                return Ok(sent.ok)
+            failure = sent.error
+            if not self._may_retry(active, failure):
+                return Error(_get_failure(failure))
+            started = await self._get_slot(active, hang_up)
+            if started.is_error():
+                return Error(_get_last_failure(failure, started.error))
+            upstream = started.ok
+
+    async def _send(
+        self,
+        call: CallRequest,
+        upstream: Upstream,
+    ) -> Result[UpstreamAnswer, AttemptFailure]:
+        announced = upstream.announcement
+        attempt = Attempt(announced.address, announced.port)
+        return await self.client.send(attempt, call.request)
+
+    def _may_retry(self, active: ActiveCall, failure: AttemptFailure) -> bool:
+        now = self.get_time()
+        self.dispatcher.end_attempt(active, now, failed=True)
+        for event in self.dispatcher.directory.take_events():
+            log_event(event)
+        decision = self.dispatcher.decide_retry(active, failure, now)
+        self.metrics.count_retry(decision.verdict.value)
+        self.fill(active.gate.limits.service)
+        return decision.is_allowed
+
+    async def _get_slot(
+        self,
+        active: ActiveCall,
+        hang_up: HangUp,
+    ) -> Result[Upstream, Failure]:
+        effect = self.dispatcher.start(active, self.get_time())
+        if effect is None:
+            effect = await self._wait(active, hang_up)
+        check_invariant(
+            effect.call_id == active.call_id,
+            'an effect belongs to the call that waits for it',
+            f'{effect.call_id} for {active.call_id}',
+        )
+        if isinstance(effect, RefuseCall):
+            return Error(effect.failure)
+        return Ok(effect.upstream)
+
+    async def _wait(self, active: ActiveCall, hang_up: HangUp) -> CallEffect:
+        slot: Future[CallEffect] = get_running_loop().create_future()
+        self.waiting[active.call_id] = slot
+        watcher: Task[None] = ensure_future(hang_up())
+        try:
+            await wait(
+                (slot, watcher),
+                timeout=max(0, active.deadline - self.get_time()),
+                return_when=FIRST_COMPLETED,
+            )
+        finally:
+            self.waiting.pop(active.call_id)
+            watcher.cancel()
+        if slot.done():
+            return slot.result()
+        if watcher.done():
+            return self.dispatcher.abandon(active)
+        return self.dispatcher.refuse_late(active)
+
+    def _carry_out(self, effects: Iterable[CallEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, StartAttempt):
+                self.waiting[effect.call_id].set_result(effect)
+
+    def _count(self, call: CallRequest, outcome: CallResult) -> CallResult:
+        name = 'answered'
+        if outcome.is_error():
+            name = outcome.error.name
+            self.metrics.count_refusal(outcome.error)
+        self.metrics.outcomes.labels(call.service, name).inc()
+        return outcome
+
+
+def _is_failure(outcome: CallResult) -> bool:
+    if outcome.is_error():
+        return outcome.error.may_have_run
+    return outcome.ok.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
+def _get_failure(failure: AttemptFailure) -> Failure:
+    reason = f'{failure.end.value}: {failure.details}'
+    if not failure.may_have_run:
+        return UpstreamsUnreachableFailure(reason)
+    if failure.end in {AttemptEnd.truncated, AttemptEnd.malformed}:
+        return RanWithoutAnswerFailure(reason)
+    return OutcomeUnknownFailure(reason)
+
+
+def _get_last_failure(
+    failure: AttemptFailure,
+    refusal: Failure,
+) -> Failure:
+    """Get the failure of a call whose retry found no slot."""
+    return _get_failure(failure) if failure.may_have_run else refusal
--- /dev/null
+++ b/packages/core/hornbeamstair_core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared types and base classes of hornbeamstair."""
--- /dev/null
+++ b/packages/core/hornbeamstair_core/ids.py
@@ -0,0 +1,34 @@
+"""Identifiers that the peers of the system use."""
+
+import re
+from typing import Final, NewType
+
+__all__ = (
+    'CustomerId',
+    'HostId',
+    'PoolName',
+    'ProcessId',
+    'RackName',
+    'RequestId',
+    'ServiceName',
+    'UpstreamId',
+    'ZoneName',
+    'is_name',
+)
+
+CustomerId = NewType('CustomerId', str)
+HostId = NewType('HostId', str)
+PoolName = NewType('PoolName', str)
+ProcessId = NewType('ProcessId', str)
+RackName = NewType('RackName', str)
+RequestId = NewType('RequestId', str)
+ServiceName = NewType('ServiceName', str)
+UpstreamId = NewType('UpstreamId', str)
+ZoneName = NewType('ZoneName', str)
+
+_NAME_PATTERN: Final = re.compile('[a-z0-9](?:[a-z0-9._-]{0,62}[a-z0-9])?')
+
+
+def is_name(text: str) -> bool:
+    """Tell whether a text is a well-formed identifier."""
+    return _NAME_PATTERN.fullmatch(text) is not None
--- /dev/null
+++ b/packages/core/hornbeamstair_core/metrics.py
@@ -0,0 +1,66 @@
+"""Prometheus metrics of one process."""
+
+from attrs import define, field
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+from hornbeamstair_core.failures import Failure
+
+__all__ = ('Metrics',)
+
+
+@define
+class Metrics:
+    """Counters, gauges and histograms of one process."""
+
+    registry: CollectorRegistry = field(factory=CollectorRegistry)
+    refusals: Counter = field(init=False)
+    retries: Counter = field(init=False)
+    outcomes: Counter = field(init=False)
+    start_wait: Histogram = field(init=False)
+    gauges: Gauge = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the metrics in the registry."""
+        self.refusals = Counter(
+            'hornbeamstair_refusals',
+            'Requests refused, by result code.',
+            ['code', 'reason'],
+            registry=self.registry,
+        )
+        self.retries = Counter(
+            'hornbeamstair_retries',
+            'Retries made or denied, by reason.',
+            ['reason'],
+            registry=self.registry,
+        )
+        self.outcomes = Counter(
+            'hornbeamstair_calls',
+            'Calls finished, by service and outcome.',
+            ['service', 'outcome'],
+            registry=self.registry,
+        )
+        self.start_wait = Histogram(
+            'hornbeamstair_start_wait_seconds',
+            'Time from the arrival of a call to its first attempt.',
+            ['service'],
+            registry=self.registry,
+        )
+        self.gauges = Gauge(
+            'hornbeamstair_state',
+            'Sizes of the state in memory.',
+            ['kind'],
+            registry=self.registry,
+        )
+
+    def count_refusal(self, failure: Failure) -> None:
+        """Count a refusal by its result code."""
+        self.refusals.labels(failure.number, failure.name).inc()
+
+    def count_retry(self, reason: str) -> None:
+        """Count a retry by its reason."""
+        self.retries.labels(reason).inc()
+
+    def get_exposition(self) -> bytes:
+        """Get the metrics in the Prometheus text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/packages/core/hornbeamstair_core/units.py
@@ -0,0 +1,13 @@
+"""Sizes and time spans in the base units of the code: bytes and seconds."""
+
+from typing import Final
+
+__all__ = ('DAY', 'HOUR', 'KIB', 'MIB', 'MILLISECOND', 'MINUTE')
+
+MILLISECOND: Final = 0.001
+MINUTE: Final = 60.0
+HOUR: Final = 3600.0
+DAY: Final = 86400.0
+
+KIB: Final = 1024
+MIB: Final = 1024 * 1024
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon hornbeamstaird."""
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/main.py
@@ -0,0 +1,64 @@
+"""Command line of the daemon hornbeamstaird."""
+
+from asyncio import run
+from pathlib import Path
+from typing import Annotated, Final
+
+from typer import Exit, Option, Typer, echo
+
+from hornbeamstair_core.events import log_event, set_up_logging
+from hornbeamstair_core.invariants import InvariantError
+from hornbeamstair_daemon.events import DaemonFailedEvent
+from hornbeamstair_daemon.lifetime import run_process
+from hornbeamstair_daemon.settings import Settings, read_settings
+from hornbeamstair_daemon.wiring import wire_process
+from hornbeamstair_replicas.storage.base import StorageError
+
+__all__ = ('app', 'main')
+
+_EXIT_FAILED: Final = 1
+_EXIT_SETTINGS: Final = 2
+
+app = Typer(
+    add_completion=False,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+)
+
+
+@app.command()
+def serve(
+    settings: Annotated[
+        Path,
+        Option(help='Settings file in YAML.'),
+    ],
+    *,
+    check: Annotated[
+        bool,
+        Option('--check', help='Check the settings and exit.'),
+    ] = False,
+) -> None:
+    """Serve callers, upstreams and operators as the settings say."""
+    loaded = read_settings(settings)
+    if loaded.is_error():
+        echo(f'{loaded.error.number} {loaded.error.describe()}', err=True)
+        raise Exit(_EXIT_SETTINGS)
+    if check:
+        echo(f'{settings}: settings are valid')
+        return
+    _run(loaded.ok)
+
+
+def main() -> None:
+    """Run the daemon."""
+    app()
+
+
+def _run(settings: Settings) -> None:
+    set_up_logging(as_json=settings.json_logs)
+    process = wire_process(settings)
+    try:
+        run(run_process(process))
+    except (OSError, StorageError, InvariantError) as error:
+        log_event(DaemonFailedEvent(str(error)))
+        raise Exit(_EXIT_FAILED) from error
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/settings.py
@@ -0,0 +1,106 @@
+"""Settings of the daemon, checked when they are read."""
+
+from ipaddress import ip_address
+from pathlib import Path
+from typing import Final
+
+from attrs import frozen
+from expression import Error, Result
+
+from hornbeamstair_core.codec import read_message, read_yaml_mapping
+from hornbeamstair_core.failures import Failure, UnreadablePayloadFailure
+from hornbeamstair_core.front_end import Listener
+from hornbeamstair_core.ids import ProcessId, ZoneName
+from hornbeamstair_core.options import OptionsReader
+from hornbeamstair_core.units import HOUR
+
+__all__ = ('Listeners', 'Settings', 'read_settings')
+
+_MAX_PORT: Final = 65535
+_MIN_TOKEN_LENGTH: Final = 16
+_DEFAULT_ANSWER_SECONDS: Final = 60.0
+_DEFAULT_BALANCER_SECONDS: Final = 5.0
+
+
+@frozen
+class Listeners:
+    """Addresses on which the daemon listens for its peers."""
+
+    callers: Listener
+    upstreams: Listener
+    operators: Listener
+
+
+@frozen
+class Settings:
+    """Settings of one process."""
+
+    process: ProcessId
+    zone: ZoneName
+    data_folder: Path
+    listeners: Listeners
+    operators_token: str
+    json_logs: bool
+    answer_seconds: float
+    balancer_seconds: float
+
+
+def read_settings(path: Path) -> Result[Settings, Failure]:
+    """Read a settings file, naming every option that breaks its rule."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Error(UnreadablePayloadFailure(reason=str(error)))
+    return read_yaml_mapping(text).bind(
+        lambda options: read_message(options, _read_settings),
+    )
+
+
+def _read_settings(reader: OptionsReader) -> Settings:
+    token = reader.get_str_opt('operators_token')
+    if len(token) < _MIN_TOKEN_LENGTH:
+        reader.add_problem(
+            'operators_token',
+            f'must have at least {_MIN_TOKEN_LENGTH} characters',
+        )
+    return Settings(
+        process=ProcessId(reader.get_name_opt('process')),
+        zone=ZoneName(reader.get_name_opt('zone')),
+        data_folder=Path(reader.get_str_opt('data_folder')),
+        listeners=_read_listeners(reader.get_section('listen')),
+        operators_token=token,
+        json_logs=reader.get_bool_opt('json_logs', default=False),
+        answer_seconds=reader.get_float_opt(
+            'answer_seconds',
+            0.1,
+            HOUR,
+            _DEFAULT_ANSWER_SECONDS,
+        ),
+        balancer_seconds=reader.get_float_opt(
+            'balancer_seconds',
+            0,
+            HOUR,
+            _DEFAULT_BALANCER_SECONDS,
+        ),
+    )
+
+
+def _read_listeners(reader: OptionsReader) -> Listeners:
+    listeners = Listeners(
+        callers=_read_listener(reader.get_section('callers')),
+        upstreams=_read_listener(reader.get_section('upstreams')),
+        operators=_read_listener(reader.get_section('operators')),
+    )
+    reader.check_unknown()
+    return listeners
+
+
+def _read_listener(reader: OptionsReader) -> Listener:
+    address = reader.get_str_opt('address')
+    try:
+        ip_address(address)
+    except ValueError:
+        reader.add_problem('address', 'must be an IP number')
+    listener = Listener(address, reader.get_int_opt('port', 1, _MAX_PORT))
+    reader.check_unknown()
+    return listener
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/wiring.py
@@ -0,0 +1,172 @@
+"""Wiring of the peers' packages into one process."""
+
+from collections.abc import Iterable
+from random import Random
+from time import monotonic, time
+from uuid import uuid4
+
+from attrs import define, field, frozen
+
+from hornbeamstair_callers.dispatcher import Dispatcher
+from hornbeamstair_callers.front_ends.http import HttpCallFrontEnd
+from hornbeamstair_callers.key_codec import KeyStateMachine
+from hornbeamstair_callers.key_keeper import KeyKeeper
+from hornbeamstair_callers.runner import CallRunner
+from hornbeamstair_core.front_end import FrontEnd
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_daemon.settings import Settings
+from hornbeamstair_operators.front_end import OperatorsHttpFrontEnd
+from hornbeamstair_operators.limits import ServiceLimits, derive_limits
+from hornbeamstair_operators.messages import Contract
+from hornbeamstair_operators.service import OperatorsService
+from hornbeamstair_operators.state import ControlState
+from hornbeamstair_operators.state_machine import ControlStateMachine
+from hornbeamstair_replicas.groups.base import ReplicaGroup
+from hornbeamstair_replicas.groups.single import SingleVoterGroup
+from hornbeamstair_replicas.storage.file import FileLogStorage
+from hornbeamstair_upstreams.choosers.two_choices import TwoChoicesChooser
+from hornbeamstair_upstreams.client import UpstreamClient
+from hornbeamstair_upstreams.directory import UpstreamDirectory
+from hornbeamstair_upstreams.front_end import UpstreamsHttpFrontEnd
+from hornbeamstair_upstreams.messages import Announcement
+
+__all__ = ('Process', 'ProcessStatus', 'wire_process')
+
+
+@frozen
+class UpstreamStatus:
+    """Upstream as operators see it."""
+
+    upstream: str
+    service: str
+    state: str
+    slots: int
+    in_flight: int
+
+
+@frozen
+class ProcessStatus:
+    """State of one process as operators see it."""
+
+    process: str
+    zone: str
+    is_ready: bool
+    revision: int
+    contracts: int
+    pools: int
+    calls: int
+    upstreams: tuple[UpstreamStatus, ...]
+
+
+@define(eq=False)
+class Process:
+    """Parts of one process that start and stop together."""
+
+    settings: Settings
+    control: ReplicaGroup
+    control_machine: ControlStateMachine
+    keys: ReplicaGroup
+    directory: UpstreamDirectory
+    runner: CallRunner
+    metrics: Metrics
+    front_ends: list[FrontEnd] = field(factory=list)
+
+    def put_limits(self, state: ControlState) -> None:
+        """Put the limits of all contracts in force for callers."""
+        self.runner.dispatcher.put_limits(
+            _get_limits(state.tables.contracts.values()),
+            monotonic(),
+        )
+
+    def fill(self, announcement: Announcement) -> None:
+        """Start queued calls of a service that gained slots."""
+        self.runner.fill(announcement.service)
+
+    def get_status(self) -> ProcessStatus:
+        """Get the state of the process."""
+        state = self.control_machine.state
+        return ProcessStatus(
+            process=self.settings.process,
+            zone=self.settings.zone,
+            is_ready=self.runner.is_ready,
+            revision=state.revision,
+            contracts=len(state.tables.contracts),
+            pools=len(state.tables.pools.pools),
+            calls=len(self.runner.dispatcher.calls),
+            upstreams=tuple(self._get_upstreams()),
+        )
+
+    def _get_upstreams(self) -> Iterable[UpstreamStatus]:
+        for known in self.directory.upstreams.values():
+            announced = known.announcement
+            yield UpstreamStatus(
+                upstream=announced.upstream,
+                service=announced.service,
+                state=known.state,
+                slots=announced.slots,
+                in_flight=known.in_flight,
+            )
+
+
+def wire_process(settings: Settings) -> Process:
+    """Wire a process that holds every role."""
+    metrics = Metrics()
+    directory = UpstreamDirectory()
+    control_machine = ControlStateMachine()
+    key_machine = KeyStateMachine()
+    keys = SingleVoterGroup(
+        'keys',
+        FileLogStorage(settings.data_folder / 'keys'),
+        key_machine,
+    )
+    process = Process(
+        settings=settings,
+        control=SingleVoterGroup(
+            'control',
+            FileLogStorage(settings.data_folder / 'control'),
+            control_machine,
+        ),
+        control_machine=control_machine,
+        keys=keys,
+        directory=directory,
+        runner=CallRunner(
+            dispatcher=Dispatcher(directory, TwoChoicesChooser(), Random()),
+            client=UpstreamClient(settings.answer_seconds),
+            keys=KeyKeeper(
+                group=keys,
+                state_machine=key_machine,
+                owner=f'{settings.process}/{uuid4()}',
+                get_wall_time=time,
+            ),
+            metrics=metrics,
+            get_time=monotonic,
+        ),
+        metrics=metrics,
+    )
+    control_machine.listeners.append(process.put_limits)
+    process.front_ends.extend(_get_front_ends(process))
+    return process
+
+
+def _get_front_ends(process: Process) -> Iterable[FrontEnd]:
+    listeners = process.settings.listeners
+    yield OperatorsHttpFrontEnd(
+        listeners.operators,
+        service=OperatorsService(process.control, process.control_machine),
+        metrics=process.metrics,
+        get_status=process.get_status,
+        token=process.settings.operators_token,
+    )
+    yield UpstreamsHttpFrontEnd(
+        listeners.upstreams,
+        directory=process.directory,
+        metrics=process.metrics,
+        get_time=monotonic,
+        on_announced=process.fill,
+    )
+    yield HttpCallFrontEnd(listeners.callers, runner=process.runner)
+
+
+def _get_limits(contracts: Iterable[Contract]) -> Iterable[ServiceLimits]:
+    for contract in contracts:
+        yield from derive_limits(contract)
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/__init__.py
@@ -0,0 +1,1 @@
+"""Contracts, limits and the operators of hornbeamstair."""
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as a module."""
+
+from hornbeamstair_operators.command_line.main import main
+
+main()
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/capacity.py
@@ -0,0 +1,49 @@
+"""Check that the contracts together fit the pools."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from expression import Error, Ok, Result
+
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.ids import ServiceName
+from hornbeamstair_operators.failures import OverPromiseFailure
+from hornbeamstair_operators.messages import Contract
+from hornbeamstair_platform.messages import Pool
+
+__all__ = ('check_capacity',)
+
+
+def check_capacity(
+    contracts: Iterable[Contract],
+    pools: Iterable[Pool],
+) -> Result[None, Failure]:
+    """Refuse promises that exceed a pool less its largest rack.
+
+    A service without a declared pool is not checked.
+    """
+    promised: Counter[ServiceName] = Counter()
+    for contract in contracts:
+        for promise in contract.services:
+            promised[promise.service] += promise.concurrency
+    for pool in pools:
+        failure = _check_pool(pool, promised[pool.service])
+        if failure is not None:
+            return Error(failure)
+    return Ok(None)
+
+
+def _check_pool(pool: Pool, promised_slots: int) -> Failure | None:
+    slots_by_rack: Counter[str] = Counter()
+    for host in pool.hosts:
+        slots_by_rack[f'{host.zone}/{host.rack}'] += host.slots
+    lost_domain = max(slots_by_rack, key=slots_by_rack.__getitem__, default='')
+    available_slots = slots_by_rack.total() - slots_by_rack[lost_domain]
+    if promised_slots <= available_slots:
+        return None
+    return OverPromiseFailure(
+        service=pool.service,
+        promised_slots=promised_slots,
+        available_slots=available_slots,
+        lost_domain=lost_domain,
+    )
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/changes/__init__.py
@@ -0,0 +1,1 @@
+"""Changes that operators make to the control state."""
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/command_line/__init__.py
@@ -0,0 +1,1 @@
+"""Command line hornbeamstair of the operators."""
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/command_line/contracts.py
@@ -0,0 +1,98 @@
+"""Commands on contracts."""
+
+from pathlib import Path
+from typing import Annotated, Final
+
+from typer import Argument, Context, Typer
+
+from hornbeamstair_operators.changes.contract import (
+    ApplyContractChange,
+    RemoveContractChange,
+)
+from hornbeamstair_operators.command_line.options import (
+    ExpectedRevision,
+    RequestIdOption,
+    get_request_id,
+)
+from hornbeamstair_operators.command_line.session import Session
+
+__all__ = ('contract_app',)
+
+_COLUMNS: Final = (
+    'customer',
+    'home_zone',
+    'availability',
+    'services',
+    'revision',
+)
+
+Customer = Annotated[str, Argument(help='Name of the customer.')]
+
+contract_app = Typer(
+    rich_markup_mode=None, help='Create, amend, list and end contracts.'
+)
+
+
+@contract_app.command('apply')
+def apply_contract(
+    context: Context,
+    path: Annotated[Path, Argument(help='Contract in YAML.')],
+    *,
+    request_id: RequestIdOption = None,
+    expected_revision: ExpectedRevision = None,
+) -> None:
+    """Create or amend the contract of one customer."""
+    session: Session = context.obj
+    session.change(
+        get_request_id(request_id),
+        expected_revision,
+        {
+            'kind': ApplyContractChange.kind,
+            'contract': session.read_file(path),
+        },
+    )
+
+
+@contract_app.command('remove')
+def remove_contract(
+    context: Context,
+    customer: Customer,
+    *,
+    request_id: RequestIdOption = None,
+    expected_revision: ExpectedRevision = None,
+) -> None:
+    """End the contract of a customer."""
+    session: Session = context.obj
+    session.change(
+        get_request_id(request_id),
+        expected_revision,
+        {'kind': RemoveContractChange.kind, 'customer': customer},
+    )
+
+
+@contract_app.command('list')
+def list_contracts(context: Context) -> None:
+    """List the contracts in force."""
+    session: Session = context.obj
+    records = session.read('/v1/contracts')
+    rows = [
+        {
+            **record['contract'],
+            'revision': record['revision'],
+            'services': ','.join(
+                promise['service'] for promise in record['contract']['services']
+            ),
+        }
+        for record in records
+    ]
+    session.output.print_table(rows, _COLUMNS)
+
+
+@contract_app.command('show')
+def show_contract(context: Context, customer: Customer) -> None:
+    """Show the contract of a customer."""
+    session: Session = context.obj
+    record = session.read(f'/v1/contracts/{customer}')
+    session.output.print_record(
+        {**record['contract'], 'revision': record['revision']},
+    )
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/documents.py
@@ -0,0 +1,201 @@
+"""Reading of the documents that operators write."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any, Final
+
+from expression import Result
+
+from hornbeamstair_core.codec import read_message
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.ids import (
+    CustomerId,
+    HostId,
+    PoolName,
+    RackName,
+    RequestId,
+    ServiceName,
+    ZoneName,
+)
+from hornbeamstair_core.options import OptionsReader
+from hornbeamstair_core.units import DAY
+from hornbeamstair_operators.changes.base import Change, ChangeRequest
+from hornbeamstair_operators.changes.contract import (
+    ApplyContractChange,
+    RemoveContractChange,
+)
+from hornbeamstair_operators.changes.pool import DeclarePoolChange
+from hornbeamstair_operators.messages import (
+    Contract,
+    ServicePromise,
+    Urgency,
+)
+from hornbeamstair_platform.messages import Host, Pool
+
+__all__ = ('read_change_document', 'read_contract', 'read_pool')
+
+_MAX_CONCURRENCY: Final = 100000
+_MAX_RATE: Final = 1000000.0
+_MAX_BURST_MULTIPLE: Final = 100.0
+_MIN_AVAILABILITY: Final = 0.5
+_MAX_AVAILABILITY: Final = 0.99999
+_MAX_WINDOW_DAYS: Final = 366
+_MIN_RATE: Final = 0.001
+_MIN_START_WITHIN: Final = 0.01
+_MAX_SLOTS: Final = 10000
+_MAX_REVISION: Final = 9007199254740991
+_DEFAULT_START_WITHIN: Final = 1.0
+_DEFAULT_PLANNED_SHARE: Final = 0.5
+
+
+def read_contract(
+    options: Mapping[str, Any],
+) -> Result[Contract, Failure]:
+    """Read a contract, naming every field that breaks its rule."""
+    return read_message(options, _read_contract)
+
+
+def read_pool(options: Mapping[str, Any]) -> Result[Pool, Failure]:
+    """Read a pool, naming every field that breaks its rule."""
+    return read_message(options, _read_pool)
+
+
+def read_change_document(
+    options: Mapping[str, Any],
+) -> Result[ChangeRequest, Failure]:
+    """Read a change request, naming every field that breaks its rule."""
+    return read_message(options, _read_change_request)
+
+
+def _read_contract(reader: OptionsReader) -> Contract:
+    promises = tuple(
+        _read_promise(section) for section in reader.get_sections('services')
+    )
+    _check_unique(reader, 'services', [found.service for found in promises])
+    contract = Contract(
+        customer=CustomerId(reader.get_name_opt('customer')),
+        home_zone=ZoneName(reader.get_name_opt('home_zone')),
+        availability=reader.get_float_opt(
+            'availability',
+            _MIN_AVAILABILITY,
+            _MAX_AVAILABILITY,
+        ),
+        window_days=reader.get_int_opt('window_days', 1, _MAX_WINDOW_DAYS),
+        planned_share=reader.get_float_opt(
+            'planned_share',
+            0,
+            1,
+            _DEFAULT_PLANNED_SHARE,
+        ),
+        services=promises,
+    )
+    reader.check_unknown()
+    return contract
+
+
+def _read_promise(reader: OptionsReader) -> ServicePromise:
+    urgency = reader.get_choice_opt(
+        'urgency',
+        tuple(member.value for member in Urgency),
+    )
+    promise = ServicePromise(
+        service=ServiceName(reader.get_name_opt('service')),
+        concurrency=reader.get_int_opt('concurrency', 1, _MAX_CONCURRENCY),
+        rate=reader.get_float_opt('rate', _MIN_RATE, _MAX_RATE),
+        burst_multiple=reader.get_float_opt(
+            'burst_multiple',
+            1,
+            _MAX_BURST_MULTIPLE,
+            1,
+        ),
+        burst_seconds=reader.get_float_opt('burst_seconds', 0, DAY, 0),
+        urgency=Urgency(urgency),
+        start_within=reader.get_float_opt(
+            'start_within',
+            _MIN_START_WITHIN,
+            DAY,
+            _DEFAULT_START_WITHIN,
+        ),
+        idempotent=reader.get_bool_opt('idempotent'),
+    )
+    reader.check_unknown()
+    return promise
+
+
+def _read_pool(reader: OptionsReader) -> Pool:
+    hosts = tuple(
+        _read_host(section) for section in reader.get_sections('hosts')
+    )
+    _check_unique(reader, 'hosts', [found.host for found in hosts])
+    pool = Pool(
+        pool=PoolName(reader.get_name_opt('pool')),
+        service=ServiceName(reader.get_name_opt('service')),
+        is_spare=reader.get_bool_opt('is_spare', default=False),
+        hosts=hosts,
+    )
+    reader.check_unknown()
+    return pool
+
+
+def _read_host(reader: OptionsReader) -> Host:
+    host = Host(
+        host=HostId(reader.get_name_opt('host')),
+        zone=ZoneName(reader.get_name_opt('zone')),
+        rack=RackName(reader.get_name_opt('rack')),
+        slots=reader.get_int_opt('slots', 1, _MAX_SLOTS),
+    )
+    reader.check_unknown()
+    return host
+
+
+def _read_change_request(reader: OptionsReader) -> ChangeRequest:
+    expected_revision = reader.get_int_opt(
+        'expected_revision',
+        -1,
+        _MAX_REVISION,
+        -1,
+    )
+    request = ChangeRequest(
+        request_id=RequestId(reader.get_name_opt('request_id')),
+        expected_revision=None if expected_revision < 0 else expected_revision,
+        change=_read_change(reader.get_section('change')),
+    )
+    reader.check_unknown()
+    return request
+
+
+def _read_change(reader: OptionsReader) -> Change:
+    kind = reader.get_choice_opt('kind', tuple(_CHANGE_READERS))
+    change = _CHANGE_READERS[kind](reader)
+    reader.check_unknown()
+    return change
+
+
+def _read_apply_contract(reader: OptionsReader) -> Change:
+    return ApplyContractChange(_read_contract(reader.get_section('contract')))
+
+
+def _read_remove_contract(reader: OptionsReader) -> Change:
+    return RemoveContractChange(CustomerId(reader.get_name_opt('customer')))
+
+
+def _read_declare_pool(reader: OptionsReader) -> Change:
+    return DeclarePoolChange(_read_pool(reader.get_section('pool')))
+
+
+_CHANGE_READERS: Final = MappingProxyType(
+    {
+        ApplyContractChange.kind: _read_apply_contract,
+        RemoveContractChange.kind: _read_remove_contract,
+        DeclarePoolChange.kind: _read_declare_pool,
+    }
+)
+
+
+def _check_unique(
+    reader: OptionsReader,
+    name: str,
+    identifiers: list[Any],
+) -> None:
+    if len(set(identifiers)) < len(identifiers):
+        reader.add_problem(name, 'names the same member twice')
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/tables.py
@@ -0,0 +1,17 @@
+"""Tables of the control state."""
+
+from attrs import define, field
+
+from hornbeamstair_core.ids import CustomerId
+from hornbeamstair_operators.messages import Contract
+from hornbeamstair_platform.assignment import PoolTable
+
+__all__ = ('ControlTables',)
+
+
+@define
+class ControlTables:
+    """Contracts and pools in force."""
+
+    contracts: dict[CustomerId, Contract] = field(factory=dict)
+    pools: PoolTable = field(factory=PoolTable)
--- /dev/null
+++ b/packages/platform/hornbeamstair_platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform that hornbeamstair manages."""
--- /dev/null
+++ b/packages/platform/hornbeamstair_platform/messages.py
@@ -0,0 +1,33 @@
+"""Hosts and pools as the platform knows them."""
+
+from attrs import frozen
+
+from hornbeamstair_core.ids import (
+    HostId,
+    PoolName,
+    RackName,
+    ServiceName,
+    ZoneName,
+)
+
+__all__ = ('Host', 'Pool')
+
+
+@frozen
+class Host:
+    """Worker of the platform and the failure domains it stands in."""
+
+    host: HostId
+    zone: ZoneName
+    rack: RackName
+    slots: int
+
+
+@frozen
+class Pool:
+    """Hosts that serve one service."""
+
+    pool: PoolName
+    service: ServiceName
+    is_spare: bool
+    hosts: tuple[Host, ...]
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state of the processes of hornbeamstair."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -0,0 +1,68 @@
+"""Events of the replicated log."""
+
+from attrs import frozen
+
+from hornbeamstair_core.events import Event, EventLevel, register_event
+
+__all__ = (
+    'LogOpenedEvent',
+    'SnapshotWrittenEvent',
+    'StorageFailedEvent',
+    'TornTailCutEvent',
+)
+
+
+@register_event
+@frozen
+class LogOpenedEvent(Event):
+    """Log read at the start of the process."""
+
+    number = 5001
+    name = 'log_opened'
+    summary = 'A replicated log was read from disk.'
+
+    group: str
+    snapshot_index: int
+    entry_count: int
+
+
+@register_event
+@frozen
+class TornTailCutEvent(Event):
+    """Incomplete record cut from the end of the log."""
+
+    number = 5002
+    name = 'torn_tail_cut'
+    summary = 'An incomplete record at the end of the log was cut off.'
+    level = EventLevel.warning
+
+    path: str
+    offset: int
+
+
+@register_event
+@frozen
+class StorageFailedEvent(Event):
+    """Write or sync that the disk refused."""
+
+    number = 5003
+    name = 'storage_failed'
+    summary = 'The disk refused a write or sync; the voter stops.'
+    level = EventLevel.error
+
+    group: str
+    reason: str
+
+
+@register_event
+@frozen
+class SnapshotWrittenEvent(Event):
+    """Snapshot that replaced older entries."""
+
+    number = 5004
+    name = 'snapshot_written'
+    summary = 'A snapshot was written and older entries were removed.'
+
+    group: str
+    index: int
+    size_bytes: int
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of voters that agree on one log."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/state_machine.py
@@ -0,0 +1,21 @@
+"""Base class of the state that a replicated log keeps."""
+
+from abc import ABC, abstractmethod
+
+__all__ = ('StateMachine',)
+
+
+class StateMachine(ABC):
+    """State that changes only by committed entries."""
+
+    @abstractmethod
+    def apply(self, index: int, payload: bytes) -> object:
+        """Apply a committed entry and return the answer to its proposer."""
+
+    @abstractmethod
+    def get_snapshot(self) -> bytes:
+        """Get the whole state as bytes."""
+
+    @abstractmethod
+    def restore(self, state: bytes) -> None:
+        """Replace the whole state by that of a snapshot."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Storage of log entries, votes and snapshots."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/storage/file.py
@@ -0,0 +1,231 @@
+"""Log storage in segment files under one folder."""
+
+import os
+from collections.abc import Sequence
+from pathlib import Path
+from typing import BinaryIO, Final
+
+from attrs import define, field
+
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.units import MIB
+from hornbeamstair_replicas.events import TornTailCutEvent
+from hornbeamstair_replicas.messages import (
+    LogEntry,
+    LogTail,
+    Snapshot,
+    VoteRecord,
+)
+from hornbeamstair_replicas.storage.base import (
+    LogCorruptedError,
+    LogStorage,
+    StorageError,
+)
+from hornbeamstair_replicas.storage.records import (
+    DamagedRecord,
+    StoredRecord,
+    TruncationRecord,
+    read_records,
+    read_snapshot,
+    write_entry_record,
+    write_snapshot_record,
+    write_truncate_record,
+    write_vote_record,
+)
+
+__all__ = ('FileLogStorage',)
+
+_SEGMENT_BYTES: Final = 8 * MIB
+_SEGMENT_GLOB: Final = 'segment-*.log'
+_SNAPSHOT_NAME: Final = 'snapshot'
+
+
+@define
+class FileLogStorage(LogStorage):
+    """Segment files of records with checksums, and one snapshot file."""
+
+    folder: Path
+    segment_bytes: int = _SEGMENT_BYTES
+    vote: VoteRecord = field(factory=VoteRecord, init=False)
+    segment: BinaryIO | None = field(default=None, init=False)
+    segment_number: int = field(default=0, init=False)
+    last_indexes: dict[int, int] = field(factory=dict, init=False)
+    has_failed: bool = field(default=False, init=False)
+
+    def load(self) -> LogTail:
+        """Read what is stored; LogCorruptedError if it is damaged."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        snapshot = self._load_snapshot()
+        first_index = snapshot.index + 1 if snapshot else 1
+        entries: list[LogEntry] = []
+        paths = sorted(self.folder.glob(_SEGMENT_GLOB))
+        for path in paths:
+            self._load_segment(path, entries, is_last=path == paths[-1])
+        kept = tuple(entry for entry in entries if entry.index >= first_index)
+        _check_contiguous(kept, first_index)
+        self._open_segment(self.segment_number + 1)
+        return LogTail(self.vote, snapshot, kept)
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Write entries after the last; StorageError if refused."""
+        self._write(b''.join(write_entry_record(entry) for entry in entries))
+        if entries:
+            self.last_indexes[self.segment_number] = entries[-1].index
+
+    def truncate(self, first_index: int) -> None:
+        """Remove the entries from an index on."""
+        self._write(write_truncate_record(first_index))
+
+    def write_vote(self, vote: VoteRecord) -> None:
+        """Write the term and vote."""
+        self.vote = vote
+        self._write(write_vote_record(vote))
+
+    def write_snapshot(self, snapshot: Snapshot) -> None:
+        """Write and sync a snapshot and remove the entries it covers."""
+        self.sync()
+        path = self.folder / _SNAPSHOT_NAME
+        draft = self.folder / f'{_SNAPSHOT_NAME}.draft'
+        try:
+            _replace_file(path, draft, write_snapshot_record(snapshot))
+        except OSError as error:
+            raise self._get_error(error) from error
+        self._open_segment(self.segment_number + 1)
+        self._write(write_vote_record(self.vote))
+        self.sync()
+        self._remove_segments(snapshot.index)
+
+    def sync(self) -> None:
+        """Make all writes last; StorageError if the disk refuses."""
+        segment = self._get_segment()
+        try:
+            segment.flush()
+        except OSError as flush_error:
+            raise self._get_error(flush_error) from flush_error
+        try:
+            os.fdatasync(segment.fileno())
+        except OSError as sync_error:
+            raise self._get_error(sync_error) from sync_error
+        if segment.tell() >= self.segment_bytes:
+            self._open_segment(self.segment_number + 1)
+            self._write(write_vote_record(self.vote))
+
+    def close(self) -> None:
+        """Release the files."""
+        if self.segment is not None:
+            self.segment.close()
+            self.segment = None
+
+    def _load_snapshot(self) -> Snapshot | None:
+        path = self.folder / _SNAPSHOT_NAME
+        if not path.exists():
+            return None
+        return read_snapshot(path.read_bytes())
+
+    def _load_segment(
+        self,
+        path: Path,
+        entries: list[LogEntry],
+        *,
+        is_last: bool,
+    ) -> None:
+        self.segment_number = int(path.stem.rpartition('-')[-1])
+        for record in read_records(path.read_bytes()):
+            if isinstance(record, DamagedRecord):
+                _cut_torn_tail(path, record, is_last=is_last)
+            else:
+                self._load_record(record, entries)
+        if entries:
+            self.last_indexes[self.segment_number] = entries[-1].index
+
+    def _load_record(
+        self,
+        record: StoredRecord,
+        entries: list[LogEntry],
+    ) -> None:
+        match record:
+            case LogEntry():
+                entries.append(record)
+            case VoteRecord():
+                self.vote = record
+            case TruncationRecord(first_index):
+                while entries and entries[-1].index >= first_index:
+                    entries.pop()
+
+    def _open_segment(self, number: int) -> None:
+        self.close()
+        path = self.folder / f'segment-{number:020}.log'
+        try:
+            self.segment = path.open('ab')
+        except OSError as error:
+            raise self._get_error(error) from error
+        self.segment_number = number
+        _sync_folder(self.folder)
+
+    def _remove_segments(self, covered_index: int) -> None:
+        for path in sorted(self.folder.glob(_SEGMENT_GLOB)):
+            number = int(path.stem.rpartition('-')[-1])
+            last_index = self.last_indexes.get(number, 0)
+            if number == self.segment_number or last_index > covered_index:
+                # A later segment may truncate entries of this one.
+                return
+            path.unlink()
+            self.last_indexes.pop(number, None)
+
+    def _write(self, content: bytes) -> None:
+        segment = self._get_segment()
+        try:
+            segment.write(content)
+        except OSError as error:
+            raise self._get_error(error) from error
+
+    def _get_segment(self) -> BinaryIO:
+        if self.has_failed or self.segment is None:
+            raise StorageError('the storage is closed or has failed')
+        return self.segment
+
+    def _get_error(self, error: OSError) -> StorageError:
+        # A failed sync may have dropped pages: no later sync can be trusted.
+        self.has_failed = True
+        return StorageError(str(error))
+
+
+def _cut_torn_tail(
+    path: Path,
+    damaged: DamagedRecord,
+    *,
+    is_last: bool,
+) -> None:
+    if not (is_last and damaged.reaches_end):
+        raise LogCorruptedError(
+            f'{path.name} is damaged at byte {damaged.offset}',
+        )
+    log_event(TornTailCutEvent(path.name, damaged.offset))
+    with path.open('r+b') as segment:
+        segment.truncate(damaged.offset)
+        os.fsync(segment.fileno())
+
+
+def _check_contiguous(entries: tuple[LogEntry, ...], first_index: int) -> None:
+    for expected_index, entry in enumerate(entries, start=first_index):
+        if entry.index != expected_index:
+            raise LogCorruptedError(
+                f'entry {expected_index} is missing: found {entry.index}',
+            )
+
+
+def _replace_file(path: Path, draft: Path, content: bytes) -> None:
+    with draft.open('wb') as target:
+        target.write(content)
+        target.flush()
+        os.fsync(target.fileno())
+    draft.replace(path)
+    _sync_folder(path.parent)
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/storage/memory.py
@@ -0,0 +1,71 @@
+"""Log storage in memory that can lose what was not synced."""
+
+from collections.abc import Sequence
+
+from attrs import define, field
+
+from hornbeamstair_replicas.messages import (
+    LogEntry,
+    LogTail,
+    Snapshot,
+    VoteRecord,
+)
+from hornbeamstair_replicas.storage.base import LogStorage, StorageError
+
+__all__ = ('MemoryLogStorage',)
+
+
+@define
+class MemoryLogStorage(LogStorage):
+    """Storage for tests; a crash keeps only what was synced."""
+
+    entries: list[LogEntry] = field(factory=list)
+    vote: VoteRecord = field(factory=VoteRecord)
+    snapshot: Snapshot | None = None
+    synced: LogTail = field(
+        factory=lambda: LogTail(VoteRecord(), None, ()),
+    )
+    refuses_sync: bool = False
+    has_failed: bool = False
+
+    def load(self) -> LogTail:
+        """Read what is stored."""
+        return LogTail(self.vote, self.snapshot, tuple(self.entries))
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Write entries after the last."""
+        self.entries.extend(entries)
+
+    def truncate(self, first_index: int) -> None:
+        """Remove the entries from an index on."""
+        while self.entries and self.entries[-1].index >= first_index:
+            self.entries.pop()
+
+    def write_vote(self, vote: VoteRecord) -> None:
+        """Write the term and vote."""
+        self.vote = vote
+
+    def write_snapshot(self, snapshot: Snapshot) -> None:
+        """Write and sync a snapshot and remove the entries it covers."""
+        self.snapshot = snapshot
+        self.entries = [
+            entry for entry in self.entries if entry.index > snapshot.index
+        ]
+        self.sync()
+
+    def sync(self) -> None:
+        """Make all writes last; StorageError if told to refuse."""
+        if self.refuses_sync or self.has_failed:
+            self.has_failed = True
+            raise StorageError('the sync was refused')
+        self.synced = self.load()
+
+    def close(self) -> None:
+        """Release nothing."""
+
+    def crash(self) -> None:
+        """Lose every write since the last sync."""
+        self.vote = self.synced.vote
+        self.snapshot = self.synced.snapshot
+        self.entries = list(self.synced.entries)
+        self.has_failed = False
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/storage/records.py
@@ -0,0 +1,127 @@
+"""Encoding of stored records with checksums."""
+
+from collections.abc import Iterator
+from struct import Struct
+from typing import Final
+from zlib import crc32
+
+from attrs import frozen
+
+from hornbeamstair_core.codec import read_cbor, write_cbor
+from hornbeamstair_replicas.messages import LogEntry, Snapshot, VoteRecord
+from hornbeamstair_replicas.storage.base import LogCorruptedError
+
+__all__ = (
+    'DamagedRecord',
+    'StoredRecord',
+    'TruncationRecord',
+    'read_records',
+    'read_snapshot',
+    'write_entry_record',
+    'write_snapshot_record',
+    'write_truncate_record',
+    'write_vote_record',
+)
+
+_HEADER: Final = Struct('>II')
+_ENTRY_KIND: Final = 0
+_VOTE_KIND: Final = 1
+_TRUNCATE_KIND: Final = 2
+
+
+@frozen
+class TruncationRecord:
+    """Removal of the entries from an index on."""
+
+    first_index: int
+
+
+StoredRecord = LogEntry | VoteRecord | TruncationRecord
+
+
+@frozen
+class DamagedRecord:
+    """Record whose checksum or length is wrong."""
+
+    offset: int
+    reaches_end: bool
+
+
+def write_entry_record(entry: LogEntry) -> bytes:
+    """Encode a log entry."""
+    return _frame(
+        write_cbor([_ENTRY_KIND, entry.index, entry.term, entry.payload]),
+    )
+
+
+def write_vote_record(vote: VoteRecord) -> bytes:
+    """Encode a term and vote."""
+    return _frame(write_cbor([_VOTE_KIND, vote.term, vote.voted_for]))
+
+
+def write_truncate_record(first_index: int) -> bytes:
+    """Encode the removal of the entries from an index on."""
+    return _frame(write_cbor([_TRUNCATE_KIND, first_index]))
+
+
+def write_snapshot_record(snapshot: Snapshot) -> bytes:
+    """Encode a snapshot."""
+    return _frame(write_cbor([snapshot.index, snapshot.term, snapshot.state]))
+
+
+def read_snapshot(content: bytes) -> Snapshot:
+    """Decode a snapshot; LogCorruptedError if it is damaged."""
+    body = _read_body(content, 0)
+    if body is None:
+        raise LogCorruptedError('the snapshot is damaged')
+    index, term, state = read_cbor(body)
+    return Snapshot(index, term, state)
+
+
+def read_records(content: bytes) -> Iterator[StoredRecord | DamagedRecord]:
+    """Decode records in turn, ending with a damaged one if there is one."""
+    offset = 0
+    while offset < len(content):
+        body = _read_body(content, offset)
+        if body is None:
+            yield DamagedRecord(offset, _reaches_end(content, offset))
+            return
+        yield _read_record(body)
+        offset += _HEADER.size + len(body)
+
+
+def _frame(body: bytes) -> bytes:
+    return _HEADER.pack(len(body), crc32(body)) + body
+
+
+def _read_body(content: bytes, offset: int) -> bytes | None:
+    start = offset + _HEADER.size
+    if len(content) < start:
+        return None
+    length, checksum = _HEADER.unpack_from(content, offset)
+    body = content[start : start + length]
+    if not body or len(body) < length or crc32(body) != checksum:
+        return None
+    return body
+
+
+def _reaches_end(content: bytes, offset: int) -> bool:
+    """Tell whether nothing intact can follow a damaged record."""
+    start = offset + _HEADER.size
+    if len(content) < start:
+        return True
+    length = int(_HEADER.unpack_from(content, offset)[0])
+    if not length:
+        return not any(content[offset:])
+    return start + length >= len(content)
+
+
+def _read_record(body: bytes) -> StoredRecord:
+    kind, *fields = read_cbor(body)
+    if kind == _ENTRY_KIND:
+        return LogEntry(*fields)
+    if kind == _VOTE_KIND:
+        return VoteRecord(*fields)
+    if kind == _TRUNCATE_KIND:
+        return TruncationRecord(*fields)
+    raise LogCorruptedError(f'record kind {kind!r} is unknown')
--- /dev/null
+++ b/packages/tools/hornbeamstair_tools/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool, benches and demonstrations."""
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams that announce themselves to hornbeamstair."""
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/choosers/__init__.py
@@ -0,0 +1,1 @@
+"""Ways to choose an upstream for a call."""
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/choosers/random_choice.py
@@ -0,0 +1,20 @@
+"""Choice of an upstream at random."""
+
+from collections.abc import Sequence
+from random import Random
+from typing import ClassVar
+
+from hornbeamstair_upstreams.choosers.base import UpstreamChooser
+from hornbeamstair_upstreams.lifecycle import Upstream
+
+__all__ = ('RandomChooser',)
+
+
+class RandomChooser(UpstreamChooser):
+    """Ignore the load of the candidates."""
+
+    name: ClassVar[str] = 'random'
+
+    def choose(self, candidates: Sequence[Upstream], rng: Random) -> Upstream:
+        """Choose any candidate."""
+        return rng.choice(candidates)
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/codec.py
@@ -0,0 +1,58 @@
+"""Reading of announcements and departures."""
+
+from ipaddress import ip_address
+from typing import Final
+
+from expression import Result
+
+from hornbeamstair_core.codec import read_json_mapping, read_message
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.ids import ServiceName, UpstreamId, ZoneName
+from hornbeamstair_core.options import OptionsReader
+from hornbeamstair_upstreams.messages import Announcement, Departure
+
+__all__ = ('read_announcement', 'read_departure')
+
+_MAX_SLOTS: Final = 10000
+_MAX_CONNECTIONS: Final = 100000
+_MAX_INCARNATION: Final = 9007199254740991
+_MAX_PORT: Final = 65535
+
+
+def read_announcement(payload: bytes) -> Result[Announcement, Failure]:
+    """Decode an announcement from JSON."""
+    return read_json_mapping(payload).bind(
+        lambda options: read_message(options, _read_announcement),
+    )
+
+
+def read_departure(payload: bytes) -> Result[Departure, Failure]:
+    """Decode a departure from JSON."""
+    return read_json_mapping(payload).bind(
+        lambda options: read_message(options, _read_departure),
+    )
+
+
+def _read_announcement(reader: OptionsReader) -> Announcement:
+    address = reader.get_str_opt('address')
+    try:
+        ip_address(address)
+    except ValueError:
+        reader.add_problem('address', 'must be an IP number')
+    return Announcement(
+        upstream=UpstreamId(reader.get_name_opt('upstream')),
+        service=ServiceName(reader.get_name_opt('service')),
+        zone=ZoneName(reader.get_name_opt('zone')),
+        address=address,
+        port=reader.get_int_opt('port', 1, _MAX_PORT),
+        slots=reader.get_int_opt('slots', 1, _MAX_SLOTS),
+        connections=reader.get_int_opt('connections', 1, _MAX_CONNECTIONS),
+        incarnation=reader.get_int_opt('incarnation', 0, _MAX_INCARNATION),
+    )
+
+
+def _read_departure(reader: OptionsReader) -> Departure:
+    return Departure(
+        upstream=UpstreamId(reader.get_name_opt('upstream')),
+        incarnation=reader.get_int_opt('incarnation', 0, _MAX_INCARNATION),
+    )
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/failures.py
@@ -0,0 +1,67 @@
+"""Result codes of upstreams and their announcements."""
+
+from attrs import frozen
+
+from hornbeamstair_core.failures import Failure, register_failure
+
+__all__ = (
+    'AnnouncementConflictFailure',
+    'OutcomeUnknownFailure',
+    'RanWithoutAnswerFailure',
+    'UpstreamsUnreachableFailure',
+)
+
+
+@register_failure
+@frozen
+class AnnouncementConflictFailure(Failure):
+    """Announcement of an incarnation that a newer one replaced."""
+
+    number = 3001
+    name = 'announcement_conflict'
+    summary = 'A newer incarnation of the upstream is known.'
+    http_status = 409
+
+    upstream: str
+    known_incarnation: int
+
+
+@register_failure
+@frozen
+class UpstreamsUnreachableFailure(Failure):
+    """Call that no upstream could be reached for."""
+
+    number = 3002
+    name = 'upstreams_unreachable'
+    summary = 'No upstream could be reached; the call was not run.'
+    http_status = 503
+
+    reason: str
+
+
+@register_failure
+@frozen
+class OutcomeUnknownFailure(Failure):
+    """Call whose upstream went silent after the request was sent."""
+
+    number = 3003
+    name = 'outcome_unknown'
+    summary = 'The upstream gave no answer; the call may have run.'
+    http_status = 504
+    may_have_run = True
+
+    reason: str
+
+
+@register_failure
+@frozen
+class RanWithoutAnswerFailure(Failure):
+    """Call whose answer was cut short or malformed."""
+
+    number = 3004
+    name = 'answer_not_whole'
+    summary = 'The upstream ran the call but its answer was not whole.'
+    http_status = 502
+    may_have_run = True
+
+    reason: str
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/health.py
@@ -0,0 +1,66 @@
+"""Ejection of upstreams that fail far more than their pool."""
+
+from collections.abc import Sequence
+from statistics import median
+from typing import Final
+
+from attrs import define
+
+from hornbeamstair_core.units import MINUTE
+
+__all__ = ('HealthRecord', 'get_max_ejected', 'is_outlier')
+
+_SMOOTHING: Final = 0.2
+_MIN_ATTEMPTS: Final = 5
+_MIN_FAILURE_SHARE: Final = 0.5
+_MEDIAN_MULTIPLE: Final = 3
+_MAX_EJECTED_SHARE: Final = 1 / 3
+_FIRST_EJECTION_SECONDS: Final = 5.0
+_MAX_EJECTION_SECONDS: Final = 5 * MINUTE
+
+
+@define
+class HealthRecord:
+    """Recent failures of one upstream."""
+
+    failure_share: float = 0
+    attempts: int = 0
+    ejections: int = 0
+    ejected_until: float = 0
+
+    def add_attempt(self, *, failed: bool) -> None:
+        """Add an attempt to the moving share of failures."""
+        outcome = 1.0 if failed else 0
+        self.failure_share += _SMOOTHING * (outcome - self.failure_share)
+        self.attempts += 1
+
+    def start_ejection(self, now: float) -> float:
+        """Start an ejection, each longer than the last; return seconds."""
+        seconds: float = min(
+            _FIRST_EJECTION_SECONDS * 2**self.ejections,
+            _MAX_EJECTION_SECONDS,
+        )
+        self.ejections += 1
+        self.ejected_until = now + seconds
+        return seconds
+
+    def end_ejection(self) -> None:
+        """Forget the failures before an ejection."""
+        self.failure_share = 0
+        self.attempts = 0
+
+
+def is_outlier(record: HealthRecord, pool: Sequence[HealthRecord]) -> bool:
+    """Tell whether an upstream fails far more than its pool."""
+    if record.attempts < _MIN_ATTEMPTS:
+        return False
+    typical = median(member.failure_share for member in pool)
+    return record.failure_share > max(
+        _MIN_FAILURE_SHARE,
+        _MEDIAN_MULTIPLE * typical,
+    )
+
+
+def get_max_ejected(pool_size: int) -> int:
+    """Get how many upstreams of a pool may be ejected at once."""
+    return int(pool_size * _MAX_EJECTED_SHARE)
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/lifecycle.py
@@ -0,0 +1,81 @@
+"""Lifecycle of an upstream as the system sees it."""
+
+from enum import Enum
+from typing import Final
+
+from attrs import define, field
+from transitions import Machine
+
+from hornbeamstair_upstreams.health import HealthRecord
+from hornbeamstair_upstreams.messages import Announcement
+
+__all__ = ('Upstream', 'UpstreamTrigger', 'change_state')
+
+_SERVING: Final = 'serving'
+_EJECTED: Final = 'ejected'
+_LEAVING: Final = 'leaving'
+_GONE: Final = 'gone'
+
+
+class UpstreamTrigger(Enum):
+    """Event in the life of an upstream."""
+
+    eject = 'eject'
+    reinstate = 'reinstate'
+    leave = 'leave'
+    rejoin = 'rejoin'
+    lapse = 'lapse'
+
+
+@define(eq=False)
+class Upstream:
+    """Announced upstream with its lease, load and health."""
+
+    announcement: Announcement
+    lease_until: float
+    in_flight: int = 0
+    health: HealthRecord = field(factory=HealthRecord)
+    state: str = _SERVING
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether new calls may be sent."""
+        return self.state == _SERVING
+
+    @property
+    def is_ejected(self) -> bool:
+        """Tell whether the upstream is out of choice for its failures."""
+        return self.state == _EJECTED
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the upstream said it leaves."""
+        return self.state == _LEAVING
+
+    @property
+    def free_slots(self) -> int:
+        """Count the calls that the upstream can take at once."""
+        announced = self.announcement
+        limit = min(announced.slots, announced.connections)
+        return limit - self.in_flight
+
+
+# One machine serves every upstream: it reads and writes only their state.
+_machine: Final = Machine(
+    model=None,
+    states=[_SERVING, _EJECTED, _LEAVING, _GONE],
+    initial=_SERVING,
+    auto_transitions=False,
+    transitions=[
+        [UpstreamTrigger.eject.value, _SERVING, _EJECTED],
+        [UpstreamTrigger.reinstate.value, _EJECTED, _SERVING],
+        [UpstreamTrigger.leave.value, [_SERVING, _EJECTED], _LEAVING],
+        [UpstreamTrigger.rejoin.value, _LEAVING, _SERVING],
+        [UpstreamTrigger.lapse.value, '*', _GONE],
+    ],
+)
+
+
+def change_state(upstream: Upstream, trigger: UpstreamTrigger) -> None:
+    """Move an upstream to the state that a trigger leads to."""
+    _machine.events[trigger.value].trigger(upstream)
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/retries.py
@@ -0,0 +1,81 @@
+"""Decision whether a failed attempt may be followed by another."""
+
+from enum import Enum
+from typing import Final
+
+from attrs import define, frozen
+
+from hornbeamstair_upstreams.messages import AttemptFailure
+
+__all__ = ('RetryBudget', 'RetryDecision', 'RetryVerdict', 'decide_retry')
+
+_BUDGET_SECONDS: Final = 10.0
+_MAX_ATTEMPTS: Final = 3
+
+
+class RetryVerdict(Enum):
+    """Reason for or against another attempt."""
+
+    not_run = 'not_run'
+    idempotent = 'idempotent'
+    denied_may_have_run = 'denied_may_have_run'
+    denied_budget = 'denied_budget'
+    denied_attempts = 'denied_attempts'
+
+
+@frozen
+class RetryDecision:
+    """Whether to try again, and why."""
+
+    is_allowed: bool
+    verdict: RetryVerdict
+
+
+@define
+class RetryBudget:
+    """Token bucket of the retries that a contract allows."""
+
+    rate: float
+    tokens: float
+    updated_at: float
+
+    def take(self, now: float) -> bool:
+        """Take one retry if the budget holds it."""
+        depth = max(1, self.rate * _BUDGET_SECONDS)
+        refill = (now - self.updated_at) * self.rate
+        self.tokens = min(depth, self.tokens + refill)
+        self.updated_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+def decide_retry(
+    failure: AttemptFailure,
+    attempts: int,
+    budget: RetryBudget,
+    now: float,
+    *,
+    idempotent: bool,
+) -> RetryDecision:
+    """Allow a retry only if nothing ran or the call is idempotent."""
+    if failure.may_have_run and not idempotent:
+        return RetryDecision(
+            is_allowed=False,
+            verdict=RetryVerdict.denied_may_have_run,
+        )
+    if attempts >= _MAX_ATTEMPTS:
+        return RetryDecision(
+            is_allowed=False,
+            verdict=RetryVerdict.denied_attempts,
+        )
+    if not budget.take(now):
+        return RetryDecision(
+            is_allowed=False,
+            verdict=RetryVerdict.denied_budget,
+        )
+    verdict = RetryVerdict.not_run
+    if failure.may_have_run:
+        verdict = RetryVerdict.idempotent
+    return RetryDecision(is_allowed=True, verdict=verdict)
