Cover bad input and failing upstreams; mend delayed sends

Cause: calls through the daemon took 44 ms each at any load. asyncio sets TCP_NODELAY only on sockets whose protocol is named; the listening sockets and the addresses from the resolver named none, so small writes waited for delayed acknowledgements. Ruled out: the stand-in (0.1 ms when called directly) and the dispatcher (no queue).

Change: both name IPPROTO_TCP. A cut answer is told apart from a lost one. The retry budget starts full.

--- a/packages/callers/hornbeamstair_callers/gates.py
+++ b/packages/callers/hornbeamstair_callers/gates.py
@@ -64,7 +64,7 @@
     """Open a gate with its whole burst allowance."""
     return AdmissionGate(
         limits=limits,
-        retry_budget=RetryBudget(limits.retry_rate, 1, now),
+        retry_budget=RetryBudget(limits.retry_rate, now),
         tokens=max(1, limits.rate_depth),
         updated_at=now,
     )
--- a/packages/core/hornbeamstair_core/front_end.py
+++ b/packages/core/hornbeamstair_core/front_end.py
@@ -7,6 +7,7 @@
 from socket import (
     AF_INET,
     AF_INET6,
+    IPPROTO_TCP,
     SO_REUSEADDR,
     SOCK_STREAM,
     SOL_SOCKET,
@@ -173,7 +174,8 @@
 
 def _bind(listener: Listener) -> socket:
     family = AF_INET6 if ':' in listener.address else AF_INET
-    bound = socket(family, SOCK_STREAM)
+    # asyncio sets TCP_NODELAY only on sockets that name their protocol.
+    bound = socket(family, SOCK_STREAM, IPPROTO_TCP)
     bound.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
     bound.bind((listener.address, listener.port))
     bound.listen(_BACKLOG)
--- a/packages/tools/hornbeamstair_tools/caller.py
+++ b/packages/tools/hornbeamstair_tools/caller.py
@@ -25,12 +25,14 @@
     customer: str,
     key: str = '',
     body: bytes = b'{}',
+    method: str = 'POST',
 ) -> CallAnswer:
     """Send one call and read its whole answer."""
     headers = {'hornbeamstair-customer': customer}
     if key:
         headers['idempotency-key'] = key
-    answer = await client.post(url, headers=headers, data=body)
+    content = None if method == 'GET' else body
+    answer = await client.request(url, method, headers=headers, data=content)
     return CallAnswer(
         status=answer.status_code,
         code=int(answer.headers.get(_CODE_HEADER) or 0),
--- a/packages/tools/hornbeamstair_tools/processes.py
+++ b/packages/tools/hornbeamstair_tools/processes.py
@@ -13,9 +13,17 @@
 from attrs import define, field, frozen
 from yaml import safe_dump
 
-__all__ = ('CommandAnswer', 'DaemonProcess', 'get_free_port', 'run_command')
+from hornbeamstair_tools.usage import ProcessUsage, get_usage
 
-_TOKEN: Final = 'loopback-demo-token'
+__all__ = (
+    'CommandAnswer',
+    'DaemonProcess',
+    'TOKEN',
+    'get_free_port',
+    'run_command',
+)
+
+TOKEN: Final = 'loopback-demo-token'
 _READY_SECONDS: Final = 0.05
 _READY_TRIES: Final = 200
 
@@ -72,7 +80,7 @@
             'process': self.process_name,
             'zone': 'local',
             'data_folder': str(self.folder / 'data'),
-            'operators_token': _TOKEN,
+            'operators_token': TOKEN,
             'json_logs': True,
             'balancer_seconds': 0,
             'listen': {
@@ -114,10 +122,16 @@
             '--server',
             self.operators_url,
             '--token',
-            _TOKEN,
+            TOKEN,
             *words,
         )
 
+    def get_usage(self) -> ProcessUsage:
+        """Get the processor time and memory that the daemon used."""
+        if self.process is None:
+            raise RuntimeError('the daemon does not run')
+        return get_usage(self.process.pid)
+
     async def _wait_ready(self) -> None:
         async with HTTPClient() as client:
             for _ in range(_READY_TRIES):
--- a/packages/tools/hornbeamstair_tools/stand_in_upstream.py
+++ b/packages/tools/hornbeamstair_tools/stand_in_upstream.py
@@ -39,6 +39,7 @@
     delay_seconds: float = 0
     fault: Fault = Fault.none
     answer_body: bytes = b'done'
+    echoes: bool = False
     incarnation: int = 1
     port: int = 0
     arrivals: Counter[str] = field(factory=Counter)
@@ -131,26 +132,29 @@
         key = headers.get('idempotency-key') or lines[0]
         if self.fault is not Fault.refuse_not_run:
             self.arrivals[key] += 1
-        return await self._answer(writer)
+        body = self.answer_body
+        if self.echoes:
+            body = lines[0].split()[1].encode()
+        return await self._answer(writer, body)
 
-    async def _answer(self, writer: StreamWriter) -> bool:
+    async def _answer(self, writer: StreamWriter, body: bytes) -> bool:
         self.in_progress += 1
         try:
             if self.delay_seconds:
                 await sleep(self.delay_seconds)
-            return await self._write_answer(writer)
+            return await self._write_answer(writer, body)
         finally:
             self.in_progress -= 1
 
-    async def _write_answer(self, writer: StreamWriter) -> bool:
+    async def _write_answer(self, writer: StreamWriter, body: bytes) -> bool:
         match self.fault:
             case Fault.silent:
                 await sleep(_SILENT_SECONDS)
             case Fault.close_after_read:
                 return False
             case Fault.half_answer:
-                writer.write(_get_head('200 OK', len(self.answer_body) + 1))
-                writer.write(self.answer_body)
+                writer.write(_get_head('200 OK', len(body) + 1))
+                writer.write(body)
                 return False
             case Fault.fail_all:
                 writer.write(_get_head('500 Internal Server Error', 0))
@@ -162,8 +166,7 @@
                 )
             case _:
                 writer.write(
-                    _get_head('200 OK', len(self.answer_body))
-                    + self.answer_body,
+                    _get_head('200 OK', len(body)) + body,
                 )
         return True
 
--- a/packages/upstreams/hornbeamstair_upstreams/client.py
+++ b/packages/upstreams/hornbeamstair_upstreams/client.py
@@ -10,6 +10,7 @@
 from aiosonic.exceptions import (
     AiosonicError,
     BaseTimeout,
+    ConnectionDisconnected,
     ConnectTimeout,
     HttpParsingError,
 )
@@ -140,11 +141,11 @@
 async def _read_whole(response: HttpResponse, length: int) -> bytes:
     if not length:
         return b''
-    chunks = [chunk async for chunk in response.read_chunks()]
-    body = b''.join(chunks)
-    if len(body) < length:
-        raise IncompleteReadError(body, length)
-    return body
+    try:
+        chunks = [chunk async for chunk in response.read_chunks()]
+    except ConnectionDisconnected as error:
+        raise IncompleteReadError(b'', length) from error
+    return b''.join(chunks)
 
 
 async def _stream(
--- a/packages/upstreams/hornbeamstair_upstreams/connections.py
+++ b/packages/upstreams/hornbeamstair_upstreams/connections.py
@@ -1,6 +1,7 @@
 """Connections to upstreams: no hidden retries, no name look-ups."""
 
 from contextvars import ContextVar
+from socket import IPPROTO_TCP
 from typing import Any, Final
 
 from aiosonic.connection import Connection
@@ -58,7 +59,8 @@
                 'host': host,
                 'port': port,
                 'family': family,
-                'proto': 0,
+                # asyncio sets TCP_NODELAY only where the protocol is named.
+                'proto': IPPROTO_TCP,
                 'flags': 0,
             },
         ]
--- a/packages/upstreams/hornbeamstair_upstreams/retries.py
+++ b/packages/upstreams/hornbeamstair_upstreams/retries.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Final
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from hornbeamstair_upstreams.messages import AttemptFailure
 
@@ -36,14 +36,21 @@
     """Token bucket of the retries that a contract allows."""
 
     rate: float
-    tokens: float
     updated_at: float
+    tokens: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start with the whole budget."""
+        self.tokens = self.get_depth()
+
+    def get_depth(self) -> float:
+        """Get the most retries that can be saved up."""
+        return max(1, self.rate * _BUDGET_SECONDS)
 
     def take(self, now: float) -> bool:
         """Take one retry if the budget holds it."""
-        depth = max(1, self.rate * _BUDGET_SECONDS)
         refill = (now - self.updated_at) * self.rate
-        self.tokens = min(depth, self.tokens + refill)
+        self.tokens = min(self.get_depth(), self.tokens + refill)
         self.updated_at = now
         if self.tokens < 1:
             return False
--- a/tests/features/path.feature
+++ b/tests/features/path.feature
@@ -2,7 +2,7 @@
 
   Background:
     Given a daemon
-    And the contract "grinders.yaml" is applied with request id "first"
+    And the contract "grinders.yaml" is in force
 
   Scenario: A resend of a change gets the first answer
     When the contract "grinders.yaml" is applied with request id "first"
--- /dev/null
+++ b/tests/features/steps/fault_steps.py
@@ -0,0 +1,125 @@
+"""Steps with upstreams that misbehave."""
+
+from typing import Any
+
+from aiosonic import HTTPClient
+from aiosonic.exceptions import AiosonicError
+from behave import given, then, when
+
+from hornbeamstair_tools.faults import Fault
+from hornbeamstair_tools.stand_in_upstream import StandInUpstream
+from tests.support.world import World
+
+
+@given(
+    'an upstream "{name}" of "{service}" that echoes after {seconds:g} seconds'
+)
+def add_echo(context: Any, name: str, service: str, seconds: float) -> None:
+    """Start a stand-in that answers with the path of the call."""
+    context.world.add_upstream(
+        name,
+        service,
+        delay_seconds=seconds,
+        echoes=True,
+    )
+
+
+@given('an upstream "{name}" of "{service}" with an answer of {size:d} bytes')
+def add_large(context: Any, name: str, service: str, size: int) -> None:
+    """Start a stand-in with a large answer."""
+    context.world.add_upstream(name, service, answer_body=b'x' * size)
+
+
+@when('the upstream "{name}" gets the fault "{fault}"')
+def set_fault(context: Any, name: str, fault: str) -> None:
+    """Let an upstream misbehave."""
+    context.world.upstreams[name].fault = Fault(fault)
+
+
+@when('the upstream "{name}" echoes after {seconds:g} seconds')
+def set_delay(context: Any, name: str, seconds: float) -> None:
+    """Change the delay of an upstream."""
+    context.world.upstreams[name].delay_seconds = seconds
+
+
+@when('the upstream "{name}" closes its port')
+def close_port(context: Any, name: str) -> None:
+    """Close the port of an upstream that still announces itself."""
+    upstream: StandInUpstream = context.world.upstreams[name]
+    assert upstream.server is not None
+    upstream.server.close()
+
+
+@when('"{customer}" sends "{method}" to "{path}"')
+def send_method(context: Any, customer: str, method: str, path: str) -> None:
+    """Send one call with a method."""
+    context.world.call(path, customer, method=method)
+
+
+@when('"{customer}" sends {count:d} calls in turn to "{path}"')
+def send_in_turn(context: Any, customer: str, count: int, path: str) -> None:
+    """Send calls one after the other."""
+    world: World = context.world
+    world.answers = [world.call(path, customer) for _ in range(count)]
+
+
+@when('"{customer}" sends each of "{paths}" at once')
+def send_each(context: Any, customer: str, paths: str) -> None:
+    """Send one call to each path."""
+    context.paths = paths.split()
+    context.world.call_many(context.paths, customer)
+
+
+@when('"{customer}" sends "{method}" to "{path}" and reads until the end')
+def send_and_read(
+    context: Any,
+    customer: str,
+    method: str,
+    path: str,
+) -> None:
+    """Send a call whose answer may be cut."""
+    world: World = context.world
+    context.was_cut = world.run(_is_cut(world, customer, path))
+
+
+async def _is_cut(world: World, customer: str, path: str) -> bool:
+    url = f'{world.get_daemon().callers_url}{path}'
+    headers = {'hornbeamstair-customer': customer}
+    async with HTTPClient() as client:
+        try:
+            answer = await client.post(url, headers=headers, data=b'{}')
+            await answer.content()
+        except (AiosonicError, EOFError, ValueError):
+            return True
+    return False
+
+
+@then('the answer was cut')
+def check_cut(context: Any) -> None:
+    """Check that the caller noticed the cut."""
+    assert context.was_cut
+
+
+@then('the answer has {size:d} bytes')
+def check_size(context: Any, size: int) -> None:
+    """Check the size of the answer."""
+    assert len(context.world.answers[0].body) == size
+
+
+@then('the request "{line}" arrived {count:d} times')
+def check_arrivals(context: Any, line: str, count: int) -> None:
+    """Check how often a request arrived at all upstreams."""
+    arrived = sum(
+        number
+        for upstream in context.world.upstreams.values()
+        for key, number in upstream.arrivals.items()
+        if key.startswith(line)
+    )
+    assert arrived == count, arrived
+
+
+@then('each answer names its own path')
+def check_echoes(context: Any) -> None:
+    """Check that no answer belongs to another call."""
+    bodies = [answer.body.decode() for answer in context.world.answers]
+    assert bodies == context.paths, bodies
--- /dev/null
+++ b/tests/features/steps/input_steps.py
@@ -0,0 +1,147 @@
+"""Steps that send bad input."""
+
+import json
+import sys
+from asyncio import open_connection, timeout
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from aiosonic import HTTPClient
+from behave import then, when
+
+from hornbeamstair_daemon.settings import read_settings
+from hornbeamstair_tools.processes import TOKEN, run_command
+from tests.support.world import World
+
+BAD_SETTINGS = Path('tests/examples/bad_settings')
+LARGE_BYTES = 2**20 + 1
+
+
+@when('the settings "{name}" are read')
+def read_bad_settings(context: Any, name: str) -> None:
+    """Read a settings file."""
+    context.outcome = read_settings(BAD_SETTINGS / name)
+
+
+@then('the settings are refused with code {code:d} naming "{text}"')
+def check_settings(context: Any, code: int, text: str) -> None:
+    """Check why settings were refused."""
+    failure = context.outcome.error
+    assert failure.number == code, failure
+    assert text in failure.describe(), failure
+
+
+@when('the settings of the daemon are checked')
+def check_daemon_settings(context: Any) -> None:
+    """Check good settings by the program."""
+    _check_by_program(context.world, context.world.daemon.write_settings())
+
+
+@when('the settings "{name}" are checked by the program')
+def check_bad_settings(context: Any, name: str) -> None:
+    """Check bad settings by the program."""
+    _check_by_program(context.world, BAD_SETTINGS / name)
+
+
+def _check_by_program(world: World, path: Path) -> None:
+    words = 'hornbeamstair_daemon', '--settings', str(path), '--check'
+    world.command = world.run(run_command(*words))
+
+
+@then('the check exits with {code:d}')
+def check_exit_code(context: Any, code: int) -> None:
+    """Check the exit code of the program."""
+    assert context.world.command.exit_code == code, context.world.command
+
+
+@then('the command exits with {code:d} naming "{text}"')
+def check_command_exit(context: Any, code: int, text: str) -> None:
+    """Check the exit code and the error of the command."""
+    command = context.world.command
+    assert command.exit_code == code, command
+    assert text in command.errors, command
+
+
+@when('"{method} {path}" is sent to the {peer} with "{body}"')
+def send_request(
+    context: Any,
+    method: str,
+    path: str,
+    peer: str,
+    body: str,
+) -> None:
+    """Send a request with a body."""
+    payload = body.replace("'", '"').encode()
+    if body == 'LARGE':
+        payload = b'x' * LARGE_BYTES
+    headers = {
+        'authorization': f'Bearer {TOKEN}',
+        'hornbeamstair-customer': 'grinders',
+    }
+    url = _get_url(context.world, peer) + path
+    context.http_answer = context.world.run(
+        _send(method, url, headers, payload),
+    )
+
+
+@when('"{method} {path}" is sent to the {peer} without a credential')
+def send_without_credential(
+    context: Any,
+    method: str,
+    path: str,
+    peer: str,
+) -> None:
+    """Send a request without a credential."""
+    url = _get_url(context.world, peer) + path
+    context.http_answer = context.world.run(_send(method, url, {}, b''))
+
+
+@then('the HTTP answer has status {status:d} and code {code:d}')
+def check_http_answer(context: Any, status: int, code: int) -> None:
+    """Check the status and the code in the body."""
+    found_status, document = context.http_answer
+    assert found_status == status, document
+    assert document['code'] == code, document
+
+
+@when('the bytes "{text}" are sent to the {peer}')
+def send_bytes(context: Any, text: str, peer: str) -> None:
+    """Send bytes that are no HTTP."""
+    payload = text.encode('latin-1').decode('unicode_escape').encode('latin-1')
+    port = int(_get_url(context.world, peer).rpartition(':')[2])
+    context.world.run(_send_bytes(port, payload))
+
+
+def _get_url(world: World, peer: str) -> str:
+    url: str = getattr(world.get_daemon(), f'{peer}_url')
+    return url
+
+
+async def _send(
+    method: str,
+    url: str,
+    headers: dict[str, str],
+    payload: bytes,
+) -> tuple[int, Any]:
+    async with HTTPClient() as client:
+        answer = await client.request(
+            url,
+            method,
+            headers=headers,
+            data=payload,
+        )
+        return answer.status_code, json.loads(await answer.content())
+
+
+async def _send_bytes(port: int, payload: bytes) -> None:
+    reader, writer = await open_connection('127.0.0.1', port)
+    writer.write(payload)
+    with suppress(TimeoutError, ConnectionError):
+        async with timeout(1):
+            await reader.read()
+    writer.close()
+
+
+if sys.flags.optimize:
+    raise RuntimeError('the suite needs assert statements')
--- a/tests/features/steps/path_steps.py
+++ b/tests/features/steps/path_steps.py
@@ -7,9 +7,11 @@
 
 from aiosonic import HTTPClient
 from behave import given, then, when
+from yaml import safe_load
 
 from hornbeamstair_tools.caller import call
 from hornbeamstair_tools.faults import Fault
+from hornbeamstair_tools.processes import TOKEN
 from tests.support.world import World
 
 EXAMPLES = Path('tests/examples')
@@ -31,7 +33,47 @@
     context.world.start_daemon(answer_seconds=seconds)
 
 
-@given('the contract "{name}" is applied with request id "{request_id}"')
+@given('the contract "{name}" is in force')
+def put_contract(context: Any, name: str) -> None:
+    """Apply a contract through the API with the request id "first"."""
+    document = safe_load(Path(_get_contract(name)).read_text())
+    context.world.run(
+        _request(
+            context.world,
+            'POST',
+            '/v1/changes',
+            {
+                'request_id': 'first',
+                'change': {'kind': 'apply_contract', 'contract': document},
+            },
+        ),
+    )
+
+
+@then('the control state has revision {revision:d}')
+def check_control_revision(context: Any, revision: int) -> None:
+    """Check the revision that the API reports."""
+    status = context.world.run(_request(context.world, 'GET', '/v1/status'))
+    assert status['revision'] == revision, status
+
+
+async def _request(
+    world: World,
+    method: str,
+    path: str,
+    document: dict[str, Any] | None = None,
+) -> Any:
+    async with HTTPClient() as client:
+        answer = await client.request(
+            f'{world.get_daemon().operators_url}{path}',
+            method,
+            headers={'authorization': f'Bearer {TOKEN}'},
+            json=document,
+        )
+        assert answer.ok, await answer.text()
+        return json.loads(await answer.content())
+
+
 @when('the contract "{name}" is applied with request id "{request_id}"')
 def apply_contract(context: Any, name: str, request_id: str) -> None:
     """Apply a contract by the command line."""
--- /dev/null
+++ b/tests/features/upstream_faults.feature
@@ -0,0 +1,68 @@
+Feature: Upstreams that fail do not break what calls were promised
+
+  Background:
+    Given a daemon that waits 1 seconds for answers
+    And the contract "grinders.yaml" is in force
+
+  Scenario Outline: A call that is not idempotent arrives once and its refusal says so
+    Given an upstream "fees-1" of "fees" with fault "<fault>"
+    When "grinders" sends 1 calls at once to "/fees/post"
+    Then 1 calls are refused with code <code>
+    And the upstreams ran <runs> calls
+
+    Examples:
+      | fault            | code | runs |
+      | close_after_read | 3003 | 1    |
+      | silent           | 3003 | 1    |
+      | half_answer      | 3004 | 1    |
+      | refuse_not_run   | 3002 | 0    |
+
+  Scenario Outline: The client never sends again over a reused connection
+    Given an upstream "<service>-1" of "<service>" with delay 0
+    When "grinders" sends "GET" to "/<service>/warm"
+    Then 1 calls are answered with status 200
+    When the upstream "<service>-1" gets the fault "close_after_read"
+    And "grinders" sends "GET" to "/<service>/read"
+    Then the request "GET /<service>/read" arrived <runs> times
+
+    Examples:
+      | service | runs |
+      | fees    | 1    |
+      | log     | 3    |
+
+  Scenario: An idempotent call is tried again at another upstream
+    Given an upstream "log-1" of "log" with fault "close_after_read"
+    And an upstream "log-2" of "log" with delay 0
+    When "grinders" sends 4 calls in turn to "/log/post"
+    Then 4 calls are answered with status 200
+
+  Scenario: A call refused as not run is tried again although it is not idempotent
+    Given an upstream "fees-1" of "fees" with fault "refuse_not_run"
+    And an upstream "fees-2" of "fees" with delay 0
+    When "grinders" sends 4 calls in turn to "/fees/post"
+    Then 4 calls are answered with status 200
+    And the upstreams ran 4 calls
+
+  Scenario: A late answer never reaches another call
+    Given an upstream "fees-1" of "fees" that echoes after 1.3 seconds
+    When "grinders" sends 1 calls at once to "/fees/first"
+    Then 1 calls are refused with code 3003
+    When the upstream "fees-1" echoes after 0 seconds
+    And "grinders" sends each of "/fees/second /fees/third" at once
+    Then each answer names its own path
+
+  Scenario: An upstream that vanished is not run and another takes the call
+    Given an upstream "fees-1" of "fees" with delay 0
+    And an upstream "fees-2" of "fees" with delay 0
+    When the upstream "fees-1" closes its port
+    And "grinders" sends 4 calls in turn to "/fees/post"
+    Then 4 calls are answered with status 200
+    And the upstreams ran 4 calls
+
+  Scenario: A large answer streams whole and a cut one is not passed on as whole
+    Given an upstream "log-1" of "log" with an answer of 3000000 bytes
+    When "grinders" sends "POST" to "/log/large"
+    Then the answer has 3000000 bytes
+    When the upstream "log-1" gets the fault "half_answer"
+    And "grinders" sends "POST" to "/log/large" and reads until the end
+    Then the answer was cut
