--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	$(RUN) -m hornbeamstair_tools.demo
 
 test: install
+	$(RUN) -m compileall -q packages
 	$(RUN) -m hornbeamstair_tools.run_tests
 
 check: install
