--- a/packages/callers/hornbeamstair_callers/front_ends/http.py
+++ b/packages/callers/hornbeamstair_callers/front_ends/http.py
@@ -1,6 +1,6 @@
 """Calls over HTTP: /SERVICE/PATH with the customer in a header."""
 
-from collections.abc import AsyncGenerator, Mapping
+from collections.abc import AsyncGenerator, Callable, Mapping
 from contextlib import aclosing
 from http import HTTPStatus
 from typing import Any, ClassVar, Final
@@ -39,6 +39,7 @@
     name: ClassVar[str] = 'callers_http'
 
     runner: CallRunner
+    is_ready: Callable[[], bool]
     max_request_bytes: int = _MAX_REQUEST_BYTES
 
     def get_app(self) -> ASGIApp:
@@ -75,7 +76,7 @@
         return body.map(lambda content: _get_call(request, content))
 
     async def _answer_ready(self, request: Request, send: Send) -> None:
-        is_ready = self.runner.is_ready
+        is_ready = self.is_ready()
         status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
         response = JSONResponse({'ready': is_ready}, status)
         await response(request.scope, request.receive, send)
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/groups.py
@@ -0,0 +1,117 @@
+"""Groups of this process: voting, learning, or on its own."""
+
+from random import Random
+from time import monotonic
+
+from attrs import frozen
+
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_daemon.identity import get_first_voter, get_voter
+from hornbeamstair_daemon.settings import PeerSettings, Settings
+from hornbeamstair_replicas.groups.base import ReplicaGroup
+from hornbeamstair_replicas.groups.learning import LearnerGroup
+from hornbeamstair_replicas.groups.node import open_node
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.learning.members import Member
+from hornbeamstair_replicas.learning.source import FeedSource
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.state_machine import StateMachine
+from hornbeamstair_replicas.storage.file import FileLogStorage
+from hornbeamstair_replicas.transport.base import (
+    LocalTransport,
+    PeerTransport,
+    get_address,
+)
+from hornbeamstair_replicas.transport.websocket import WebsocketTransport
+from hornbeamstair_replicas.voting.timing import Timing
+
+__all__ = ('GroupFactory', 'make_group_factory')
+
+
+@frozen
+class GroupFactory:
+    """Maker of the groups that share one transport and identity."""
+
+    settings: Settings
+    transport: PeerTransport
+    first_voters: tuple[VoterId, ...]
+
+    def make(self, group: str, state_machine: StateMachine) -> ReplicaGroup:
+        """Make the membership of this process in a group."""
+        peers = self.settings.peers
+        if peers is None or peers.is_voter(self.settings.process):
+            return self._make_voting(group, state_machine)
+        return self._make_learning(group, state_machine, peers)
+
+    def _make_voting(
+        self,
+        group: str,
+        state_machine: StateMachine,
+    ) -> ReplicaGroup:
+        node = open_node(
+            group,
+            self.transport.own,
+            FileLogStorage(self.settings.data_folder / group),
+            state_machine,
+            self.first_voters,
+            Timing(),
+            Random(),
+            monotonic(),
+        )
+        return VotingGroup(group, node, self.transport, monotonic)
+
+    def _make_learning(
+        self,
+        group: str,
+        state_machine: StateMachine,
+        peers: PeerSettings,
+    ) -> ReplicaGroup:
+        settings = self.settings
+        own = Member(settings.process, settings.zone, is_voter=False)
+        source = FeedSource(own, peers.members, monotonic())
+        return LearnerGroup(
+            group,
+            state_machine,
+            source,
+            self.transport,
+            monotonic,
+        )
+
+
+def make_group_factory(
+    settings: Settings,
+    metrics: Metrics,
+    *,
+    bootstrap: bool,
+) -> GroupFactory:
+    """Make the factory; BootstrapError if the disk is in use."""
+    peers = settings.peers
+    process = settings.process
+    if peers is None:
+        own = get_first_voter(process)
+        return GroupFactory(settings, LocalTransport(own), (own,))
+    own = get_address(process)
+    if peers.is_voter(process):
+        own = get_voter(process, settings.data_folder, bootstrap=bootstrap)
+    transport = WebsocketTransport(
+        own,
+        listener=peers.listener,
+        key=peers.shared_key.encode(),
+        metrics=metrics,
+    )
+    for address in peers.addresses:
+        if address.process != process:
+            transport.add_peer(address)
+    return GroupFactory(settings, transport, _get_first_voters(peers, own))
+
+
+def _get_first_voters(
+    peers: PeerSettings,
+    own: VoterId,
+) -> tuple[VoterId, ...]:
+    first_voters = tuple(
+        get_first_voter(member.process)
+        for member in peers.members
+        if member.is_voter
+    )
+    return first_voters if own in first_voters else ()
--- a/packages/daemon/hornbeamstair_daemon/lifetime.py
+++ b/packages/daemon/hornbeamstair_daemon/lifetime.py
@@ -37,6 +37,7 @@
 
 
 async def _start(process: Process) -> None:
+    await process.transport.start()
     process.control.start()
     process.keys.start()
     for front_end in process.front_ends:
@@ -76,4 +77,5 @@
     await process.runner.client.close()
     await process.keys.stop()
     await process.control.stop()
+    await process.transport.stop()
     log_event(DaemonStoppedEvent(process.settings.process))
--- a/packages/daemon/hornbeamstair_daemon/main.py
+++ b/packages/daemon/hornbeamstair_daemon/main.py
@@ -9,6 +9,7 @@
 from hornbeamstair_core.events import log_event, set_up_logging
 from hornbeamstair_core.invariants import InvariantError
 from hornbeamstair_daemon.events import DaemonFailedEvent
+from hornbeamstair_daemon.identity import BootstrapError
 from hornbeamstair_daemon.lifetime import run_process
 from hornbeamstair_daemon.settings import Settings, read_settings
 from hornbeamstair_daemon.wiring import wire_process
@@ -16,6 +17,12 @@
 
 __all__ = ('app', 'main')
 
+_FATAL_ERRORS: Final = (
+    BootstrapError,
+    InvariantError,
+    OSError,
+    StorageError,
+)
 _EXIT_FAILED: Final = 1
 _EXIT_SETTINGS: Final = 2
 
@@ -37,6 +44,14 @@
         bool,
         Option('--check', help='Check the settings and exit.'),
     ] = False,
+    bootstrap: Annotated[
+        bool,
+        Option(
+            '--bootstrap',
+            help='Found a new system: this empty disk is one of its first '
+            'voters.',
+        ),
+    ] = False,
 ) -> None:
     """Serve callers, upstreams and operators as the settings say."""
     loaded = read_settings(settings)
@@ -46,7 +61,7 @@
     if check:
         echo(f'{settings}: settings are valid')
         return
-    _run(loaded.ok)
+    _run(loaded.ok, bootstrap=bootstrap)
 
 
 def main() -> None:
@@ -54,11 +69,10 @@
     app()
 
 
-def _run(settings: Settings) -> None:
+def _run(settings: Settings, *, bootstrap: bool) -> None:
     set_up_logging(as_json=settings.json_logs)
-    process = wire_process(settings)
     try:
-        run(run_process(process))
-    except (OSError, StorageError, InvariantError) as error:
+        run(run_process(wire_process(settings, bootstrap=bootstrap)))
+    except _FATAL_ERRORS as error:
         log_event(DaemonFailedEvent(str(error)))
         raise Exit(_EXIT_FAILED) from error
--- a/packages/daemon/hornbeamstair_daemon/settings.py
+++ b/packages/daemon/hornbeamstair_daemon/settings.py
@@ -13,11 +13,14 @@
 from hornbeamstair_core.ids import ProcessId, ZoneName
 from hornbeamstair_core.options import OptionsReader
 from hornbeamstair_core.units import HOUR
+from hornbeamstair_replicas.learning.members import Member
+from hornbeamstair_replicas.transport.websocket import PeerAddress
 
-__all__ = ('Listeners', 'Settings', 'read_settings')
+__all__ = ('Listeners', 'PeerSettings', 'Settings', 'read_settings')
 
 _MAX_PORT: Final = 65535
 _MIN_TOKEN_LENGTH: Final = 16
+_PEERS: Final = 'peers'
 _DEFAULT_ANSWER_SECONDS: Final = 60.0
 _DEFAULT_BALANCER_SECONDS: Final = 5.0
 
@@ -31,6 +34,24 @@
     operators: Listener
 
 
+@frozen
+class PeerSettings:
+    """Other processes of the system and the key that all share."""
+
+    listener: Listener
+    shared_key: str
+    members: tuple[Member, ...]
+    addresses: tuple[PeerAddress, ...]
+
+    def is_voter(self, process: ProcessId) -> bool:
+        """Tell whether a process is to vote."""
+        return any(
+            member.is_voter
+            for member in self.members
+            if member.process == process
+        )
+
+
 @frozen
 class Settings:
     """Settings of one process."""
@@ -43,6 +64,7 @@
     json_logs: bool
     answer_seconds: float
     balancer_seconds: float
+    peers: PeerSettings | None
 
 
 def read_settings(path: Path) -> Result[Settings, Failure]:
@@ -82,7 +104,48 @@
             HOUR,
             _DEFAULT_BALANCER_SECONDS,
         ),
+        peers=_read_peers(reader),
+    )
+
+
+def _read_peers(reader: OptionsReader) -> PeerSettings | None:
+    if reader.options.get(_PEERS) is None:
+        reader.known_names.add(_PEERS)
+        return None
+    section: OptionsReader = reader.get_section(_PEERS)
+    shared_key = section.get_str_opt('shared_key')
+    if len(shared_key) < _MIN_TOKEN_LENGTH:
+        section.add_problem(
+            'shared_key',
+            f'must have at least {_MIN_TOKEN_LENGTH} characters',
+        )
+    processes = [
+        _read_process(process) for process in section.get_sections('processes')
+    ]
+    own = reader.options.get('process')
+    listeners = [
+        address.listener for _, address in processes if address.process == own
+    ]
+    if not listeners:
+        section.add_problem('processes', f'must name this process, {own}')
+    section.check_unknown()
+    return PeerSettings(
+        listener=listeners[0] if listeners else Listener('', 0),
+        shared_key=shared_key,
+        members=tuple(member for member, _ in processes),
+        addresses=tuple(address for _, address in processes),
+    )
+
+
+def _read_process(reader: OptionsReader) -> tuple[Member, PeerAddress]:
+    process = ProcessId(reader.get_name_opt('process'))
+    member = Member(
+        process,
+        ZoneName(reader.get_name_opt('zone')),
+        reader.get_bool_opt('is_voter', default=False),
     )
+    listener = _read_listener(reader)
+    return member, PeerAddress(process, listener)
 
 
 def _read_listeners(reader: OptionsReader) -> Listeners:
--- a/packages/daemon/hornbeamstair_daemon/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/wiring.py
@@ -14,6 +14,7 @@
 from hornbeamstair_callers.runner import CallRunner
 from hornbeamstair_core.front_end import FrontEnd
 from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_daemon.groups import make_group_factory
 from hornbeamstair_daemon.settings import Settings
 from hornbeamstair_operators.front_end import OperatorsHttpFrontEnd
 from hornbeamstair_operators.limits import ServiceLimits, derive_limits
@@ -21,9 +22,8 @@
 from hornbeamstair_operators.service import OperatorsService
 from hornbeamstair_operators.state import ControlState
 from hornbeamstair_operators.state_machine import ControlStateMachine
-from hornbeamstair_replicas.groups.base import ReplicaGroup
-from hornbeamstair_replicas.groups.single import SingleVoterGroup
-from hornbeamstair_replicas.storage.file import FileLogStorage
+from hornbeamstair_replicas.groups.base import GroupStatus, ReplicaGroup
+from hornbeamstair_replicas.transport.base import PeerTransport
 from hornbeamstair_upstreams.choosers.two_choices import TwoChoicesChooser
 from hornbeamstair_upstreams.client import UpstreamClient
 from hornbeamstair_upstreams.directory import UpstreamDirectory
@@ -55,6 +55,7 @@
     contracts: int
     pools: int
     calls: int
+    groups: tuple[GroupStatus, ...]
     upstreams: tuple[UpstreamStatus, ...]
 
 
@@ -63,6 +64,7 @@
     """Parts of one process that start and stop together."""
 
     settings: Settings
+    transport: PeerTransport
     control: ReplicaGroup
     control_machine: ControlStateMachine
     keys: ReplicaGroup
@@ -71,6 +73,10 @@
     metrics: Metrics
     front_ends: list[FrontEnd] = field(factory=list)
 
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send calls here."""
+        return self.runner.is_ready and self.control.is_fed()
+
     def put_limits(self, state: ControlState) -> None:
         """Put the limits of all contracts in force for callers."""
         self.runner.dispatcher.put_limits(
@@ -88,11 +94,12 @@
         return ProcessStatus(
             process=self.settings.process,
             zone=self.settings.zone,
-            is_ready=self.runner.is_ready,
+            is_ready=self.is_ready(),
             revision=state.revision,
             contracts=len(state.tables.contracts),
             pools=len(state.tables.pools.pools),
             calls=len(self.runner.dispatcher.calls),
+            groups=(self.control.get_status(), self.keys.get_status()),
             upstreams=tuple(self._get_upstreams()),
         )
 
@@ -108,24 +115,18 @@
             )
 
 
-def wire_process(settings: Settings) -> Process:
-    """Wire a process that holds every role."""
+def wire_process(settings: Settings, *, bootstrap: bool = False) -> Process:
+    """Wire a process; BootstrapError if its disk is in use already."""
     metrics = Metrics()
     directory = UpstreamDirectory()
     control_machine = ControlStateMachine()
     key_machine = KeyStateMachine()
-    keys = SingleVoterGroup(
-        'keys',
-        FileLogStorage(settings.data_folder / 'keys'),
-        key_machine,
-    )
+    factory = make_group_factory(settings, metrics, bootstrap=bootstrap)
+    keys = factory.make('keys', key_machine)
     process = Process(
         settings=settings,
-        control=SingleVoterGroup(
-            'control',
-            FileLogStorage(settings.data_folder / 'control'),
-            control_machine,
-        ),
+        transport=factory.transport,
+        control=factory.make('control', control_machine),
         control_machine=control_machine,
         keys=keys,
         directory=directory,
@@ -164,7 +165,11 @@
         get_time=monotonic,
         on_announced=process.fill,
     )
-    yield HttpCallFrontEnd(listeners.callers, runner=process.runner)
+    yield HttpCallFrontEnd(
+        listeners.callers,
+        runner=process.runner,
+        is_ready=process.is_ready,
+    )
 
 
 def _get_limits(contracts: Iterable[Contract]) -> Iterable[ServiceLimits]:
--- a/packages/operators/hornbeamstair_operators/service.py
+++ b/packages/operators/hornbeamstair_operators/service.py
@@ -47,9 +47,11 @@
         known = self.get_state().find_answer(request.request_id)
         if known is not None:
             return Ok(known)
-        checked = self.get_state().check(request)
-        if checked.is_error():
-            return Error(checked.error)
+        if self.group.find_leading_role().is_ok():
+            # Another process may lag behind: there only the log decides.
+            checked = self.get_state().check(request)
+            if checked.is_error():
+                return Error(checked.error)
         committed = await self.group.propose(write_change_request(request))
         return committed.map(lambda answer: cast('ChangeAnswer', answer))
 
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/codec.py
@@ -0,0 +1,67 @@
+"""Encoding of messages between processes as CBOR."""
+
+from typing import Final
+
+from cattrs import BaseValidationError
+from cbor2 import CBORDecodeError
+from expression import Error, Ok, Result
+
+from hornbeamstair_core.codec import make_family_converter
+from hornbeamstair_core.failures import Failure, UnreadablePayloadFailure
+from hornbeamstair_replicas.peer_messages import (
+    Envelope,
+    FeedAnswer,
+    FeedRequest,
+    ForwardAnswer,
+    ForwardRequest,
+    PeerMessage,
+)
+from hornbeamstair_replicas.voting.messages import (
+    AppendAnswer,
+    AppendRequest,
+    SnapshotAnswer,
+    SnapshotChunk,
+    TransferRequest,
+    VoteAnswer,
+    VoteRequest,
+)
+
+__all__ = ('read_envelope', 'write_envelope')
+
+_DECODE_ERRORS: Final = (
+    BaseValidationError,
+    CBORDecodeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+_converter: Final = make_family_converter(
+    PeerMessage,
+    (
+        AppendAnswer,
+        AppendRequest,
+        FeedAnswer,
+        FeedRequest,
+        ForwardAnswer,
+        ForwardRequest,
+        SnapshotAnswer,
+        SnapshotChunk,
+        TransferRequest,
+        VoteAnswer,
+        VoteRequest,
+    ),
+)
+
+
+def write_envelope(envelope: Envelope) -> bytes:
+    """Encode a message with its addresses."""
+    return _converter.dumps(envelope)
+
+
+def read_envelope(payload: bytes) -> Result[Envelope, Failure]:
+    """Decode a message with its addresses."""
+    try:
+        return Ok(_converter.loads(payload, Envelope))
+    except _DECODE_ERRORS as error:
+        return Error(UnreadablePayloadFailure(reason=repr(error)))
--- a/packages/replicas/hornbeamstair_replicas/events.py
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -5,7 +5,9 @@
 from hornbeamstair_core.events import Event, EventLevel, register_event
 
 __all__ = (
+    'LeaderChangedEvent',
     'LogOpenedEvent',
+    'PeerRefusedEvent',
     'SnapshotWrittenEvent',
     'StorageFailedEvent',
     'TornTailCutEvent',
@@ -66,3 +68,30 @@
     group: str
     index: int
     size_bytes: int
+
+
+@register_event
+@frozen
+class LeaderChangedEvent(Event):
+    """Leader of a group as this process knows it."""
+
+    number = 5005
+    name = 'leader_changed'
+    summary = 'The group has another leader, or none.'
+
+    group: str
+    leader: str
+    term: int
+
+
+@register_event
+@frozen
+class PeerRefusedEvent(Event):
+    """Process without the shared key."""
+
+    number = 5006
+    name = 'peer_refused'
+    summary = 'A process did not prove that it knows the shared key.'
+    level = EventLevel.warning
+
+    peer: str
--- a/packages/replicas/hornbeamstair_replicas/failures.py
+++ b/packages/replicas/hornbeamstair_replicas/failures.py
@@ -4,7 +4,12 @@
 
 from hornbeamstair_core.failures import Failure, register_failure
 
-__all__ = ('NotCommittedFailure', 'StorageFailure')
+__all__ = (
+    'MembershipFailure',
+    'NotCommittedFailure',
+    'NotLeaderFailure',
+    'StorageFailure',
+)
 
 
 @register_failure
@@ -33,3 +38,29 @@
     may_have_run = True
 
     reason: str
+
+
+@register_failure
+@frozen
+class NotLeaderFailure(Failure):
+    """Entry proposed to a voter that does not lead."""
+
+    number = 5003
+    name = 'not_leader'
+    summary = 'Another voter leads, or none does; nothing was committed.'
+    http_status = 503
+
+    leader: str
+
+
+@register_failure
+@frozen
+class MembershipFailure(Failure):
+    """Change of the voters that is not possible now."""
+
+    number = 5004
+    name = 'membership_refused'
+    summary = 'The voters cannot be changed like this now.'
+    http_status = 409
+
+    reason: str
--- a/packages/replicas/hornbeamstair_replicas/groups/base.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/base.py
@@ -2,11 +2,25 @@
 
 from abc import ABC, abstractmethod
 
+from attrs import frozen
 from expression import Result
 
 from hornbeamstair_core.failures import Failure
+from hornbeamstair_replicas.voting.roles.leader import LeaderRole
 
-__all__ = ('ReplicaGroup',)
+__all__ = ('GroupStatus', 'ReplicaGroup')
+
+
+@frozen
+class GroupStatus:
+    """State of a group as one process knows it."""
+
+    group: str
+    role: str
+    term: int
+    leader: str
+    voters: tuple[str, ...]
+    applied_index: int
 
 
 class ReplicaGroup(ABC):
@@ -24,6 +38,18 @@
     def get_applied_index(self) -> int:
         """Get the index of the last entry that was applied."""
 
+    @abstractmethod
+    def is_fed(self) -> bool:
+        """Tell whether the state machine may be acted on."""
+
+    @abstractmethod
+    def get_status(self) -> GroupStatus:
+        """Get the state of the group as this process knows it."""
+
+    @abstractmethod
+    def find_leading_role(self) -> Result[LeaderRole, Failure]:
+        """Find the role of a leader, or name the voter that leads."""
+
     @abstractmethod
     async def stop(self) -> None:
         """Commit what is pending and release the storage."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/groups/node.py
@@ -0,0 +1,161 @@
+"""Node that carries out a voter's outputs: writes, syncs and applies."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Final
+
+from attrs import define, field, frozen
+
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.invariants import check_invariant
+from hornbeamstair_replicas.events import LogOpenedEvent, SnapshotWrittenEvent
+from hornbeamstair_replicas.messages import (
+    EntryKind,
+    LogEntry,
+    Snapshot,
+    VoterId,
+)
+from hornbeamstair_replicas.state_machine import StateMachine
+from hornbeamstair_replicas.storage.base import LogStorage
+from hornbeamstair_replicas.voting.outputs import (
+    SendMessage,
+    StoreEntries,
+    StoreSnapshot,
+    StoreVote,
+    TruncateEntries,
+    WriteEffect,
+)
+from hornbeamstair_replicas.voting.timing import Timing
+from hornbeamstair_replicas.voting.voter import Voter, open_voter
+
+__all__ = ('AppliedEntry', 'Flushed', 'LogNode', 'open_node')
+
+_SNAPSHOT_ENTRIES: Final = 10000
+
+
+@frozen
+class AppliedEntry:
+    """Entry that was applied, with the state machine's answer."""
+
+    index: int
+    term: int
+    answer: object
+
+
+@frozen
+class Flushed:
+    """Messages whose writes are synced, and entries that were applied."""
+
+    messages: tuple[SendMessage, ...]
+    applied: tuple[AppliedEntry, ...]
+
+
+@define(eq=False)
+class LogNode:
+    """Voter with its storage and state machine."""
+
+    group: str
+    voter: Voter
+    storage: LogStorage
+    state_machine: StateMachine
+    snapshot_entries: int = _SNAPSHOT_ENTRIES
+    applied_index: int = field(default=0, init=False)
+
+    def flush(self) -> Flushed:
+        """Write and sync, then apply; StorageError if the disk refuses."""
+        messages: list[SendMessage] = []
+        applied: list[AppliedEntry] = []
+        while self.voter.has_outputs():
+            outputs = self.voter.take_outputs()
+            self._store(outputs.writes)
+            messages.extend(outputs.messages)
+            applied.extend(self._apply_committed())
+        applied.extend(self._apply_committed())
+        self._compact()
+        return Flushed(tuple(messages), tuple(applied))
+
+    def get_feed(
+        self,
+        applied_index: int,
+    ) -> tuple[Snapshot | None, tuple[LogEntry, ...]]:
+        """Get what follows an index, with a snapshot if it is too old."""
+        log = self.voter.state.log
+        first_index = max(applied_index, log.snapshot.index)
+        count = self.applied_index - first_index
+        entries = log.get_slice(first_index + 1, max(count, 0))
+        if applied_index < log.snapshot.index:
+            return log.snapshot, entries
+        return None, entries
+
+    def _store(self, writes: list[WriteEffect]) -> None:
+        for write in writes:
+            self._write(write)
+        if writes:
+            self.storage.sync()
+            self.voter.note_synced()
+
+    def _write(self, write: WriteEffect) -> None:
+        match write:
+            case StoreEntries(entries):
+                self.storage.append(entries)
+            case TruncateEntries(first_index):
+                self.storage.truncate(first_index)
+            case StoreVote(vote):
+                self.storage.write_vote(vote)
+            case StoreSnapshot(snapshot):
+                self.storage.truncate(1)
+                self.storage.write_snapshot(snapshot)
+                self.state_machine.restore(snapshot.state)
+                self.applied_index = snapshot.index
+
+    def _apply_committed(self) -> Iterable[AppliedEntry]:
+        for entry in self.voter.get_committed(self.applied_index):
+            yield self._apply(entry)
+
+    def _apply(self, entry: LogEntry) -> AppliedEntry:
+        check_invariant(
+            entry.index == self.applied_index + 1,
+            'entries are applied in order',
+            f'{self.group}: {entry.index} after {self.applied_index}',
+        )
+        self.applied_index = entry.index
+        answer: object = None
+        if entry.kind == EntryKind.payload:
+            answer = self.state_machine.apply(entry.index, entry.payload)
+        return AppliedEntry(entry.index, entry.term, answer)
+
+    def _compact(self) -> None:
+        covered = self.applied_index - self.voter.state.log.snapshot.index
+        if covered < self.snapshot_entries:
+            return
+        state = self.state_machine.get_snapshot()
+        snapshot = self.voter.compact(self.applied_index, state)
+        self.storage.write_snapshot(snapshot)
+        log_event(
+            SnapshotWrittenEvent(self.group, snapshot.index, len(state)),
+        )
+
+
+def open_node(
+    group: str,
+    voter: VoterId,
+    storage: LogStorage,
+    state_machine: StateMachine,
+    first_voters: tuple[VoterId, ...],
+    timing: Timing,
+    rng: Random,
+    now: float,
+) -> LogNode:
+    """Open a node from its storage; LogCorruptedError if it is damaged."""
+    tail = storage.load()
+    node = LogNode(
+        group,
+        open_voter(voter, tail, first_voters, timing, rng, now),
+        storage,
+        state_machine,
+    )
+    if tail.snapshot is not None:
+        state_machine.restore(tail.snapshot.state)
+        node.applied_index = tail.snapshot.index
+    log_event(LogOpenedEvent(group, node.applied_index, len(tail.entries)))
+    return node
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -0,0 +1,307 @@
+"""Group whose voters are processes joined by a transport."""
+
+from asyncio import Future, TimerHandle, get_running_loop, timeout
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field, frozen
+from expression import Error, Ok, Result
+
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_replicas.events import (
+    LeaderChangedEvent,
+    StorageFailedEvent,
+)
+from hornbeamstair_replicas.failures import (
+    NotCommittedFailure,
+    NotLeaderFailure,
+    StorageFailure,
+)
+from hornbeamstair_replicas.groups.base import GroupStatus, ReplicaGroup
+from hornbeamstair_replicas.groups.node import AppliedEntry, LogNode
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.peer_messages import (
+    Envelope,
+    FeedAnswer,
+    FeedRequest,
+    ForwardAnswer,
+    ForwardRequest,
+    PeerMessage,
+)
+from hornbeamstair_replicas.storage.base import StorageError
+from hornbeamstair_replicas.transport.base import PeerTransport
+from hornbeamstair_replicas.voting.messages import VoterMessage
+from hornbeamstair_replicas.voting.roles.leader import LeaderRole
+
+__all__ = ('VotingGroup',)
+
+_COMMIT_SECONDS: Final = 5.0
+_KEPT_ANSWERS: Final = 1024
+
+Answer = Result[object, Failure]
+
+
+@frozen
+class _Proposal:
+    """Payload that waits to be proposed or forwarded."""
+
+    payload: bytes
+    answer: 'Future[Answer]'
+
+
+@frozen
+class _Waiting:
+    """Proposer that waits for an entry of a term."""
+
+    term: int
+    answer: 'Future[Answer]'
+
+
+@define(eq=False)
+class VotingGroup(ReplicaGroup):
+    """Group of voters; proposals of one loop pass share a sync.
+
+    A proposal that finds no leader is refused; one that was forwarded and
+    got no place in the log is unknown after a timeout.
+    """
+
+    group: str
+    node: LogNode
+    transport: PeerTransport
+    get_time: Callable[[], float]
+    proposals: list[_Proposal] = field(factory=list, init=False)
+    waiting: dict[int, '_Waiting'] = field(factory=dict, init=False)
+    forwarded: dict[int, 'Future[Answer]'] = field(factory=dict, init=False)
+    answers: OrderedDict[int, AppliedEntry] = field(
+        factory=OrderedDict,
+        init=False,
+    )
+    last_number: int = field(default=0, init=False)
+    leader: VoterId = field(default=VoterId(''), init=False)
+    has_heard_leader: bool = field(default=False, init=False)
+    failure: Failure | None = field(default=None, init=False)
+    timer: TimerHandle | None = field(default=None, init=False)
+    is_scheduled: bool = field(default=False, init=False)
+
+    def start(self) -> None:
+        """Take part in the group; a sole voter leads at once."""
+        self.transport.add_receiver(self.group, self._receive)
+        self._tick()
+        self._flush()
+
+    async def propose(self, payload: bytes) -> Answer:
+        """Commit a payload and return the answer of the state machine."""
+        if self.failure is not None:
+            return Error(self.failure)
+        answer: Future[Answer] = get_running_loop().create_future()
+        self.proposals.append(_Proposal(payload, answer))
+        self._schedule()
+        try:
+            async with timeout(_COMMIT_SECONDS):
+                return await answer
+        except TimeoutError:
+            return Error(NotCommittedFailure('no quorum in time'))
+
+    def get_applied_index(self) -> int:
+        """Get the index of the last entry that was applied."""
+        return self.node.applied_index
+
+    def is_fed(self) -> bool:
+        """Tell whether a leader was heard since the start."""
+        return self.has_heard_leader and self.node.voter.state.is_voter()
+
+    def get_status(self) -> GroupStatus:
+        """Get the state of the group as this process knows it."""
+        state = self.node.voter.state
+        return GroupStatus(
+            group=self.group,
+            role=self.node.voter.role.name.value,
+            term=state.term,
+            leader=state.leader,
+            voters=state.log.get_voters(),
+            applied_index=self.node.applied_index,
+        )
+
+    def find_leading_role(self) -> Result[LeaderRole, Failure]:
+        """Find the role of a leader, or name the voter that leads."""
+        self._schedule()
+        return self.node.voter.find_leader_role()
+
+    async def stop(self) -> None:
+        """Commit what is pending and release the storage."""
+        self._flush()
+        if self.timer is not None:
+            self.timer.cancel()
+        self.node.storage.close()
+
+    def _receive(self, sender: VoterId, message: PeerMessage) -> None:
+        if self.failure is not None:
+            return
+        match message:
+            case VoterMessage():
+                self.node.voter.receive(sender, message, self.get_time())
+                self._schedule()
+            case ForwardRequest():
+                self._propose_for(sender, message)
+            case ForwardAnswer():
+                self._take_place(message)
+            case FeedRequest():
+                self._feed(sender, message)
+
+    def _schedule(self) -> None:
+        if not self.is_scheduled:
+            self.is_scheduled = True
+            get_running_loop().call_soon(self._flush)
+
+    def _tick(self) -> None:
+        self.timer = None
+        self.node.voter.tick(self.get_time())
+        self._flush()
+
+    def _flush(self) -> None:
+        self.is_scheduled = False
+        if self.failure is not None:
+            return
+        self._propose_all()
+        try:
+            flushed = self.node.flush()
+        except StorageError as error:
+            self._fail(str(error))
+            return
+        for sent in flushed.messages:
+            self._send(sent.receiver, sent.message)
+        for applied in flushed.applied:
+            self._answer(applied)
+        self._note_leader()
+        self._set_timer()
+
+    def _propose_all(self) -> None:
+        proposals = self.proposals
+        self.proposals = []
+        if not proposals:
+            return
+        payloads = tuple(proposal.payload for proposal in proposals)
+        indexes = self.node.voter.propose(payloads, self.get_time())
+        if indexes.is_error():
+            self._forward(proposals)
+            return
+        term = self.node.voter.state.term
+        for index, proposal in zip(indexes.ok, proposals, strict=True):
+            self.waiting[index] = _Waiting(term, proposal.answer)
+
+    def _forward(self, proposals: list[_Proposal]) -> None:
+        leader = self.node.voter.state.leader
+        self.forwarded = {
+            number: answer
+            for number, answer in self.forwarded.items()
+            if not answer.done()
+        }
+        for proposal in proposals:
+            if leader in {'', self.node.voter.state.voter}:
+                _set_answer(proposal.answer, Error(NotLeaderFailure(leader)))
+                continue
+            self.last_number += 1
+            self.forwarded[self.last_number] = proposal.answer
+            self._send(
+                leader,
+                ForwardRequest(self.last_number, proposal.payload),
+            )
+
+    def _propose_for(self, sender: VoterId, request: ForwardRequest) -> None:
+        indexes = self.node.voter.propose((request.payload,), self.get_time())
+        if indexes.is_error():
+            self._send(sender, ForwardAnswer(request.number, 0, 0))
+            return
+        term = self.node.voter.state.term
+        index = indexes.ok[0]
+        answer: Future[Answer] = get_running_loop().create_future()
+        answer.add_done_callback(
+            lambda done: self._send_place(
+                sender,
+                ForwardAnswer(request.number, index, term),
+                done.result(),
+            ),
+        )
+        self.waiting[index] = _Waiting(term, answer)
+        self._schedule()
+
+    def _send_place(
+        self,
+        sender: VoterId,
+        place: ForwardAnswer,
+        outcome: Answer,
+    ) -> None:
+        if outcome.is_ok():
+            self._send(sender, place)
+
+    def _take_place(self, message: ForwardAnswer) -> None:
+        answer = self.forwarded.pop(message.number, None)
+        if answer is None:
+            return
+        if not message.index:
+            _set_answer(answer, Error(NotLeaderFailure('')))
+            return
+        self.waiting[message.index] = _Waiting(message.term, answer)
+        applied = self.answers.get(message.index)
+        if applied is not None:
+            self._answer(applied)
+
+    def _feed(self, sender: VoterId, request: FeedRequest) -> None:
+        if not self.is_fed():
+            return
+        snapshot, entries = self.node.get_feed(request.applied_index)
+        self._send(
+            sender,
+            FeedAnswer(
+                snapshot,
+                entries,
+                self.node.applied_index,
+                self.node.voter.state.leader,
+            ),
+        )
+
+    def _answer(self, applied: AppliedEntry) -> None:
+        self.answers[applied.index] = applied
+        if len(self.answers) > _KEPT_ANSWERS:
+            self.answers.popitem(last=False)
+        waiting = self.waiting.pop(applied.index, None)
+        if waiting is None:
+            return
+        if waiting.term == applied.term:
+            _set_answer(waiting.answer, Ok(applied.answer))
+        else:
+            failure = NotCommittedFailure('another leader took over')
+            _set_answer(waiting.answer, Error(failure))
+
+    def _note_leader(self) -> None:
+        state = self.node.voter.state
+        self.has_heard_leader = self.has_heard_leader or bool(state.leader)
+        if state.leader != self.leader:
+            self.leader = state.leader
+            log_event(LeaderChangedEvent(self.group, state.leader, state.term))
+
+    def _set_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        delay = self.node.voter.get_deadline() - self.get_time()
+        loop = get_running_loop()
+        self.timer = loop.call_later(max(delay, 0), self._tick)
+
+    def _send(self, receiver: VoterId, message: PeerMessage) -> None:
+        own = self.node.voter.state.voter
+        self.transport.send(Envelope(self.group, own, receiver, message))
+
+    def _fail(self, reason: str) -> None:
+        log_event(StorageFailedEvent(self.group, reason))
+        failure = StorageFailure(reason)
+        self.failure = failure
+        for waiting in self.waiting.values():
+            _set_answer(waiting.answer, Error(failure))
+        self.waiting.clear()
+
+
+def _set_answer(answer: 'Future[Answer]', outcome: Answer) -> None:
+    if not answer.done():
+        answer.set_result(outcome)
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/learning/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions by which learners follow a log without a vote."""
--- a/packages/replicas/hornbeamstair_replicas/messages.py
+++ b/packages/replicas/hornbeamstair_replicas/messages.py
@@ -1,8 +1,29 @@
-"""Messages and records of the replicated log."""
+"""Entries, snapshots and votes of the replicated log."""
+
+from enum import Enum
+from typing import NewType
 
 from attrs import frozen
 
-__all__ = ('LogEntry', 'LogTail', 'Snapshot', 'VoteRecord')
+__all__ = (
+    'EntryKind',
+    'LogEntry',
+    'LogTail',
+    'Snapshot',
+    'VoteRecord',
+    'VoterId',
+)
+
+# A process and the incarnation of its disk: a wiped disk is a new voter.
+VoterId = NewType('VoterId', str)
+
+
+class EntryKind(Enum):
+    """What an entry of the log holds."""
+
+    payload = 0
+    voters = 1
+    empty = 2
 
 
 @frozen
@@ -12,6 +33,8 @@
     index: int
     term: int
     payload: bytes
+    kind: EntryKind = EntryKind.payload
+    voters: tuple[VoterId, ...] = ()
 
 
 @frozen
@@ -24,11 +47,12 @@
 
 @frozen
 class Snapshot:
-    """State of a state machine after the entry at an index."""
+    """State and voters after the entry at an index."""
 
     index: int
     term: int
     state: bytes
+    voters: tuple[VoterId, ...] = ()
 
 
 @frozen
--- a/packages/replicas/hornbeamstair_replicas/storage/records.py
+++ b/packages/replicas/hornbeamstair_replicas/storage/records.py
@@ -8,7 +8,13 @@
 from attrs import frozen
 
 from hornbeamstair_core.codec import read_cbor, write_cbor
-from hornbeamstair_replicas.messages import LogEntry, Snapshot, VoteRecord
+from hornbeamstair_replicas.messages import (
+    EntryKind,
+    LogEntry,
+    Snapshot,
+    VoterId,
+    VoteRecord,
+)
 from hornbeamstair_replicas.storage.base import LogCorruptedError
 
 __all__ = (
@@ -49,9 +55,15 @@
 
 def write_entry_record(entry: LogEntry) -> bytes:
     """Encode a log entry."""
-    return _frame(
-        write_cbor([_ENTRY_KIND, entry.index, entry.term, entry.payload]),
-    )
+    fields = [
+        _ENTRY_KIND,
+        entry.index,
+        entry.term,
+        entry.payload,
+        entry.kind.value,
+        entry.voters,
+    ]
+    return _frame(write_cbor(fields))
 
 
 def write_vote_record(vote: VoteRecord) -> bytes:
@@ -66,7 +78,8 @@
 
 def write_snapshot_record(snapshot: Snapshot) -> bytes:
     """Encode a snapshot."""
-    return _frame(write_cbor([snapshot.index, snapshot.term, snapshot.state]))
+    fields = [snapshot.index, snapshot.term, snapshot.state, snapshot.voters]
+    return _frame(write_cbor(fields))
 
 
 def read_snapshot(content: bytes) -> Snapshot:
@@ -74,8 +87,8 @@
     body = _read_body(content, 0)
     if body is None:
         raise LogCorruptedError('the snapshot is damaged')
-    index, term, state = read_cbor(body)
-    return Snapshot(index, term, state)
+    index, term, state, voters = read_cbor(body)
+    return Snapshot(index, term, state, tuple(voters))
 
 
 def read_records(content: bytes) -> Iterator[StoredRecord | DamagedRecord]:
@@ -119,9 +132,19 @@
 def _read_record(body: bytes) -> StoredRecord:
     kind, *fields = read_cbor(body)
     if kind == _ENTRY_KIND:
-        return LogEntry(*fields)
+        return _read_entry(*fields)
     if kind == _VOTE_KIND:
         return VoteRecord(*fields)
     if kind == _TRUNCATE_KIND:
         return TruncationRecord(*fields)
     raise LogCorruptedError(f'record kind {kind!r} is unknown')
+
+
+def _read_entry(
+    index: int,
+    term: int,
+    payload: bytes,
+    kind: int,
+    voters: list[VoterId],
+) -> LogEntry:
+    return LogEntry(index, term, payload, EntryKind(kind), tuple(voters))
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Ways to send messages to the system's other processes."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/voting/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions by which voters agree on one log."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/voting/entry_log.py
@@ -0,0 +1,118 @@
+"""Entries that a voter holds in memory, after its snapshot."""
+
+from collections.abc import Sequence
+
+from attrs import define, field
+
+from hornbeamstair_core.invariants import check_invariant
+from hornbeamstair_replicas.messages import (
+    EntryKind,
+    LogEntry,
+    LogTail,
+    Snapshot,
+    VoterId,
+)
+
+__all__ = ('EntryLog', 'open_entry_log')
+
+
+@define
+class EntryLog:
+    """Snapshot and the entries after it."""
+
+    snapshot: Snapshot
+    entries: list[LogEntry] = field(factory=list)
+    voter_entries: list[LogEntry] = field(factory=list, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Index the entries that name voters."""
+        self.voter_entries = _get_voter_entries(self.entries)
+
+    @property
+    def first_index(self) -> int:
+        """Index of the first entry after the snapshot."""
+        return self.snapshot.index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.snapshot.index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.snapshot.term
+
+    def find_term(self, index: int) -> int | None:
+        """Find the term at an index; None if it is not held."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if self.first_index <= index <= self.last_index:
+            return self.entries[index - self.first_index].term
+        return None
+
+    def get_slice(self, first_index: int, limit: int) -> tuple[LogEntry, ...]:
+        """Get some entries from an index on."""
+        start = first_index - self.first_index
+        return tuple(self.entries[start : start + limit])
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries after the last."""
+        for entry in entries:
+            check_invariant(
+                entry.index == self.last_index + 1,
+                'entries are appended in order',
+                f'{entry.index} after {self.last_index}',
+            )
+            self.entries.append(entry)
+        self.voter_entries.extend(_get_voter_entries(entries))
+
+    def truncate(self, first_index: int) -> None:
+        """Remove the entries from an index on."""
+        self.entries = self.entries[: first_index - self.first_index]
+        self.voter_entries = _get_voter_entries(self.entries)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Put a snapshot in place of the entries that it covers."""
+        covered = snapshot.index - self.snapshot.index
+        self.entries = self.entries[covered:]
+        self.snapshot = snapshot
+        self.voter_entries = _get_voter_entries(self.entries)
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Put a snapshot in place of every entry."""
+        self.entries = []
+        self.voter_entries = []
+        self.snapshot = snapshot
+
+    def get_voters(self) -> tuple[VoterId, ...]:
+        """Get the voters of the newest entry that names them."""
+        if self.voter_entries:
+            return self.voter_entries[-1].voters
+        return self.snapshot.voters
+
+    def get_voters_index(self) -> int:
+        """Get the index of the newest entry that names the voters."""
+        if self.voter_entries:
+            return self.voter_entries[-1].index
+        return self.snapshot.index
+
+    def get_voters_at(self, index: int) -> tuple[VoterId, ...]:
+        """Get the voters as of an index."""
+        for entry in reversed(self.voter_entries):
+            if entry.index <= index:
+                return entry.voters
+        return self.snapshot.voters
+
+
+def open_entry_log(
+    tail: LogTail,
+    first_voters: tuple[VoterId, ...],
+) -> EntryLog:
+    """Open the log that storage holds, or a new one with its voters."""
+    snapshot = tail.snapshot or Snapshot(0, 0, b'', first_voters)
+    return EntryLog(snapshot, list(tail.entries))
+
+
+def _get_voter_entries(entries: Sequence[LogEntry]) -> list[LogEntry]:
+    return [entry for entry in entries if entry.kind == EntryKind.voters]
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/voting/progress.py
@@ -0,0 +1,36 @@
+"""What a leader knows of another voter's log."""
+
+from attrs import define
+
+__all__ = ('PeerProgress',)
+
+
+@define
+class PeerProgress:
+    """Progress of one peer and the proof that it was reached."""
+
+    next_index: int
+    match_index: int = 0
+    acknowledged_at: float = 0
+    sent_at: float = 0
+    snapshot_index: int = 0
+    snapshot_offset: int = 0
+
+    @property
+    def installs_snapshot(self) -> bool:
+        """Tell whether the peer receives a snapshot."""
+        return self.snapshot_index > 0
+
+    def acknowledge(self, sent_at: float) -> None:
+        """Note that a message sent at a time was received."""
+        self.acknowledged_at = max(self.acknowledged_at, sent_at)
+
+    def match(self, index: int) -> None:
+        """Note that the peer holds the log up to an index."""
+        self.match_index = max(self.match_index, index)
+        self.next_index = max(self.next_index, self.match_index + 1)
+
+    def retreat(self, hint: int) -> None:
+        """Try again from an earlier index that the peer may hold."""
+        earlier = min(hint + 1, self.next_index - 1)
+        self.next_index = max(self.match_index + 1, earlier)
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/voting/replicator.py
@@ -0,0 +1,145 @@
+"""Replication of a leader's log to the other voters."""
+
+from typing import Final
+
+from attrs import define, field
+
+from hornbeamstair_core.units import KIB
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.voting.messages import (
+    AppendAnswer,
+    AppendRequest,
+    SnapshotAnswer,
+    SnapshotChunk,
+)
+from hornbeamstair_replicas.voting.progress import PeerProgress
+from hornbeamstair_replicas.voting.state import VoterState
+
+__all__ = ('Replicator',)
+
+_MAX_ENTRIES: Final = 256
+_CHUNK_BYTES: Final = 256 * KIB  # noqa: WPS432
+_RESEND_HEARTBEATS: Final = 3
+
+
+@define(eq=False)
+class Replicator:
+    """Progress of each peer, and what is sent to it next."""
+
+    state: VoterState
+    peers: dict[VoterId, PeerProgress] = field(factory=dict)
+
+    def put_peers(self, wanted: list[VoterId], now: float) -> None:
+        """Replicate to these peers and to no others."""
+        next_index = self.state.log.last_index + 1
+        self.peers = {
+            peer: self.peers.get(peer)
+            or PeerProgress(next_index, acknowledged_at=now)
+            for peer in wanted
+        }
+
+    def get_match(self, voter: VoterId) -> int:
+        """Get the last index that a voter is known to have synced."""
+        if voter == self.state.voter:
+            return self.state.synced_index
+        progress = self.peers.get(voter)
+        return 0 if progress is None else progress.match_index
+
+    def has_quorum(self, now: float, seconds: float) -> bool:
+        """Tell whether a quorum answered what was sent so recently."""
+        reached = {
+            peer
+            for peer, progress in self.peers.items()
+            if now - progress.acknowledged_at < seconds
+        }
+        return self.state.is_quorum({*reached, self.state.voter})
+
+    def take_append_answer(
+        self,
+        progress: PeerProgress,
+        answer: AppendAnswer,
+    ) -> None:
+        """Note what a peer holds, or where its log may match."""
+        progress.acknowledge(answer.sent_at)
+        if answer.is_success:
+            progress.match(answer.match_index)
+        else:
+            progress.retreat(answer.match_index)
+
+    def take_snapshot_answer(
+        self,
+        progress: PeerProgress,
+        answer: SnapshotAnswer,
+    ) -> bool:
+        """Note the part of a snapshot held; tell whether to send more."""
+        if progress.snapshot_index != answer.snapshot_index:
+            return False
+        progress.acknowledge(answer.sent_at)
+        if answer.is_installed:
+            progress.snapshot_index = 0
+            progress.match(answer.snapshot_index)
+            return True
+        is_new = progress.snapshot_offset != answer.next_offset
+        progress.snapshot_offset = answer.next_offset
+        return is_new
+
+    def broadcast(self, now: float) -> None:
+        """Send entries, or a heartbeat, to every peer."""
+        for peer, progress in self.peers.items():
+            if not (progress.installs_snapshot and self._waits(progress, now)):
+                self.send(peer, now)
+
+    def send_entries(self, now: float) -> None:
+        """Send what is new to the peers that follow entry by entry."""
+        for peer, progress in self.peers.items():
+            if not progress.installs_snapshot:
+                self.send(peer, now)
+
+    def send(self, peer: VoterId, now: float) -> None:
+        """Send a peer the next entries, or its next part of a snapshot."""
+        progress = self.peers[peer]
+        progress.sent_at = now
+        previous_index = progress.next_index - 1
+        previous_term = self.state.log.find_term(previous_index)
+        if previous_term is None or progress.installs_snapshot:
+            self._send_snapshot(peer, progress)
+            return
+        entries = self.state.log.get_slice(progress.next_index, _MAX_ENTRIES)
+        # Assume success: the next message carries on where this one ends.
+        progress.next_index += len(entries)
+        self.state.send(
+            peer,
+            AppendRequest(
+                self.state.term,
+                previous_index,
+                previous_term,
+                entries,
+                self.state.commit_index,
+                now,
+            ),
+        )
+
+    def _waits(self, progress: PeerProgress, now: float) -> bool:
+        timeout = self.state.timing.heartbeat * _RESEND_HEARTBEATS
+        return now - progress.sent_at < timeout
+
+    def _send_snapshot(self, peer: VoterId, progress: PeerProgress) -> None:
+        snapshot = self.state.log.snapshot
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index = snapshot.index
+            progress.snapshot_offset = 0
+        offset = progress.snapshot_offset
+        chunk = snapshot.state[offset : offset + _CHUNK_BYTES]
+        self.state.send(
+            peer,
+            SnapshotChunk(
+                term=self.state.term,
+                snapshot_index=snapshot.index,
+                snapshot_term=snapshot.term,
+                voters=snapshot.voters,
+                offset=offset,
+                chunk=chunk,
+                is_last=offset + len(chunk) >= len(snapshot.state),
+                sent_at=progress.sent_at,
+            ),
+        )
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/voting/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Roles of a voter."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/voting/roles/follower.py
@@ -0,0 +1,36 @@
+"""Role of a voter that follows a leader or waits for one."""
+
+from typing import ClassVar
+
+from attrs import define
+
+from hornbeamstair_replicas.voting.roles.base import (
+    Role,
+    RoleName,
+    RoleTrigger,
+)
+
+__all__ = ('FollowerRole',)
+
+
+@define(eq=False)
+class FollowerRole(Role):
+    """Follower: stands for election when no leader is heard."""
+
+    name: ClassVar[RoleName] = RoleName.follower
+
+    def enter(self, now: float) -> RoleTrigger | None:
+        """Wait for a leader."""
+        self.state.is_transfer = False
+        self.deadline = self.state.get_election_deadline(now)
+        return None
+
+    def tick(self, now: float) -> RoleTrigger | None:
+        """Stand for election when the election timeout passed."""
+        state = self.state
+        if state.heard_recently(now):
+            self.deadline = state.get_election_deadline(state.leader_heard_at)
+        if now < self.deadline:
+            return None
+        self.deadline = state.get_election_deadline(now)
+        return RoleTrigger.start_pre_vote if state.is_voter() else None
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/voting/voter.py
@@ -0,0 +1,276 @@
+"""A voter: takes messages, proposals and time, returns outputs."""
+
+from random import Random
+from types import MappingProxyType
+from typing import Final
+
+from attrs import define, field
+from expression import Error, Result
+from transitions import Machine
+
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_replicas.failures import NotLeaderFailure
+from hornbeamstair_replicas.messages import (
+    LogEntry,
+    LogTail,
+    Snapshot,
+    VoterId,
+)
+from hornbeamstair_replicas.voting.entry_log import open_entry_log
+from hornbeamstair_replicas.voting.messages import (
+    AppendAnswer,
+    AppendRequest,
+    SnapshotAnswer,
+    SnapshotChunk,
+    TransferRequest,
+    VoteAnswer,
+    VoteRequest,
+    VoterMessage,
+)
+from hornbeamstair_replicas.voting.outputs import Outputs
+from hornbeamstair_replicas.voting.receiver import LogReceiver
+from hornbeamstair_replicas.voting.roles.base import (
+    Role,
+    RoleName,
+    RoleTrigger,
+)
+from hornbeamstair_replicas.voting.roles.candidate import (
+    CandidateRole,
+    PreCandidateRole,
+)
+from hornbeamstair_replicas.voting.roles.follower import FollowerRole
+from hornbeamstair_replicas.voting.roles.leader import LeaderRole
+from hornbeamstair_replicas.voting.state import VoterState
+from hornbeamstair_replicas.voting.timing import Timing
+
+__all__ = ('Voter', 'open_voter')
+
+_ROLES: Final = MappingProxyType(
+    {
+        role.name: role
+        for role in (FollowerRole, PreCandidateRole, CandidateRole, LeaderRole)
+    }
+)
+_FOLLOWER: Final = RoleName.follower.value
+_PRE_CANDIDATE: Final = RoleName.pre_candidate.value
+_CANDIDATE: Final = RoleName.candidate.value
+_LEADER: Final = RoleName.leader.value
+
+_machine: Final = Machine(
+    model=None,
+    states=[name.value for name in RoleName],
+    initial=_FOLLOWER,
+    auto_transitions=False,
+    transitions=[
+        [RoleTrigger.step_down.value, '*', _FOLLOWER],
+        [RoleTrigger.start_pre_vote.value, _FOLLOWER, _PRE_CANDIDATE],
+        [
+            RoleTrigger.start_vote.value,
+            [_FOLLOWER, _PRE_CANDIDATE],
+            _CANDIDATE,
+        ],
+        [RoleTrigger.win.value, _CANDIDATE, _LEADER],
+    ],
+)
+
+
+@define
+class _RoleModel:
+    """Model of the lifecycle, which keeps only the name of the role."""
+
+    state: str = _FOLLOWER
+
+
+@define(eq=False)
+class Voter:
+    """One voter of a group, without any I/O."""
+
+    state: VoterState
+    role: Role
+    model: _RoleModel = field(factory=_RoleModel)
+    receiver: LogReceiver = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start to receive into the shared log."""
+        self.receiver = LogReceiver(self.state)
+
+    def tick(self, now: float) -> None:
+        """Act on the deadlines that passed."""
+        self._change(self.role.tick(now), now)
+
+    def receive(
+        self,
+        sender: VoterId,
+        message: VoterMessage,
+        now: float,
+    ) -> None:
+        """Take a message of another voter."""
+        if isinstance(message, VoteRequest):
+            self._answer_vote(sender, message, now)
+            return
+        if message.term > self.state.term:
+            if isinstance(message, VoteAnswer) and message.is_granted:
+                # A granted pre-vote names the next term without entering it.
+                self._dispatch(sender, message, now)
+                return
+            self._enter_term(message.term, now)
+        if message.term == self.state.term:
+            self._dispatch(sender, message, now)
+        elif isinstance(message, AppendRequest | SnapshotChunk):
+            # A leader of an older term learns the newer one.
+            self.receiver.refuse(sender, message.sent_at)
+
+    def propose(
+        self,
+        payloads: tuple[bytes, ...],
+        now: float,
+    ) -> Result[range, Failure]:
+        """Append payloads if this voter leads."""
+        return self.find_leader_role().bind(
+            lambda leader: leader.propose(payloads, now),
+        )
+
+    def find_leader_role(self) -> Result[LeaderRole, Failure]:
+        """Find the role of a leader, or name the voter that leads."""
+        if isinstance(self.role, LeaderRole):
+            return Result.Ok(self.role)
+        return Error(NotLeaderFailure(self.state.leader))
+
+    def take_outputs(self) -> Outputs:
+        """Take the writes and messages since the last call."""
+        outputs = self.state.outputs
+        self.state.outputs = Outputs()
+        return outputs
+
+    def has_outputs(self) -> bool:
+        """Tell whether there are writes or messages to take."""
+        return not self.state.outputs.is_empty
+
+    def note_synced(self) -> None:
+        """Count this voter's own entries once they are synced."""
+        self.state.synced_index = self.state.log.last_index
+        if isinstance(self.role, LeaderRole):
+            self.role.advance_commit()
+
+    def get_committed(self, applied_index: int) -> tuple[LogEntry, ...]:
+        """Get the committed entries after an applied one."""
+        count = self.state.commit_index - applied_index
+        return self.state.log.get_slice(applied_index + 1, max(count, 0))
+
+    def compact(self, index: int, state: bytes) -> Snapshot:
+        """Make a snapshot of an applied index and drop older entries."""
+        log = self.state.log
+        term = log.find_term(index) or 0
+        snapshot = Snapshot(index, term, state, log.get_voters_at(index))
+        log.compact(snapshot)
+        return snapshot
+
+    def get_deadline(self) -> float:
+        """Get the time at which tick is due."""
+        return self.role.deadline
+
+    def _change(self, trigger: RoleTrigger | None, now: float) -> None:
+        while trigger is not None:
+            _machine.events[trigger.value].trigger(self.model)
+            role_class = _ROLES[RoleName(self.model.state)]
+            self.role = role_class(self.state, now)
+            trigger = self.role.enter(now)
+
+    def _enter_term(self, term: int, now: float) -> None:
+        self.state.enter_term(term)
+        self._change(RoleTrigger.step_down, now)
+
+    def _dispatch(
+        self,
+        sender: VoterId,
+        message: VoterMessage,
+        now: float,
+    ) -> None:
+        role = self.role
+        match message:
+            case VoteAnswer():
+                self._change(role.receive_vote(sender, message, now), now)
+            case AppendRequest():
+                self._follow(sender, now)
+                self.receiver.append(sender, message)
+            case AppendAnswer():
+                self._change(role.receive_append(sender, message, now), now)
+            case SnapshotChunk():
+                self._follow(sender, now)
+                self.receiver.install(sender, message)
+            case SnapshotAnswer():
+                self._change(role.receive_snapshot(sender, message, now), now)
+            case TransferRequest():
+                self._stand_at_once(now)
+
+    def _stand_at_once(self, now: float) -> None:
+        if isinstance(self.role, FollowerRole) and self.state.is_voter():
+            self.state.is_transfer = True
+            self._change(RoleTrigger.start_vote, now)
+
+    def _follow(self, leader: VoterId, now: float) -> None:
+        if not isinstance(self.role, FollowerRole):
+            self._change(RoleTrigger.step_down, now)
+        self.state.hear_leader(leader, now)
+        self.role.tick(now)
+
+    def _answer_vote(
+        self,
+        sender: VoterId,
+        request: VoteRequest,
+        now: float,
+    ) -> None:
+        state = self.state
+        is_sticky = state.heard_recently(now) and not request.is_transfer
+        is_newer = request.term > state.term
+        if is_newer and not (request.is_pre_vote or is_sticky):
+            self._enter_term(request.term, now)
+        is_granted = not is_sticky and self._grants(sender, request)
+        if is_granted and not request.is_pre_vote:
+            state.cast_vote(request.term, sender)
+            self.role.enter(now)
+        answer_term = request.term if is_granted else state.term
+        state.send(
+            sender,
+            VoteAnswer(answer_term, is_granted, request.is_pre_vote),
+        )
+
+    def _grants(self, sender: VoterId, request: VoteRequest) -> bool:
+        state = self.state
+        if request.term < state.term:
+            return False
+        if not state.is_up_to_date(request.last_index, request.last_term):
+            return False
+        if request.is_pre_vote:
+            return request.term > state.term
+        is_follower = isinstance(self.role, FollowerRole)
+        return is_follower and state.vote.voted_for in {'', sender}
+
+
+def open_voter(
+    voter: VoterId,
+    tail: LogTail,
+    first_voters: tuple[VoterId, ...],
+    timing: Timing,
+    rng: Random,
+    now: float,
+) -> Voter:
+    """Open a voter from what its storage holds."""
+    log = open_entry_log(tail, first_voters)
+    state = VoterState(
+        voter=voter,
+        timing=timing,
+        rng=rng,
+        log=log,
+        vote=tail.vote,
+        commit_index=log.snapshot.index,
+        synced_index=log.last_index,
+        leader_heard_at=now,
+    )
+    role = FollowerRole(state, now)
+    role.enter(now)
+    if log.get_voters() == (voter,):
+        # No other voter can have led: a sole voter need not wait.
+        state.leader_heard_at = -timing.election_max
+        role.deadline = now
+    return Voter(state, role)
--- a/packages/tools/hornbeamstair_tools/bench_capacity.py
+++ b/packages/tools/hornbeamstair_tools/bench_capacity.py
@@ -4,8 +4,9 @@
 from asyncio import gather, run, sleep
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
 from tempfile import TemporaryDirectory
-from time import perf_counter
+from time import monotonic, perf_counter
 from typing import Final
 
 from aiosonic import HTTPClient
@@ -16,10 +17,13 @@
 from hornbeamstair_core.ids import CustomerId, ServiceName
 from hornbeamstair_operators.codec import write_change_request
 from hornbeamstair_operators.state_machine import ControlStateMachine
-from hornbeamstair_replicas.groups.single import SingleVoterGroup
-from hornbeamstair_replicas.messages import LogEntry
+from hornbeamstair_replicas.groups.node import open_node
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.messages import LogEntry, VoterId
 from hornbeamstair_replicas.storage.file import FileLogStorage
 from hornbeamstair_replicas.storage.records import write_entry_record
+from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.voting.timing import Timing
 from hornbeamstair_tools.processes import DaemonProcess
 from hornbeamstair_tools.samples import (
     make_announcement,
@@ -119,12 +123,19 @@
     return Slope(f'start after {changes:,} changes', seconds, 's')
 
 
-def _open_group(folder: Path) -> SingleVoterGroup:
-    group = SingleVoterGroup(
+def _open_group(folder: Path) -> VotingGroup:
+    own = VoterId('bench/1')
+    node = open_node(
         _GROUP,
+        own,
         FileLogStorage(folder),
         ControlStateMachine(),
+        (own,),
+        Timing(),
+        Random(1),
+        monotonic(),
     )
+    group = VotingGroup(_GROUP, node, LocalTransport(own), monotonic)
     group.start()
     return group
 
--- a/packages/tools/hornbeamstair_tools/processes.py
+++ b/packages/tools/hornbeamstair_tools/processes.py
@@ -55,6 +55,8 @@
     upstreams_port: int = field(factory=get_free_port)
     operators_port: int = field(factory=get_free_port)
     settings: dict[str, Any] = field(factory=dict)
+    zone: str = 'local'
+    bootstrap: bool = False
     process: Process | None = None
 
     @property
@@ -78,7 +80,7 @@
         path = self.folder / 'settings.yaml'
         settings = {
             'process': self.process_name,
-            'zone': 'local',
+            'zone': self.zone,
             'data_folder': str(self.folder / 'data'),
             'operators_token': TOKEN,
             'json_logs': True,
@@ -103,8 +105,10 @@
                 'hornbeamstair_daemon',
                 '--settings',
                 str(path),
+                *(['--bootstrap'] if self.bootstrap else []),
                 stderr=log,
             )
+        self.bootstrap = False
         await self._wait_ready()
 
     async def stop(self) -> int:
--- /dev/null
+++ b/tests/features/steps/deployment_steps.py
@@ -0,0 +1,246 @@
+"""Steps that drive several daemons."""
+
+import json
+from asyncio import sleep
+from itertools import cycle
+from time import monotonic
+from typing import Any
+
+from aiosonic import HTTPClient
+from behave import given, then, when
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+from yaml import safe_load
+
+from hornbeamstair_tools.caller import call
+from hornbeamstair_tools.deployment import Deployment, ProcessPlan
+from hornbeamstair_tools.processes import TOKEN, DaemonProcess
+from hornbeamstair_tools.stand_in_upstream import StandInUpstream
+from tests.support.world import World
+
+ZONES = 'muscat', 'nizwa', 'sohar'
+CONTRACTS = 'tests/examples/contracts'
+
+
+@given('{count:d} daemons in 3 zones, of which {voters:d} vote')
+def start_deployment(context: Any, count: int, voters: int) -> None:
+    """Start daemons spread over the zones; the first of them vote."""
+    plans = []
+    for position, zone in zip(range(count), cycle(ZONES), strict=False):
+        name = f'{zone}-{position // len(ZONES) + 1}'
+        plans.append(ProcessPlan(name, zone, is_voter=position < voters))
+    world: World = context.world
+    context.deployment = Deployment(world.folder, tuple(plans))
+    context.killed = None
+    world.deployment = context.deployment
+    world.run(context.deployment.start())
+
+
+@given('an upstream "{name}" of "{service}" in the zone "{zone}"')
+def add_zone_upstream(
+    context: Any,
+    name: str,
+    service: str,
+    zone: str,
+) -> None:
+    """Start a stand-in that announces itself in its zone."""
+    urls = context.deployment.get_announce_urls(zone)
+    upstream = StandInUpstream(name, service, urls, zone=zone)
+    context.world.upstreams[name] = upstream
+    context.world.run(upstream.start())
+
+
+@when('the contract "{name}" is put through "{process}" as "{request_id}"')
+def put_through(
+    context: Any,
+    name: str,
+    process: str,
+    request_id: str,
+) -> None:
+    """Apply a contract through one process."""
+    daemon = context.deployment.daemons[process]
+    context.answer = context.world.run(_put(daemon, name, request_id))
+    assert context.answer['accepted'], context.answer
+
+
+@when(
+    'the contract "{name}" is put through a living process as "{request_id}"',
+)
+def put_through_living(context: Any, name: str, request_id: str) -> None:
+    """Apply a contract through the last process that runs."""
+    daemon = _get_living(context.deployment)[-1]
+    context.answer = context.world.run(_put(daemon, name, request_id))
+    assert context.answer['accepted'], context.answer
+
+
+@then('every process has revision {revision:d} in force within 10 seconds')
+def check_in_force(context: Any, revision: int) -> None:
+    """Check that each living process reaches a revision and is ready."""
+    context.world.run(_wait_in_force(context.deployment, revision))
+
+
+@when('the leader is killed')
+def kill_leader(context: Any) -> None:
+    """Kill the process that leads the control group."""
+    context.world.run(_kill_leader(context))
+
+
+@when('the killed process is started again')
+def start_killed(context: Any) -> None:
+    """Start the process that was killed last."""
+    context.world.run(context.killed.start())
+
+
+@when('every process outside the zone "{zone}" is killed')
+def kill_outside(context: Any, zone: str) -> None:
+    """Leave only one zone alive."""
+    for daemon in _get_living(context.deployment):
+        if daemon.zone != zone:
+            context.world.run(daemon.kill())
+
+
+@when('the process "{name}" is killed and started again')
+def restart_process(context: Any, name: str) -> None:
+    """Restart a process."""
+    daemon = context.deployment.daemons[name]
+    context.world.run(daemon.kill())
+    context.world.run(daemon.start())
+
+
+@then(
+    'a resend of "{request_id}" through a living process is answered with '
+    'revision {revision:d}',
+)
+def check_resend(context: Any, request_id: str, revision: int) -> None:
+    """Check that a resend gets the first answer."""
+    daemon = _get_living(context.deployment)[0]
+    answer = context.world.run(_put(daemon, 'grinders.yaml', request_id))
+    assert answer['revision'] == revision, answer
+
+
+@when('a call with key "{key}" goes through "{process}"')
+def send_through(context: Any, key: str, process: str) -> None:
+    """Send a keyed call through one entry process."""
+    context.key = key
+    context.keyed_answers = []
+    _send_keyed(context, process)
+
+
+@when('the same call goes through "{process}"')
+def send_again(context: Any, process: str) -> None:
+    """Resend the keyed call through an entry process."""
+    _send_keyed(context, process)
+
+
+@then('the {count:d} answers are the same and the call ran once')
+def check_same(context: Any, count: int) -> None:
+    """Check the answers and the arrivals of a keyed call."""
+    answers = context.keyed_answers
+    assert len(answers) == count, answers
+    assert all(answer.status == 200 for answer in answers), answers
+    upstreams = context.world.upstreams.values()
+    assert sum(found.arrivals[context.key] for found in upstreams) == 1
+
+
+@when('a stranger asks "{process}" for its state without the key')
+def ask_as_stranger(context: Any, process: str) -> None:
+    """Connect to the port for peers without the key."""
+    daemon = context.deployment.daemons[process]
+    listed = daemon.settings['peers']['processes']
+    port = next(one['port'] for one in listed if one['process'] == process)
+    context.heard = context.world.run(_ask_as_stranger(port))
+
+
+@then('the stranger is refused')
+def check_stranger(context: Any) -> None:
+    """Check that the connection was closed after the challenge."""
+    assert context.heard == 1, context.heard
+
+
+def _get_living(deployment: Deployment) -> list[DaemonProcess]:
+    daemons = deployment.daemons.values()
+    return [daemon for daemon in daemons if daemon.process is not None]
+
+
+def _send_keyed(context: Any, process: str) -> None:
+    daemon = context.deployment.daemons[process]
+
+    async def send() -> Any:  # noqa: WPS430
+        async with HTTPClient() as client:
+            url = f'{daemon.callers_url}/fees/post'
+            return await call(client, url, 'grinders', context.key)
+
+    context.keyed_answers.append(context.world.run(send()))
+
+
+async def _put(
+    daemon: DaemonProcess,
+    name: str,
+    request_id: str,
+) -> dict[str, Any]:
+    with open(f'{CONTRACTS}/{name}') as source:
+        contract = safe_load(source)
+    change = {'kind': 'apply_contract', 'contract': contract}
+    document = {'request_id': request_id, 'change': change}
+    async with HTTPClient() as client:
+        for _ in range(50):
+            answer = await client.post(
+                f'{daemon.operators_url}/v1/changes',
+                headers={'authorization': f'Bearer {TOKEN}'},
+                json=document,
+            )
+            if answer.ok:
+                break
+            # A new leader may have to be elected first.
+            await sleep(0.2)
+        decoded: dict[str, Any] = json.loads(await answer.content())
+        return decoded
+
+
+async def _get_status(daemon: DaemonProcess) -> dict[str, Any]:
+    async with HTTPClient() as client:
+        answer = await client.get(
+            f'{daemon.operators_url}/v1/status',
+            headers={'authorization': f'Bearer {TOKEN}'},
+        )
+        status: dict[str, Any] = json.loads(await answer.content())
+        return status
+
+
+async def _wait_in_force(deployment: Deployment, revision: int) -> None:
+    end = monotonic() + 10
+    while True:
+        statuses = [
+            await _get_status(daemon) for daemon in _get_living(deployment)
+        ]
+        found = {
+            status['process']: (status['revision'], status['is_ready'])
+            for status in statuses
+        }
+        if set(found.values()) == {(revision, True)}:
+            return
+        assert monotonic() < end, found
+        await sleep(0.1)
+
+
+async def _kill_leader(context: Any) -> None:
+    for daemon in _get_living(context.deployment):
+        status = await _get_status(daemon)
+        if status['groups'][0]['role'] == 'leader':
+            await daemon.kill()
+            context.killed = daemon
+            return
+    raise AssertionError('no process leads')
+
+
+async def _ask_as_stranger(port: int) -> int:
+    heard = 0
+    async with connect(f'ws://127.0.0.1:{port}', proxy=None) as connection:
+        await connection.send(b'nonce')
+        await connection.send(b'no proof')
+        try:
+            while True:
+                await connection.recv()
+                heard += 1
+        except ConnectionClosed:
+            return heard
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -10,6 +10,7 @@
 from attrs import define, field
 
 from hornbeamstair_tools.caller import CallAnswer, call
+from hornbeamstair_tools.deployment import Deployment
 from hornbeamstair_tools.processes import CommandAnswer, DaemonProcess
 from hornbeamstair_tools.stand_in_upstream import StandInUpstream
 
@@ -29,6 +30,7 @@
     runner: Runner = field(factory=Runner)
     temporary: 'TemporaryDirectory[str]' = field(factory=_make_folder)
     daemon: DaemonProcess | None = None
+    deployment: Deployment | None = None
     upstreams: dict[str, StandInUpstream] = field(factory=dict)
     command: CommandAnswer | None = None
     answers: list[CallAnswer] = field(factory=list)
@@ -90,6 +92,8 @@
             self.run(upstream.stop())
         if self.daemon is not None:
             self.run(self.daemon.kill())
+        if self.deployment is not None:
+            self.run(self.deployment.kill())
         self.runner.close()
         self.temporary.cleanup()
 
