--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin/python
 PACKAGES := core replicas platform upstreams operators callers daemon tools
 
-.PHONY: install demo test check format reference lock bench capacity
+.PHONY: install demo test check format reference lock bench bench-state capacity
 
 install: $(VENV)/.installed
 
@@ -22,12 +22,14 @@
 
 check: install
 	$(VENV)/bin/ruff format --check packages tests
+	$(VENV)/bin/ruff check --quiet packages tests
 	$(VENV)/bin/flake8 packages tests
 	$(VENV)/bin/mypy $(PACKAGES:%=-p hornbeamstair_%)
 	$(RUN) -m hornbeamstair_tools.check_imports
 	$(RUN) -m hornbeamstair_tools.reference --check
 
 format: install
+	$(VENV)/bin/ruff check --quiet --fix packages tests
 	$(VENV)/bin/ruff format packages tests
 
 reference: install
@@ -36,6 +38,9 @@
 bench: install
 	$(RUN) -m hornbeamstair_tools.bench_path
 
+bench-state: install
+	$(RUN) -m hornbeamstair_tools.bench_state
+
 capacity: install
 	$(RUN) -m hornbeamstair_tools.bench_capacity
 
--- a/packages/callers/hornbeamstair_callers/dispatcher.py
+++ b/packages/callers/hornbeamstair_callers/dispatcher.py
@@ -44,6 +44,7 @@
     upstream: Upstream | None = None
     queued: QueuedCall | None = None
     tried: set[UpstreamId] = field(factory=set)
+    ran_failure: AttemptFailure | None = None
 
 
 @define
--- a/packages/callers/hornbeamstair_callers/failures.py
+++ b/packages/callers/hornbeamstair_callers/failures.py
@@ -8,6 +8,7 @@
     'AnswerNotKeptFailure',
     'CallerGoneFailure',
     'KeyInProgressFailure',
+    'KeyNotClaimedFailure',
     'KeyOutcomeUnknownFailure',
     'KeyReusedFailure',
     'NoUpstreamFailure',
@@ -159,6 +160,19 @@
     may_have_run = True
 
 
+@register_failure
+@frozen
+class KeyNotClaimedFailure(Failure):
+    """Keyed call that was not sent because its claim was not confirmed."""
+
+    number = 2013
+    name = 'key_not_claimed'
+    summary = 'The key could not be claimed; the call was not run.'
+    http_status = 503
+
+    reason: str
+
+
 @register_failure
 @frozen
 class AnswerNotKeptFailure(Failure):
--- a/packages/callers/hornbeamstair_callers/key_keeper.py
+++ b/packages/callers/hornbeamstair_callers/key_keeper.py
@@ -4,12 +4,13 @@
 from hashlib import sha256
 from typing import cast
 
-from attrs import frozen
+from attrs import field, frozen
 from expression import Error, Ok, Result
 
 from hornbeamstair_callers.failures import (
     AnswerNotKeptFailure,
     KeyInProgressFailure,
+    KeyNotClaimedFailure,
     KeyOutcomeUnknownFailure,
     KeyReusedFailure,
 )
@@ -42,6 +43,7 @@
     state_machine: KeyStateMachine
     owner: str
     get_wall_time: Callable[[], float]
+    unsent: set[KeyId] = field(factory=set)
 
     def find(self, call: CallRequest) -> CallResult | None:
         """Find what a resend of a keyed call is answered."""
@@ -49,18 +51,27 @@
         return None if known is None else self._replay(call, known)
 
     async def claim(self, call: CallRequest) -> CallResult | None:
-        """Claim the key of a call; return an answer if it is taken."""
+        """Claim the key of a call; return an answer if it is taken.
+
+        A claim that was not confirmed may still be committed: the call is
+        refused as not run, and a resend through this process takes it over.
+        """
+        key_id = _get_key_id(call)
         command = ClaimKey(
-            _get_key_id(call),
+            key_id,
             _get_digest(call),
             self.owner,
             self.get_wall_time(),
         )
         committed = await self._propose(command)
         if committed.is_error():
-            return Error(committed.error)
+            self.unsent.add(key_id)
+            return Error(KeyNotClaimedFailure(committed.error.name))
         known = committed.ok
-        return None if known is None else self._replay(call, known)
+        answer = None if known is None else self._replay(call, known)
+        if answer is None:
+            self.unsent.discard(key_id)
+        return answer
 
     async def record(self, call: CallRequest, outcome: CallResult) -> None:
         """Record the outcome of a claimed call, or free its key."""
@@ -85,11 +96,16 @@
         committed = await self.group.propose(write_key_command(command))
         return committed.map(lambda known: cast('KeyRecord | None', known))
 
-    def _replay(self, call: CallRequest, known: KeyRecord) -> CallResult:
+    def _replay(
+        self,
+        call: CallRequest,
+        known: KeyRecord,
+    ) -> CallResult | None:
         if known.digest != _get_digest(call):
             return Error(KeyReusedFailure())
         if known.phase == KeyPhase.claimed and known.owner == self.owner:
-            return Error(KeyInProgressFailure())
+            is_unsent = _get_key_id(call) in self.unsent
+            return None if is_unsent else Error(KeyInProgressFailure())
         if known.phase == KeyPhase.answer_not_kept:
             return Error(AnswerNotKeptFailure())
         if known.answer is None:
--- a/packages/callers/hornbeamstair_callers/runner.py
+++ b/packages/callers/hornbeamstair_callers/runner.py
@@ -28,7 +28,6 @@
 from hornbeamstair_core.ids import ServiceName
 from hornbeamstair_core.invariants import check_invariant
 from hornbeamstair_core.metrics import Metrics
-from hornbeamstair_upstreams.client import UpstreamClient
 from hornbeamstair_upstreams.failures import (
     OutcomeUnknownFailure,
     RanWithoutAnswerFailure,
@@ -41,6 +40,7 @@
     AttemptFailure,
     UpstreamAnswer,
 )
+from hornbeamstair_upstreams.sender import UpstreamSender
 
 __all__ = ('CallResult', 'CallRunner', 'HangUp')
 
@@ -53,7 +53,7 @@
     """Runner of the calls of one entry process."""
 
     dispatcher: Dispatcher
-    client: UpstreamClient
+    client: UpstreamSender
     keys: KeyKeeper
     metrics: Metrics
     get_time: Callable[[], float]
@@ -137,10 +137,10 @@
                 return Ok(sent.ok)
             failure = sent.error
             if not self._may_retry(active, failure):
-                return Error(_get_failure(failure))
+                return Error(_get_failure(active.ran_failure or failure))
             started = await self._get_slot(active, hang_up)
             if started.is_error():
-                return Error(_get_last_failure(failure, started.error))
+                return Error(_get_refusal(active, started.error))
             upstream = started.ok
 
     async def _send(
@@ -154,6 +154,8 @@
 
     def _may_retry(self, active: ActiveCall, failure: AttemptFailure) -> bool:
         now = self.get_time()
+        if failure.may_have_run:
+            active.ran_failure = failure
         self.dispatcher.end_attempt(active, now, failed=True)
         for event in self.dispatcher.directory.take_events():
             log_event(event)
@@ -227,9 +229,8 @@
     return OutcomeUnknownFailure(reason)
 
 
-def _get_last_failure(
-    failure: AttemptFailure,
-    refusal: Failure,
-) -> Failure:
-    """Get the failure of a call whose retry found no slot."""
-    return _get_failure(failure) if failure.may_have_run else refusal
+def _get_refusal(active: ActiveCall, refusal: Failure) -> Failure:
+    """Get a refusal, unless an earlier attempt may have run."""
+    if active.ran_failure is None:
+        return refusal
+    return _get_failure(active.ran_failure)
--- a/packages/core/hornbeamstair_core/front_end.py
+++ b/packages/core/hornbeamstair_core/front_end.py
@@ -1,7 +1,8 @@
 """Front ends: the base class and what those over HTTP share."""
 
 from abc import ABC, abstractmethod
-from asyncio import CancelledError, Event as Signal, Task, create_task
+from asyncio import CancelledError, Task, create_task
+from asyncio import Event as Signal
 from collections.abc import Iterator
 from contextlib import contextmanager
 from socket import (
--- a/packages/daemon/hornbeamstair_daemon/groups.py
+++ b/packages/daemon/hornbeamstair_daemon/groups.py
@@ -1,5 +1,6 @@
 """Groups of this process: voting, learning, or on its own."""
 
+from collections.abc import Callable
 from random import Random
 from time import monotonic
 
@@ -8,6 +9,7 @@
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_daemon.identity import get_first_voter, get_voter
 from hornbeamstair_daemon.settings import PeerSettings, Settings
+from hornbeamstair_replicas.groups.admin import GroupAdmin
 from hornbeamstair_replicas.groups.base import ReplicaGroup
 from hornbeamstair_replicas.groups.learning import LearnerGroup
 from hornbeamstair_replicas.groups.node import open_node
@@ -43,6 +45,23 @@
             return self._make_voting(group, state_machine)
         return self._make_learning(group, state_machine, peers)
 
+    def make_admin(
+        self,
+        group: ReplicaGroup,
+        get_revision: Callable[[], int],
+    ) -> GroupAdmin:
+        """Make the channel between this process and a group's leader."""
+        settings = self.settings
+        peers = settings.peers
+        return GroupAdmin(
+            own=Member(settings.process, settings.zone, is_voter=False),
+            members=() if peers is None else peers.members,
+            group=group,
+            transport=self.transport,
+            get_revision=get_revision,
+            get_time=monotonic,
+        )
+
     def _make_voting(
         self,
         group: str,
--- a/packages/daemon/hornbeamstair_daemon/lifetime.py
+++ b/packages/daemon/hornbeamstair_daemon/lifetime.py
@@ -40,6 +40,7 @@
     await process.transport.start()
     process.control.start()
     process.keys.start()
+    process.admin.start()
     for front_end in process.front_ends:
         await front_end.start()
     settings = process.settings
@@ -75,6 +76,7 @@
     for front_end in reversed(process.front_ends):
         await front_end.stop()
     await process.runner.client.close()
+    process.admin.stop()
     await process.keys.stop()
     await process.control.stop()
     await process.transport.stop()
--- a/packages/daemon/hornbeamstair_daemon/main.py
+++ b/packages/daemon/hornbeamstair_daemon/main.py
@@ -6,13 +6,16 @@
 
 from typer import Exit, Option, Typer, echo
 
+from hornbeamstair_callers.key_codec import KeyStateMachine
 from hornbeamstair_core.events import log_event, set_up_logging
 from hornbeamstair_core.invariants import InvariantError
 from hornbeamstair_daemon.events import DaemonFailedEvent
 from hornbeamstair_daemon.identity import BootstrapError
 from hornbeamstair_daemon.lifetime import run_process
+from hornbeamstair_daemon.recovery import recover_alone
 from hornbeamstair_daemon.settings import Settings, read_settings
 from hornbeamstair_daemon.wiring import wire_process
+from hornbeamstair_operators.state_machine import ControlStateMachine
 from hornbeamstair_replicas.storage.base import StorageError
 
 __all__ = ('app', 'main')
@@ -52,6 +55,14 @@
             'voters.',
         ),
     ] = False,
+    recover: Annotated[
+        bool,
+        Option(
+            '--recover-alone',
+            help='Make this disk the only one that is left of the voters, '
+            'and exit.',
+        ),
+    ] = False,
 ) -> None:
     """Serve callers, upstreams and operators as the settings say."""
     loaded = read_settings(settings)
@@ -61,6 +72,13 @@
     if check:
         echo(f'{settings}: settings are valid')
         return
+    if recover:
+        recover_alone(
+            loaded.ok,
+            {'control': ControlStateMachine(), 'keys': KeyStateMachine()},
+        )
+        echo('this process is now the sole voter; start it again')
+        return
     _run(loaded.ok, bootstrap=bootstrap)
 
 
--- a/packages/daemon/hornbeamstair_daemon/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/wiring.py
@@ -22,6 +22,7 @@
 from hornbeamstair_operators.service import OperatorsService
 from hornbeamstair_operators.state import ControlState
 from hornbeamstair_operators.state_machine import ControlStateMachine
+from hornbeamstair_replicas.groups.admin import GroupAdmin
 from hornbeamstair_replicas.groups.base import GroupStatus, ReplicaGroup
 from hornbeamstair_replicas.transport.base import PeerTransport
 from hornbeamstair_upstreams.choosers.two_choices import TwoChoicesChooser
@@ -67,6 +68,7 @@
     transport: PeerTransport
     control: ReplicaGroup
     control_machine: ControlStateMachine
+    admin: GroupAdmin
     keys: ReplicaGroup
     directory: UpstreamDirectory
     runner: CallRunner
@@ -75,7 +77,8 @@
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send calls here."""
-        return self.runner.is_ready and self.control.is_fed()
+        is_fed = self.control.is_fed() and self.keys.is_fed()
+        return self.runner.is_ready and is_fed
 
     def put_limits(self, state: ControlState) -> None:
         """Put the limits of all contracts in force for callers."""
@@ -123,10 +126,15 @@
     key_machine = KeyStateMachine()
     factory = make_group_factory(settings, metrics, bootstrap=bootstrap)
     keys = factory.make('keys', key_machine)
+    control = factory.make('control', control_machine)
     process = Process(
         settings=settings,
         transport=factory.transport,
-        control=factory.make('control', control_machine),
+        control=control,
+        admin=factory.make_admin(
+            control,
+            lambda: control_machine.state.revision,
+        ),
         control_machine=control_machine,
         keys=keys,
         directory=directory,
@@ -153,7 +161,11 @@
     listeners = process.settings.listeners
     yield OperatorsHttpFrontEnd(
         listeners.operators,
-        service=OperatorsService(process.control, process.control_machine),
+        service=OperatorsService(
+            process.control,
+            process.control_machine,
+            process.admin,
+        ),
         metrics=process.metrics,
         get_status=process.get_status,
         token=process.settings.operators_token,
--- a/packages/operators/hornbeamstair_operators/command_line/client.py
+++ b/packages/operators/hornbeamstair_operators/command_line/client.py
@@ -1,6 +1,7 @@
 """Client of the operators' API."""
 
-from asyncio import run
+from asyncio import run, sleep
+from http import HTTPStatus
 from typing import Any, Final
 
 from aiosonic import HTTPClient, Timeouts
@@ -15,7 +16,9 @@
 __all__ = ('ApiAnswer', 'ApiClient', 'UnreachableError')
 
 _TIMEOUT_SECONDS: Final = 10.0
-_ATTEMPTS: Final = 3
+# An election takes about a second; a resend is safe.
+_ATTEMPTS: Final = 5
+_PAUSE_SECONDS: Final = 0.5
 
 
 @frozen
@@ -63,13 +66,18 @@
         document: dict[str, Any] | None,
     ) -> Result[ApiAnswer, UnreachableError]:
         reason = ''
-        for _ in range(_ATTEMPTS):
+        for attempt in range(_ATTEMPTS):
+            await sleep(attempt * _PAUSE_SECONDS)
             try:
-                return Ok(await self._send_once(method, path, document))
+                answer = await self._send_once(method, path, document)
             except (BaseTimeout, ConnectionDisconnected) as dropped:
                 reason = type(dropped).__name__
             except (HttpParsingError, OSError, ValueError) as error:
                 reason = str(error)
+            else:
+                if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
+                    return Ok(answer)
+                reason = answer.document['message']
         return Error(UnreachableError(reason))
 
     async def _send_once(
--- a/packages/operators/hornbeamstair_operators/command_line/contracts.py
+++ b/packages/operators/hornbeamstair_operators/command_line/contracts.py
@@ -12,9 +12,11 @@
 from hornbeamstair_operators.command_line.options import (
     ExpectedRevision,
     RequestIdOption,
+    WaitOption,
     get_request_id,
 )
 from hornbeamstair_operators.command_line.session import Session
+from hornbeamstair_operators.command_line.voters import wait_in_force
 
 __all__ = ('contract_app',)
 
@@ -40,10 +42,11 @@
     *,
     request_id: RequestIdOption = None,
     expected_revision: ExpectedRevision = None,
+    wait: WaitOption = False,
 ) -> None:
     """Create or amend the contract of one customer."""
     session: Session = context.obj
-    session.change(
+    revision = session.change(
         get_request_id(request_id),
         expected_revision,
         {
@@ -51,6 +54,8 @@
             'contract': session.read_file(path),
         },
     )
+    if wait:
+        wait_in_force(session, revision)
 
 
 @contract_app.command('remove')
@@ -60,14 +65,17 @@
     *,
     request_id: RequestIdOption = None,
     expected_revision: ExpectedRevision = None,
+    wait: WaitOption = False,
 ) -> None:
     """End the contract of a customer."""
     session: Session = context.obj
-    session.change(
+    revision = session.change(
         get_request_id(request_id),
         expected_revision,
         {'kind': RemoveContractChange.kind, 'customer': customer},
     )
+    if wait:
+        wait_in_force(session, revision)
 
 
 @contract_app.command('list')
--- a/packages/operators/hornbeamstair_operators/command_line/main.py
+++ b/packages/operators/hornbeamstair_operators/command_line/main.py
@@ -9,6 +9,10 @@
 from hornbeamstair_operators.command_line.output import OUTPUT_NAMES, get_output
 from hornbeamstair_operators.command_line.pools import pool_app
 from hornbeamstair_operators.command_line.session import Session
+from hornbeamstair_operators.command_line.voters import (
+    list_processes,
+    voter_app,
+)
 
 __all__ = ('app', 'main')
 
@@ -21,6 +25,8 @@
 )
 app.add_typer(contract_app, name='contract')
 app.add_typer(pool_app, name='pool')
+app.add_typer(voter_app, name='voter')
+app.command('processes')(list_processes)
 
 
 @app.callback()
--- a/packages/operators/hornbeamstair_operators/command_line/options.py
+++ b/packages/operators/hornbeamstair_operators/command_line/options.py
@@ -5,7 +5,12 @@
 
 from typer import Option
 
-__all__ = ('ExpectedRevision', 'RequestIdOption', 'get_request_id')
+__all__ = (
+    'ExpectedRevision',
+    'RequestIdOption',
+    'WaitOption',
+    'get_request_id',
+)
 
 RequestIdOption = Annotated[
     str | None,
@@ -21,6 +26,10 @@
         '0 if it must not exist yet.',
     ),
 ]
+WaitOption = Annotated[
+    bool,
+    Option('--wait', help='Wait until every process has it in force.'),
+]
 
 
 def get_request_id(chosen: str | None) -> str:
--- a/packages/operators/hornbeamstair_operators/command_line/pools.py
+++ b/packages/operators/hornbeamstair_operators/command_line/pools.py
@@ -9,9 +9,11 @@
 from hornbeamstair_operators.command_line.options import (
     ExpectedRevision,
     RequestIdOption,
+    WaitOption,
     get_request_id,
 )
 from hornbeamstair_operators.command_line.session import Session
+from hornbeamstair_operators.command_line.voters import wait_in_force
 
 __all__ = ('pool_app',)
 
@@ -27,14 +29,17 @@
     *,
     request_id: RequestIdOption = None,
     expected_revision: ExpectedRevision = None,
+    wait: WaitOption = False,
 ) -> None:
     """Declare the hosts of one pool."""
     session: Session = context.obj
-    session.change(
+    revision = session.change(
         get_request_id(request_id),
         expected_revision,
         {'kind': DeclarePoolChange.kind, 'pool': session.read_file(path)},
     )
+    if wait:
+        wait_in_force(session, revision)
 
 
 @pool_app.command('list')
--- a/packages/operators/hornbeamstair_operators/command_line/session.py
+++ b/packages/operators/hornbeamstair_operators/command_line/session.py
@@ -38,9 +38,9 @@
         request_id: str,
         expected_revision: int | None,
         change: dict[str, Any],
-    ) -> None:
+    ) -> int:
         """Send a change and print the answer; exit if it is refused."""
-        answer = self.client.post(
+        answer = self.post(
             _CHANGES_PATH,
             {
                 'request_id': request_id,
@@ -48,7 +48,13 @@
                 'change': change,
             },
         )
-        self.output.print_record(self._get_document(answer))
+        self.output.print_record(answer)
+        revision: int = answer['revision']
+        return revision
+
+    def post(self, path: str, document: dict[str, Any]) -> Any:
+        """Send a document; exit if it is refused."""
+        return self._get_document(self.client.post(path, document))
 
     def read_file(self, path: Path) -> dict[str, Any]:
         """Read a YAML file; exit if it is not well formed."""
--- a/packages/operators/hornbeamstair_operators/documents.py
+++ b/packages/operators/hornbeamstair_operators/documents.py
@@ -1,7 +1,6 @@
 """Reading of the documents that operators write."""
 
 from collections.abc import Mapping
-from types import MappingProxyType
 from typing import Any, Final
 
 from expression import Result
@@ -13,18 +12,11 @@
     HostId,
     PoolName,
     RackName,
-    RequestId,
     ServiceName,
     ZoneName,
 )
 from hornbeamstair_core.options import OptionsReader
 from hornbeamstair_core.units import DAY
-from hornbeamstair_operators.changes.base import Change, ChangeRequest
-from hornbeamstair_operators.changes.contract import (
-    ApplyContractChange,
-    RemoveContractChange,
-)
-from hornbeamstair_operators.changes.pool import DeclarePoolChange
 from hornbeamstair_operators.messages import (
     Contract,
     ServicePromise,
@@ -32,7 +24,12 @@
 )
 from hornbeamstair_platform.messages import Host, Pool
 
-__all__ = ('read_change_document', 'read_contract', 'read_pool')
+__all__ = (
+    'read_contract',
+    'read_contract_options',
+    'read_pool',
+    'read_pool_options',
+)
 
 _MAX_CONCURRENCY: Final = 100000
 _MAX_RATE: Final = 1000000.0
@@ -43,7 +40,6 @@
 _MIN_RATE: Final = 0.001
 _MIN_START_WITHIN: Final = 0.01
 _MAX_SLOTS: Final = 10000
-_MAX_REVISION: Final = 9007199254740991
 _DEFAULT_START_WITHIN: Final = 1.0
 _DEFAULT_PLANNED_SHARE: Final = 0.5
 
@@ -52,22 +48,16 @@
     options: Mapping[str, Any],
 ) -> Result[Contract, Failure]:
     """Read a contract, naming every field that breaks its rule."""
-    return read_message(options, _read_contract)
+    return read_message(options, read_contract_options)
 
 
 def read_pool(options: Mapping[str, Any]) -> Result[Pool, Failure]:
     """Read a pool, naming every field that breaks its rule."""
-    return read_message(options, _read_pool)
-
-
-def read_change_document(
-    options: Mapping[str, Any],
-) -> Result[ChangeRequest, Failure]:
-    """Read a change request, naming every field that breaks its rule."""
-    return read_message(options, _read_change_request)
+    return read_message(options, read_pool_options)
 
 
-def _read_contract(reader: OptionsReader) -> Contract:
+def read_contract_options(reader: OptionsReader) -> Contract:
+    """Read a contract from its options."""
     promises = tuple(
         _read_promise(section) for section in reader.get_sections('services')
     )
@@ -122,7 +112,8 @@
     return promise
 
 
-def _read_pool(reader: OptionsReader) -> Pool:
+def read_pool_options(reader: OptionsReader) -> Pool:
+    """Read a pool from its options."""
     hosts = tuple(
         _read_host(section) for section in reader.get_sections('hosts')
     )
@@ -148,50 +139,6 @@
     return host
 
 
-def _read_change_request(reader: OptionsReader) -> ChangeRequest:
-    expected_revision = reader.get_int_opt(
-        'expected_revision',
-        -1,
-        _MAX_REVISION,
-        -1,
-    )
-    request = ChangeRequest(
-        request_id=RequestId(reader.get_name_opt('request_id')),
-        expected_revision=None if expected_revision < 0 else expected_revision,
-        change=_read_change(reader.get_section('change')),
-    )
-    reader.check_unknown()
-    return request
-
-
-def _read_change(reader: OptionsReader) -> Change:
-    kind = reader.get_choice_opt('kind', tuple(_CHANGE_READERS))
-    change = _CHANGE_READERS[kind](reader)
-    reader.check_unknown()
-    return change
-
-
-def _read_apply_contract(reader: OptionsReader) -> Change:
-    return ApplyContractChange(_read_contract(reader.get_section('contract')))
-
-
-def _read_remove_contract(reader: OptionsReader) -> Change:
-    return RemoveContractChange(CustomerId(reader.get_name_opt('customer')))
-
-
-def _read_declare_pool(reader: OptionsReader) -> Change:
-    return DeclarePoolChange(_read_pool(reader.get_section('pool')))
-
-
-_CHANGE_READERS: Final = MappingProxyType(
-    {
-        ApplyContractChange.kind: _read_apply_contract,
-        RemoveContractChange.kind: _read_remove_contract,
-        DeclarePoolChange.kind: _read_declare_pool,
-    }
-)
-
-
 def _check_unique(
     reader: OptionsReader,
     name: str,
--- a/packages/operators/hornbeamstair_operators/front_end.py
+++ b/packages/operators/hornbeamstair_operators/front_end.py
@@ -20,7 +20,10 @@
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.front_end import HttpFrontEnd, read_body
 from hornbeamstair_core.metrics import Metrics
-from hornbeamstair_operators.documents import read_change_document
+from hornbeamstair_operators.change_documents import (
+    read_change_document,
+    read_voter_change,
+)
 from hornbeamstair_operators.failures import UnauthorizedFailure
 from hornbeamstair_operators.messages import ChangeAnswer
 from hornbeamstair_operators.service import OperatorsService
@@ -53,6 +56,8 @@
             Route('/v1/contracts/{customer}', self.show_contract),
             Route('/v1/contracts/{customer}/limits', self.explain_contract),
             Route('/v1/pools', self.list_pools),
+            Route('/v1/processes', self.list_processes),
+            Route('/v1/voters', self.change_voters, methods=['POST']),
             Route('/v1/status', self.show_status),
             Route('/metrics', self.show_metrics),
         ]
@@ -94,6 +99,25 @@
         """List the pools in force."""
         return self._read(request, self.service.get_pools)
 
+    async def list_processes(self, request: Request) -> Response:
+        """List the revision that each process has in force."""
+        if not self._is_authorized(request):
+            return self._refuse(UnauthorizedFailure())
+        return self._write(await self.service.admin.list_processes())
+
+    async def change_voters(self, request: Request) -> Response:
+        """Add or remove a voter, or hand the leadership over."""
+        if not self._is_authorized(request):
+            return self._refuse(UnauthorizedFailure())
+        body = await read_body(request, _MAX_CHANGE_BYTES)
+        change = body.bind(read_json_mapping).bind(read_voter_change)
+        if change.is_error():
+            return self._refuse(change.error)
+        action, voter = change.ok
+        return self._write(
+            await self.service.admin.change_voters(action, voter),
+        )
+
     async def show_status(self, request: Request) -> Response:
         """Show the state of the process."""
         return self._read(request, self.get_status)
--- a/packages/operators/hornbeamstair_operators/service.py
+++ b/packages/operators/hornbeamstair_operators/service.py
@@ -15,6 +15,7 @@
 from hornbeamstair_operators.state import ControlState
 from hornbeamstair_operators.state_machine import ControlStateMachine
 from hornbeamstair_platform.messages import Pool
+from hornbeamstair_replicas.groups.admin import GroupAdmin
 from hornbeamstair_replicas.groups.base import ReplicaGroup
 
 __all__ = ('ContractRecord', 'OperatorsService')
@@ -34,6 +35,7 @@
 
     group: ReplicaGroup
     state_machine: ControlStateMachine
+    admin: GroupAdmin
 
     def get_state(self) -> ControlState:
         """Get the control state in force."""
--- a/packages/replicas/hornbeamstair_replicas/codec.py
+++ b/packages/replicas/hornbeamstair_replicas/codec.py
@@ -8,6 +8,13 @@
 
 from hornbeamstair_core.codec import make_family_converter
 from hornbeamstair_core.failures import Failure, UnreadablePayloadFailure
+from hornbeamstair_replicas.admin_messages import (
+    VersionReport,
+    VersionsAnswer,
+    VersionsRequest,
+    VoterChangeAnswer,
+    VoterChangeRequest,
+)
 from hornbeamstair_replicas.peer_messages import (
     Envelope,
     FeedAnswer,
@@ -48,7 +55,12 @@
         SnapshotAnswer,
         SnapshotChunk,
         TransferRequest,
+        VersionReport,
+        VersionsAnswer,
+        VersionsRequest,
         VoteAnswer,
+        VoterChangeAnswer,
+        VoterChangeRequest,
         VoteRequest,
     ),
 )
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/groups/admin.py
@@ -0,0 +1,188 @@
+"""Reports of processes to the leader, and operators' requests to it."""
+
+from asyncio import Future, TimerHandle, get_running_loop, timeout
+from collections.abc import Callable
+from typing import Any, Final
+
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.ids import ProcessId
+from hornbeamstair_replicas.admin_messages import (
+    ProcessVersion,
+    VersionReport,
+    VersionsAnswer,
+    VersionsRequest,
+    VoterAction,
+    VoterChangeAnswer,
+    VoterChangeRequest,
+)
+from hornbeamstair_replicas.failures import (
+    MembershipFailure,
+    NotLeaderFailure,
+)
+from hornbeamstair_replicas.groups.base import ReplicaGroup
+from hornbeamstair_replicas.learning.members import Member
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
+from hornbeamstair_replicas.transport.base import PeerTransport, get_address
+from hornbeamstair_replicas.voting.roles.leader import LeaderRole
+
+__all__ = ('GroupAdmin',)
+
+_CHANNEL: Final = 'admin'
+_REPORT_SECONDS: Final = 1.0
+_SILENT_SECONDS: Final = 5.0
+_ANSWER_SECONDS: Final = 2.0
+_NOT_HEARD: Final = -1
+
+
+@define(eq=False)
+class GroupAdmin:
+    """Channel between every process and the leader of a group."""
+
+    own: Member
+    members: tuple[Member, ...]
+    group: ReplicaGroup
+    transport: PeerTransport
+    get_revision: Callable[[], int]
+    get_time: Callable[[], float]
+    heard: dict[ProcessId, tuple[float, ProcessVersion]] = field(factory=dict)
+    asked: dict[int, 'Future[Any]'] = field(factory=dict)
+    last_number: int = 0
+    timer: TimerHandle | None = None
+
+    def start(self) -> None:
+        """Report from now on."""
+        self.transport.add_receiver(_CHANNEL, self._receive)
+        self._report()
+
+    def stop(self) -> None:
+        """Report no more."""
+        if self.timer is not None:
+            self.timer.cancel()
+
+    async def list_processes(
+        self,
+    ) -> Result[tuple[ProcessVersion, ...], Failure]:
+        """List the revision that each process has in force."""
+        if self.group.find_leading_role().is_ok():
+            return Ok(self._get_versions())
+        answer = await self._ask(VersionsRequest)
+        return answer.map(lambda found: found.versions)
+
+    async def change_voters(
+        self,
+        action: VoterAction,
+        voter: VoterId,
+    ) -> Result[None, Failure]:
+        """Have the leader add or remove a voter, or hand over to it."""
+        if self.group.find_leading_role().is_ok():
+            return self._change(action, voter)
+        answer = await self._ask(VoterChangeRequest, action, voter)
+        if answer.is_error():
+            return Error(answer.error)
+        if answer.ok.reason:
+            return Error(MembershipFailure(answer.ok.reason))
+        return Ok(None)
+
+    def _report(self) -> None:
+        version = self._get_own()
+        self.heard[version.process] = (self.get_time(), version)
+        leader = self._get_leader()
+        if leader not in {'', self.transport.own}:
+            self._send(leader, VersionReport(version))
+        loop = get_running_loop()
+        self.timer = loop.call_later(_REPORT_SECONDS, self._report)
+
+    def _get_own(self) -> ProcessVersion:
+        return ProcessVersion(
+            self.own.process,
+            self.own.zone,
+            self.transport.own,
+            self.get_revision(),
+        )
+
+    def _get_versions(self) -> tuple[ProcessVersion, ...]:
+        limit = self.get_time() - _SILENT_SECONDS
+        versions = {
+            member.process: ProcessVersion(
+                member.process,
+                member.zone,
+                get_address(member.process),
+                _NOT_HEARD,
+            )
+            for member in self.members
+        }
+        for process, (heard_at, version) in self.heard.items():
+            if heard_at >= limit:
+                versions[process] = version
+        versions[self.own.process] = self._get_own()
+        return tuple(versions[process] for process in sorted(versions))
+
+    def _get_leader(self) -> VoterId:
+        return VoterId(self.group.get_status().leader)
+
+    async def _ask(
+        self,
+        request_class: Callable[..., PeerMessage],
+        *fields: object,
+    ) -> Result[Any, Failure]:
+        leader = self._get_leader()
+        self.last_number += 1
+        number = self.last_number
+        answer: Future[Any] = get_running_loop().create_future()
+        self.asked[number] = answer
+        self._send(leader, request_class(number, *fields))
+        try:
+            async with timeout(_ANSWER_SECONDS):
+                return Ok(await answer)
+        except TimeoutError:
+            return Error(NotLeaderFailure(leader))
+        finally:
+            self.asked.pop(number)
+
+    def _receive(self, sender: VoterId, message: PeerMessage) -> None:
+        match message:
+            case VersionReport(version):
+                self.heard[version.process] = (self.get_time(), version)
+            case VersionsRequest(number):
+                versions = self._get_versions()
+                self._send(sender, VersionsAnswer(number, versions))
+            case VoterChangeRequest(number, action, voter):
+                changed = self._change(action, voter)
+                reason = changed.error.describe() if changed.is_error() else ''
+                self._send(sender, VoterChangeAnswer(number, reason))
+            case VersionsAnswer(number) | VoterChangeAnswer(number):
+                answer = self.asked.get(number)
+                if answer is not None and not answer.done():
+                    answer.set_result(message)
+
+    def _change(
+        self,
+        action: VoterAction,
+        voter: VoterId,
+    ) -> Result[None, Failure]:
+        return self.group.find_leading_role().bind(
+            lambda role: _change_role(role, action, voter, self.get_time()),
+        )
+
+    def _send(self, receiver: VoterId, message: PeerMessage) -> None:
+        own = self.transport.own
+        self.transport.send(Envelope(_CHANNEL, own, receiver, message))
+
+
+def _change_role(
+    role: LeaderRole,
+    action: VoterAction,
+    voter: VoterId,
+    now: float,
+) -> Result[None, Failure]:
+    match action:
+        case VoterAction.add:
+            return role.add_voter(voter, now)
+        case VoterAction.remove:
+            return role.remove_voter(voter, now)
+        case VoterAction.transfer:
+            return role.transfer(voter, now)
--- a/packages/replicas/hornbeamstair_replicas/groups/learning.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/learning.py
@@ -41,7 +41,7 @@
 __all__ = ('LearnerGroup',)
 
 _POLL_SECONDS: Final = 0.5
-_COMMIT_SECONDS: Final = 5.0
+_COMMIT_SECONDS: Final = 2.0
 _KEPT_ENTRIES: Final = 1024
 
 Answer = Result[object, Failure]
@@ -59,6 +59,7 @@
     applied_index: int = field(default=0, init=False)
     last_term: int = field(default=0, init=False)
     leader: VoterId = field(default=VoterId(''), init=False)
+    voters: tuple[VoterId, ...] = field(default=(), init=False)
     has_been_fed: bool = field(default=False, init=False)
     entries: list[LogEntry] = field(factory=list, init=False)
     answers: dict[int, object] = field(factory=dict, init=False)
@@ -72,7 +73,7 @@
         self.transport.add_receiver(self.group, self._receive)
         self._poll()
 
-    async def propose(self, payload: bytes) -> Answer:
+    async def propose_once(self, payload: bytes) -> Answer:
         """Have the leader commit a payload; answer once it is applied."""
         if not self.leader:
             return Error(NotLeaderFailure(''))
@@ -84,6 +85,8 @@
             async with timeout(_COMMIT_SECONDS):
                 return await answer
         except TimeoutError:
+            # Another process may know a newer leader by now.
+            self.leader = VoterId('')
             return Error(NotCommittedFailure('no answer of the leader'))
 
     def get_applied_index(self) -> int:
@@ -101,7 +104,7 @@
             role='learner',
             term=self.last_term,
             leader=self.leader,
-            voters=(),
+            voters=self.voters,
             applied_index=self.applied_index,
         )
 
@@ -137,6 +140,7 @@
         self.source.note_answer(process, self.get_time())
         if feed.leader:
             self.leader = feed.leader
+            self.voters = feed.voters
         if feed.applied_index > self.applied_index:
             self._take_news(feed)
         if feed.applied_index == self.applied_index:
@@ -189,7 +193,13 @@
             state = self.state_machine.get_snapshot()
             snapshot = Snapshot(self.applied_index, self.last_term, state)
             entries = ()
-        return FeedAnswer(snapshot, entries, self.applied_index, self.leader)
+        return FeedAnswer(
+            snapshot,
+            entries,
+            self.applied_index,
+            self.leader,
+            self.voters,
+        )
 
     def _take_place(self, sender: VoterId, message: ForwardAnswer) -> None:
         answer = self.forwarded.pop(message.number, None)
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -37,7 +37,7 @@
 
 __all__ = ('VotingGroup',)
 
-_COMMIT_SECONDS: Final = 5.0
+_COMMIT_SECONDS: Final = 2.0
 _KEPT_ANSWERS: Final = 1024
 
 Answer = Result[object, Failure]
@@ -91,7 +91,7 @@
         self._tick()
         self._flush()
 
-    async def propose(self, payload: bytes) -> Answer:
+    async def propose_once(self, payload: bytes) -> Answer:
         """Commit a payload and return the answer of the state machine."""
         if self.failure is not None:
             return Error(self.failure)
@@ -259,6 +259,7 @@
                 entries,
                 self.node.applied_index,
                 self.node.voter.state.leader,
+                self.node.voter.state.log.get_voters(),
             ),
         )
 
--- a/packages/replicas/hornbeamstair_replicas/peer_messages.py
+++ b/packages/replicas/hornbeamstair_replicas/peer_messages.py
@@ -64,6 +64,7 @@
     entries: tuple[LogEntry, ...]
     applied_index: int
     leader: VoterId
+    voters: tuple[VoterId, ...]
 
 
 @frozen
--- a/packages/replicas/hornbeamstair_replicas/storage/records.py
+++ b/packages/replicas/hornbeamstair_replicas/storage/records.py
@@ -12,8 +12,8 @@
     EntryKind,
     LogEntry,
     Snapshot,
-    VoterId,
     VoteRecord,
+    VoterId,
 )
 from hornbeamstair_replicas.storage.base import LogCorruptedError
 
@@ -126,7 +126,12 @@
     length = int(_HEADER.unpack_from(content, offset)[0])
     if not length:
         return not any(content[offset:])
-    return start + length >= len(content)
+    if start + length < len(content):
+        return False
+    # A damaged length must not hide intact records behind it.
+    return not any(
+        _read_body(content, later) for later in range(start, len(content))
+    )
 
 
 def _read_record(body: bytes) -> StoredRecord:
--- a/packages/replicas/hornbeamstair_replicas/voting/outputs.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/outputs.py
@@ -6,8 +6,8 @@
 from hornbeamstair_replicas.messages import (
     LogEntry,
     Snapshot,
-    VoterId,
     VoteRecord,
+    VoterId,
 )
 from hornbeamstair_replicas.voting.messages import VoterMessage
 
--- a/packages/replicas/hornbeamstair_replicas/voting/state.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/state.py
@@ -9,8 +9,8 @@
 from hornbeamstair_replicas.messages import (
     LogEntry,
     Snapshot,
-    VoterId,
     VoteRecord,
+    VoterId,
 )
 from hornbeamstair_replicas.voting.entry_log import EntryLog
 from hornbeamstair_replicas.voting.messages import VoterMessage
--- /dev/null
+++ b/packages/tools/hornbeamstair_tools/bench_state.py
@@ -0,0 +1,145 @@
+"""Bench of the replicated state with real processes and on disk."""
+
+import json
+from asyncio import gather, run, sleep
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import perf_counter
+from typing import Any, Final
+
+from aiosonic import HTTPClient
+
+from hornbeamstair_core.codec import json_converter
+from hornbeamstair_tools.bench_capacity import measure_log
+from hornbeamstair_tools.deployment import Deployment, ProcessPlan
+from hornbeamstair_tools.network_usage import get_loopback_bytes
+from hornbeamstair_tools.processes import TOKEN, DaemonProcess
+from hornbeamstair_tools.samples import make_contract
+from hornbeamstair_tools.slopes import get_rows
+
+__all__ = ('main',)
+
+_ZONES: Final = ('muscat', 'nizwa', 'sohar')
+_VOTERS: Final = 3
+_SIZES: Final = (3, 7, 11)
+_IDLE_SECONDS: Final = 10.0
+_CHANGES: Final = 30
+_POLL_SECONDS: Final = 0.02
+_HEADERS: Final = {'authorization': f'Bearer {TOKEN}'}
+_HEAD: Final = (
+    '| processes | in force everywhere, median s | longest s | '
+    'idle leader CPU % | idle learner CPU % | idle KB/s a process | '
+    'leader CPU ms a change | leader MiB |\n'
+    '|---|---|---|---|---|---|---|---|'
+)
+
+
+async def _measure(folder: Path, count: int) -> str:
+    deployment = Deployment(folder, _get_plans(count))
+    await deployment.start()
+    await sleep(2)
+    async with HTTPClient() as client:
+        leader = await _find_leader(client, deployment)
+        learner = list(deployment.daemons.values())[-1]
+        before = [daemon.get_usage() for daemon in (leader, learner)]
+        bytes_before = get_loopback_bytes()
+        await sleep(_IDLE_SECONDS)
+        idle_bytes = get_loopback_bytes() - bytes_before
+        after = [daemon.get_usage() for daemon in (leader, learner)]
+        times = [
+            await _time_change(client, deployment, leader, number)
+            for number in range(_CHANGES)
+        ]
+        changed = leader.get_usage()
+    await deployment.kill()
+    times.sort()
+    shares = [
+        100 * (late.cpu_seconds - early.cpu_seconds) / _IDLE_SECONDS
+        for early, late in zip(before, after, strict=True)
+    ]
+    spent = changed.cpu_seconds - after[0].cpu_seconds
+    cells = (
+        str(count),
+        f'{times[len(times) // 2]:.3f}',
+        f'{times[-1]:.3f}',
+        f'{shares[0]:.2f}',
+        f'{shares[1]:.2f}',
+        f'{idle_bytes / _IDLE_SECONDS / count / 1000:.2f}',
+        f'{spent * 1000 / _CHANGES:.1f}',
+        f'{changed.memory_bytes / 2**20:.0f}',
+    )
+    return f'| {" | ".join(cells)} |'
+
+
+def _get_plans(count: int) -> tuple[ProcessPlan, ...]:
+    return tuple(
+        ProcessPlan(
+            f'{_ZONES[number % 3]}-{number // 3 + 1}',
+            _ZONES[number % 3],
+            is_voter=number < _VOTERS,
+        )
+        for number in range(count)
+    )
+
+
+async def _get_status(client: HTTPClient, daemon: DaemonProcess) -> Any:
+    url = f'{daemon.operators_url}/v1/status'
+    answer = await client.get(url, headers=_HEADERS)
+    return json.loads(await answer.content())
+
+
+async def _find_leader(
+    client: HTTPClient,
+    deployment: Deployment,
+) -> DaemonProcess:
+    for daemon in deployment.daemons.values():
+        status = await _get_status(client, daemon)
+        if status['groups'][0]['role'] == 'leader':
+            return daemon
+    raise RuntimeError('no process leads')
+
+
+async def _time_change(
+    client: HTTPClient,
+    deployment: Deployment,
+    leader: DaemonProcess,
+    number: int,
+) -> float:
+    contract = json_converter.unstructure(make_contract(number))
+    answer = await client.post(
+        f'{leader.operators_url}/v1/changes',
+        headers=_HEADERS,
+        json={
+            'request_id': f'bench-{number}',
+            'change': {'kind': 'apply_contract', 'contract': contract},
+        },
+    )
+    accepted = json.loads(await answer.content())
+    started = perf_counter()
+    while True:
+        statuses = await gather(
+            *(
+                _get_status(client, daemon)
+                for daemon in deployment.daemons.values()
+            ),
+        )
+        lowest = min(status['revision'] for status in statuses)
+        if lowest >= accepted['revision']:
+            return perf_counter() - started
+        await sleep(_POLL_SECONDS)
+
+
+def main() -> None:
+    """Print the tables."""
+    with TemporaryDirectory() as folder:
+        root = Path(folder)
+        print('| slope | figure | unit |\n|---|---|---|')
+        for row in get_rows(list(measure_log(root / 'log'))):
+            print(row)
+        print(_HEAD)
+        for count in _SIZES:
+            print(run(_measure(root / str(count), count)), flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/tools/hornbeamstair_tools/check_imports.py
+++ b/packages/tools/hornbeamstair_tools/check_imports.py
@@ -26,6 +26,7 @@
 # Modules that encode messages: they may import codec libraries.
 _CODECS: Final = frozenset(
     (
+        'change_documents',
         'codec',
         'documents',
         'key_codec',
--- /dev/null
+++ b/packages/tools/hornbeamstair_tools/network_usage.py
@@ -0,0 +1,12 @@
+"""Bytes that the loopback interface has carried."""
+
+from pathlib import Path
+
+__all__ = ('get_loopback_bytes',)
+
+
+def get_loopback_bytes() -> int:
+    """Read the bytes sent over loopback since the start of the machine."""
+    lines = Path('/proc/net/dev').read_text().splitlines()
+    line = next(found for found in lines if found.strip().startswith('lo:'))
+    return int(line.partition(':')[2].split()[0])
--- a/packages/tools/hornbeamstair_tools/processes.py
+++ b/packages/tools/hornbeamstair_tools/processes.py
@@ -3,6 +3,9 @@
 import sys
 from asyncio import sleep
 from asyncio.subprocess import PIPE, Process, create_subprocess_exec
+from contextlib import suppress
+from itertools import cycle, islice
+from os import getpid
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
 from socket import socket
@@ -24,16 +27,23 @@
 )
 
 TOKEN: Final = 'loopback-demo-token'
+# Below the ports that the kernel gives to outgoing connections.
+_PORTS: Final = range(20000, 32000)
+_STRIDE: Final = 97
 _READY_SECONDS: Final = 0.05
 _READY_TRIES: Final = 200
 
+# Processes that run at once start far apart.
+_ports: Final = islice(cycle(_PORTS), getpid() * _STRIDE % len(_PORTS), None)
+
 
 def get_free_port() -> int:
-    """Get a port of loopback that is free now."""
-    with socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """Get a port of loopback that is free and that no connection takes."""
+    while True:
+        port = next(_ports)
+        with socket() as probe, suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return port
 
 
 @frozen
--- a/packages/tools/hornbeamstair_tools/run_tests.py
+++ b/packages/tools/hornbeamstair_tools/run_tests.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 from tempfile import TemporaryDirectory
-from typing import Final
+from typing import Any, Final
 
 from behave.__main__ import main as run_behave
 
@@ -19,17 +19,19 @@
 
 def main() -> None:
     """Run the suite and print the totals as the last line."""
-    features = [] if _names_features() else [_FEATURES]
+    paths = [] if _names_features() else [_FEATURES]
     with TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
         exit_code = run_behave(
             [
                 *sys.argv[1:],
+                '--no-capture-log',
+                '--logging-level=ERROR',
                 '--format=progress',
                 '--outfile=/dev/stdout',
                 '--format=json',
                 f'--outfile={report}',
-                *features,
+                *paths,
             ]
         )
         statuses = _get_statuses(json.loads(report.read_text()))
@@ -40,11 +42,11 @@
     return any(_FEATURES in argument for argument in sys.argv[1:])
 
 
-def _get_statuses(features: list[dict[str, object]]) -> dict[str, str]:
+def _get_statuses(features: list[dict[str, Any]]) -> dict[str, str]:
     return {
         f'{feature["name"]}: {element["name"]}': element['status']
         for feature in features
-        for element in feature.get('elements', ())  # type: ignore[attr-defined]
+        for element in feature.get('elements', ())
         if element['type'] == 'scenario'
     }
 
--- a/packages/tools/hornbeamstair_tools/stand_in.py
+++ b/packages/tools/hornbeamstair_tools/stand_in.py
@@ -4,7 +4,8 @@
 from signal import SIGTERM
 from typing import Annotated
 
-from typer import Argument, Option, run as run_program
+from typer import Argument, Option
+from typer import run as run_program
 
 from hornbeamstair_tools.stand_in_upstream import StandInUpstream
 
--- a/packages/upstreams/hornbeamstair_upstreams/client.py
+++ b/packages/upstreams/hornbeamstair_upstreams/client.py
@@ -32,6 +32,7 @@
     UpstreamAnswer,
     UpstreamRequest,
 )
+from hornbeamstair_upstreams.sender import UpstreamSender
 
 __all__ = ('MAX_WHOLE_BYTES', 'NOT_RUN_HEADER', 'UpstreamClient')
 
@@ -65,7 +66,7 @@
 
 
 @define
-class UpstreamClient:
+class UpstreamClient(UpstreamSender):
     """HTTP client of upstreams; each send is one attempt."""
 
     answer_timeout: float
--- a/tests/features/deployment.feature
+++ b/tests/features/deployment.feature
@@ -37,3 +37,28 @@
     Then every process has revision 1 in force within 10 seconds
     When a stranger asks "muscat-1" for its state without the key
     Then the stranger is refused
+
+  Scenario: Operators see every process and replace a voter that lost its disk
+    Given 4 daemons in 3 zones, of which 3 vote
+    When the contract "grinders.yaml" is put through "muscat-1" as "first"
+    Then every process has revision 1 in force within 10 seconds
+    When the operator applies "grinders.yaml" with --wait through "muscat-2"
+    Then the operator's command succeeds
+    When the operator runs "processes" through "muscat-2"
+    Then the operator's output names "nizwa-1/1"
+    When the process "sohar-1" comes back with a wiped disk
+    And the operator replaces the voter of "sohar-1" through "muscat-2"
+    Then the operator's command succeeds
+    And the voters are "muscat-1/1" and "nizwa-1/1" and the new one of "sohar-1"
+    When the operator runs "voter remove nobody/1" through "muscat-2"
+    Then the operator's command is refused with code 5004
+
+  Scenario: One disk that is left recovers the system
+    Given 3 daemons in 3 zones, of which 3 vote
+    When the contract "grinders.yaml" is put through "muscat-1" as "first"
+    Then every process has revision 1 in force within 10 seconds
+    When "nizwa-1" and "sohar-1" lose their disks for good
+    And "muscat-1" is recovered alone
+    Then every process has revision 1 in force within 10 seconds
+    When the contract "grinders.yaml" is put through "muscat-1" as "second"
+    Then every process has revision 2 in force within 10 seconds
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,5 +1,7 @@
 """Hooks of the behave suite."""
 
+import sys
+from traceback import print_exception
 from typing import Any
 
 from tests.support.world import World
@@ -10,6 +12,13 @@
     context.world = World()
 
 
+def after_step(context: Any, step: Any) -> None:
+    """Print why a step failed, whatever the formatter shows."""
+    if step.exception is not None:
+        print(f'\n{step.location}: {step.name}', file=sys.__stdout__)
+        print_exception(step.exception, file=sys.__stdout__)
+
+
 def after_scenario(context: Any, scenario: Any) -> None:
     """End what the scenario started."""
     context.world.close()
--- a/tests/features/steps/deployment_steps.py
+++ b/tests/features/steps/deployment_steps.py
@@ -3,6 +3,7 @@
 import json
 from asyncio import sleep
 from itertools import cycle
+from shutil import rmtree
 from time import monotonic
 from typing import Any
 
@@ -14,7 +15,11 @@
 
 from hornbeamstair_tools.caller import call
 from hornbeamstair_tools.deployment import Deployment, ProcessPlan
-from hornbeamstair_tools.processes import TOKEN, DaemonProcess
+from hornbeamstair_tools.processes import (
+    TOKEN,
+    DaemonProcess,
+    run_command,
+)
 from hornbeamstair_tools.stand_in_upstream import StandInUpstream
 from tests.support.world import World
 
@@ -244,3 +249,89 @@
                 heard += 1
         except ConnectionClosed:
             return heard
+
+
+@when('the operator applies "{name}" with --wait through "{process}"')
+def apply_waiting(context: Any, name: str, process: str) -> None:
+    """Apply a contract and wait until it is in force everywhere."""
+    words = 'contract', 'apply', f'{CONTRACTS}/{name}', '--wait'
+    _run_client(context, process, *words)
+
+
+@when('the operator runs "{words}" through "{process}"')
+def run_through(context: Any, words: str, process: str) -> None:
+    """Run the command line against one process."""
+    _run_client(context, process, *words.split())
+
+
+@when('the process "{name}" comes back with a wiped disk')
+def wipe_process(context: Any, name: str) -> None:
+    """Kill a voter, remove its data and start it again."""
+    daemon = context.deployment.daemons[name]
+    context.world.run(daemon.kill())
+    rmtree(daemon.folder / 'data')
+    context.world.run(daemon.start())
+
+
+@when('the operator replaces the voter of "{name}" through "{process}"')
+def replace_voter(context: Any, name: str, process: str) -> None:
+    """Replace a lost voter by the one with the new disk."""
+    daemon = context.deployment.daemons[name]
+    status = context.world.run(_get_status(daemon))
+    assert not status['is_ready'], status
+    incarnation = (daemon.folder / 'data' / 'incarnation').read_text()
+    context.new_voter = f'{name}/{incarnation}'
+    words = 'voter', 'replace', f'{name}/1', context.new_voter
+    _run_client(context, process, *words)
+
+
+@then("the operator's command succeeds")
+def check_success(context: Any) -> None:
+    """Check the exit code of the last command."""
+    assert context.command.exit_code == 0, context.command
+
+
+@then("the operator's command is refused with code {code:d}")
+def check_command_refused(context: Any, code: int) -> None:
+    """Check the refusal of the last command."""
+    assert context.command.exit_code == 1, context.command
+    assert context.command.errors.startswith(f'{code} '), context.command
+
+
+@then('the operator\'s output names "{text}"')
+def check_command_output(context: Any, text: str) -> None:
+    """Check the output of the last command."""
+    assert text in context.command.output, context.command
+
+
+@then('the voters are "{one}" and "{other}" and the new one of "{name}"')
+def check_voters(context: Any, one: str, other: str, name: str) -> None:
+    """Check the voters as the command line lists them."""
+    _run_client(context, 'muscat-2', '--output', 'json', 'processes')
+    daemon = context.deployment.daemons['muscat-1']
+    status = context.world.run(_get_status(daemon))
+    voters = set(status['groups'][0]['voters'])
+    assert voters == {one, other, context.new_voter}, voters
+
+
+def _run_client(context: Any, process: str, *words: str) -> None:
+    daemon = context.deployment.daemons[process]
+    context.command = context.world.run(daemon.run_client(*words))
+
+
+@when('"{one}" and "{other}" lose their disks for good')
+def lose_two(context: Any, one: str, other: str) -> None:
+    """Kill two voters that never come back."""
+    for name in (one, other):
+        context.world.run(context.deployment.daemons[name].kill())
+
+
+@when('"{name}" is recovered alone')
+def recover(context: Any, name: str) -> None:
+    """Recover from the disk that is left and start again."""
+    daemon = context.deployment.daemons[name]
+    context.world.run(daemon.kill())
+    words = '--settings', str(daemon.write_settings()), '--recover-alone'
+    answer = context.world.run(run_command('hornbeamstair_daemon', *words))
+    assert answer.exit_code == 0, answer
+    context.world.run(daemon.start())
--- /dev/null
+++ b/tests/features/steps/storage_steps.py
@@ -0,0 +1,205 @@
+"""Steps on the files of the log."""
+
+from pathlib import Path
+from random import Random
+from time import monotonic
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings, strategies
+
+from hornbeamstair_core.codec import read_json_mapping, read_yaml_mapping
+from hornbeamstair_operators.change_documents import read_change_document
+from hornbeamstair_replicas.codec import read_envelope
+from hornbeamstair_replicas.groups.node import open_node
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.messages import LogEntry, Snapshot, VoterId
+from hornbeamstair_replicas.storage.base import LogCorruptedError
+from hornbeamstair_replicas.storage.file import FileLogStorage
+from hornbeamstair_replicas.storage.records import write_entry_record
+from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.voting.timing import Timing
+from hornbeamstair_upstreams.codec import read_announcement
+from tests.support.voters import Journal
+
+
+@given('a stored log of {count:d} entries in one segment')
+def store_log(context: Any, count: int) -> None:
+    """Store entries in one file."""
+    _store(context, count, FileLogStorage(context.world.folder / 'log'))
+
+
+@given('a stored log of {count:d} entries in segments of {size:d} bytes')
+def store_segments(context: Any, count: int, size: int) -> None:
+    """Store entries, each synced, in several files."""
+    storage = FileLogStorage(context.world.folder / 'log', segment_bytes=size)
+    _store(context, count, storage)
+
+
+def _store(context: Any, count: int, storage: FileLogStorage) -> None:
+    storage.load()
+    context.entries = [
+        LogEntry(index, 1, f'payload {index}'.encode())
+        for index in range(1, count + 1)
+    ]
+    for entry in context.entries:
+        storage.append([entry])
+        storage.sync()
+    storage.close()
+    context.log_folder = storage.folder
+
+
+def _get_size(entries: list[LogEntry]) -> int:
+    return len(b''.join(map(write_entry_record, entries)))
+
+
+def _get_segment(context: Any) -> Path:
+    segments: list[Path] = sorted(context.log_folder.glob('segment-*'))
+    return segments[0]
+
+
+def _load(context: Any) -> Any:
+    storage = FileLogStorage(context.log_folder)
+    try:
+        return storage.load()
+    finally:
+        storage.close()
+
+
+@when('the file is cut at each byte of its last two records in turn')
+def cut_file(context: Any) -> None:
+    """Load the log after each cut."""
+    path = _get_segment(context)
+    whole = path.read_bytes()
+    tail_bytes = _get_size(context.entries[-2:])
+    context.loaded = []
+    first_size = len(whole) - tail_bytes
+    for size in range(first_size, first_size + tail_bytes):
+        for other in context.log_folder.glob('segment-*'):
+            other.unlink()
+        path.write_bytes(whole[:size])
+        context.loaded.append(_load(context).entries)
+
+
+@then('each cut leaves a log whose entries are a prefix, at least {low:d} long')
+def check_prefixes(context: Any, low: int) -> None:
+    """Check what each cut left."""
+    assert context.loaded
+    for entries in context.loaded:
+        assert len(entries) >= low, entries
+        assert list(entries) == context.entries[: len(entries)]
+
+
+@when('the {part} of record {record:d} is damaged')
+def damage_record(context: Any, part: str, record: int) -> None:
+    """Flip bits in one record."""
+    path = _get_segment(context)
+    content = bytearray(path.read_bytes())
+    within = {'length': 1, 'checksum': 5, 'body': 9}[part]
+    content[_get_size(context.entries[:record]) + within] ^= 0x41
+    path.write_bytes(bytes(content))
+
+
+@then('the log is refused as damaged')
+def check_refused_log(context: Any) -> None:
+    """Check that the log does not open."""
+    try:
+        tail = _load(context)
+    except LogCorruptedError:
+        return
+    raise AssertionError(f'opened with {len(tail.entries)} entries')
+
+
+@when('the disk is full and {count:d} payloads are proposed')
+def fill_disk(context: Any, count: int) -> None:
+    """Let the open segment refuse every write, as a full disk does."""
+    own = VoterId('a')
+    storage = FileLogStorage(context.log_folder)
+    node = open_node(
+        'test',
+        own,
+        storage,
+        Journal(),
+        (own,),
+        Timing(),
+        Random(1),
+        monotonic(),
+    )
+    context.group = VotingGroup('test', node, LocalTransport(own), monotonic)
+    context.world.run(_start(context.group))
+    assert storage.segment is not None
+    storage.segment.close()
+    storage.segment = Path('/dev/full').open('ab')
+    context.refused = [
+        context.world.run(context.group.propose(b'x')) for _ in range(count)
+    ]
+
+
+async def _start(group: VotingGroup) -> None:
+    group.start()
+
+
+@then('each proposal is refused with code {code:d}')
+def check_proposals(context: Any, code: int) -> None:
+    """Check the refusals."""
+    codes = {answer.error.number for answer in context.refused}
+    assert codes == {code}, context.refused
+
+
+@then('a later proposal is refused with code {code:d}')
+def check_later(context: Any, code: int) -> None:
+    """Check that the failed voter stays stopped."""
+    answer = context.world.run(context.group.propose(b'y'))
+    assert answer.error.number == code, answer
+
+
+@when('a snapshot of entry {index:d} is written')
+def write_snapshot(context: Any, index: int) -> None:
+    """Write a snapshot."""
+    storage = FileLogStorage(context.log_folder)
+    storage.load()
+    storage.write_snapshot(Snapshot(index, 1, b'state', (VoterId('a'),)))
+    storage.close()
+
+
+@when('the snapshot is damaged')
+def damage_snapshot(context: Any) -> None:
+    """Flip a bit of the snapshot."""
+    path = context.log_folder / 'snapshot'
+    content = bytearray(path.read_bytes())
+    content[-1] ^= 1
+    path.write_bytes(bytes(content))
+
+
+@then('at most {count:d} segment files are left')
+def check_segments(context: Any, count: int) -> None:
+    """Count the files."""
+    left = list(context.log_folder.glob('segment-*'))
+    assert len(left) <= count, left
+
+
+@then('the log opens with the snapshot and {count:d} entries')
+def check_opened(context: Any, count: int) -> None:
+    """Check what is read back."""
+    tail = _load(context)
+    assert tail.snapshot.state == b'state'
+    assert len(tail.entries) == count, len(tail.entries)
+
+
+@then('hypothesis finds no bytes that break the decoders of messages')
+def fuzz_decoders(context: Any) -> None:
+    """Give random bytes to every decoder."""
+    payloads = strategies.binary(max_size=200) | strategies.text().map(
+        str.encode,
+    )
+
+    @settings(max_examples=400, derandomize=True, deadline=None, database=None)
+    @for_all(payloads)
+    def check(payload: bytes) -> None:  # noqa: WPS430
+        for decode in (read_envelope, read_announcement):
+            decode(payload)
+        read_yaml_mapping(payload)
+        read_json_mapping(payload).bind(read_change_document)
+
+    check()
--- /dev/null
+++ b/tests/features/storage.feature
@@ -0,0 +1,39 @@
+Feature: The log on disk survives what disks do
+
+  Scenario: A torn tail is cut at whatever byte the write stopped
+    Given a stored log of 20 entries in one segment
+    When the file is cut at each byte of its last two records in turn
+    Then each cut leaves a log whose entries are a prefix, at least 18 long
+
+  Scenario Outline: Damage elsewhere is refused and nothing is dropped
+    Given a stored log of 20 entries in one segment
+    When the <part> of record <record> is damaged
+    Then the log is refused as damaged
+
+    Examples:
+      | part     | record |
+      | body     | 0      |
+      | body     | 10     |
+      | length   | 10     |
+      | checksum | 10     |
+
+  Scenario: A full disk stops the voter and is not tried again
+    Given a stored log of 20 entries in one segment
+    When the disk is full and 2 payloads are proposed
+    Then each proposal is refused with code 5002
+    And a later proposal is refused with code 5002
+
+  Scenario: Old segments go once a snapshot covers them
+    Given a stored log of 50 entries in segments of 500 bytes
+    When a snapshot of entry 40 is written
+    Then at most 6 segment files are left
+    And the log opens with the snapshot and 10 entries
+
+  Scenario: A damaged snapshot is refused
+    Given a stored log of 50 entries in segments of 500 bytes
+    When a snapshot of entry 40 is written
+    And the snapshot is damaged
+    Then the log is refused as damaged
+
+  Scenario: Decoders of peers' messages never fail otherwise than by a code
+    Then hypothesis finds no bytes that break the decoders of messages
