--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 RUN := $(VENV)/bin/python
-PACKAGES := core replicas platform upstreams operators callers daemon tools
+PACKAGES := core replicas fleet upstreams operators callers daemon tools
 
 .PHONY: install demo test check format reference lock bench bench-state capacity
 
@@ -21,16 +21,16 @@
 	$(RUN) -m hornbeamstair_tools.run_tests
 
 check: install
-	$(VENV)/bin/ruff format --check packages tests
-	$(VENV)/bin/ruff check --quiet packages tests
-	$(VENV)/bin/flake8 packages tests
-	$(VENV)/bin/mypy $(PACKAGES:%=-p hornbeamstair_%)
+	$(VENV)/bin/ruff format --check packages platform tests
+	$(VENV)/bin/ruff check --quiet packages platform tests
+	$(VENV)/bin/flake8 packages platform tests
+	MYPYPATH=platform $(VENV)/bin/mypy $(PACKAGES:%=-p hornbeamstair_%) -p hornbeamstair_platform
 	$(RUN) -m hornbeamstair_tools.check_imports
 	$(RUN) -m hornbeamstair_tools.reference --check
 
 format: install
-	$(VENV)/bin/ruff check --quiet --fix packages tests
-	$(VENV)/bin/ruff format packages tests
+	$(VENV)/bin/ruff check --quiet --fix packages platform tests
+	$(VENV)/bin/ruff format packages platform tests
 
 reference: install
 	$(RUN) -m hornbeamstair_tools.reference
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints that join jobs with other peers."""
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -0,0 +1,243 @@
+"""Endpoint that carries out maintenance waves while this process leads."""
+
+from asyncio import Task, create_task, sleep
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field
+
+from hornbeamstair_callers.jobs.evacuation import free_workers, get_loads
+from hornbeamstair_callers.jobs.runner import WorkRunner
+from hornbeamstair_callers.jobs.scheduler import Scheduler
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.ids import MachineId, WorkerId
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_fleet.events import MachineListEvent, MachineOrderedEvent
+from hornbeamstair_fleet.machines import MachinesClient
+from hornbeamstair_fleet.waves.messages import (
+    Machine,
+    MachineOrder,
+    MachineOutcome,
+    MachineState,
+    MaintenanceBegun,
+    MaintenanceDone,
+)
+from hornbeamstair_fleet.waves.planner import WavePlan, WavePlanner
+from hornbeamstair_fleet.waves.table import (
+    MachineStep,
+    WaveProgress,
+    WaveTable,
+)
+
+__all__ = ('MaintenanceKeeper',)
+
+_PASS_SECONDS: Final = 0.2
+# Reading the list costs; a machine is down for longer than this.
+_LIST_SECONDS: Final = 1.2
+_REPEAT_SECONDS: Final = 1.5
+
+
+@define(eq=False)
+class MaintenanceKeeper:
+    """Orders of waves, one after the other for each machine."""
+
+    holder: str
+    table: WaveTable
+    runner: WorkRunner
+    client: MachinesClient
+    get_moment: Callable[[], Moment]
+    planner: WavePlanner = field(factory=WavePlanner)
+    machines: dict[MachineId, Machine] = field(factory=dict)
+    listed_at: float = -1000
+    is_known: bool = True
+    # Time of the last order about a machine.
+    ordered_at: dict[MachineId, float] = field(factory=dict)
+    keeping: 'Task[None] | None' = None
+
+    def start(self) -> None:
+        """Carry out waves whenever this process leads."""
+        self.keeping = create_task(self._keep())
+
+    def stop(self) -> None:
+        """Give no more orders."""
+        if self.keeping is not None:
+            self.keeping.cancel()
+
+    async def _keep(self) -> None:
+        while True:
+            scheduler = self.runner.find_scheduler()
+            if scheduler is not None:
+                await self._pass(scheduler)
+            await sleep(_PASS_SECONDS)
+
+    async def _pass(self, scheduler: Scheduler) -> None:
+        waves = list(self.table.get_open())
+        now = self.get_moment()
+        if not waves:
+            free_workers(scheduler, (), (), now)
+            return
+        if now.steady - self.listed_at > _LIST_SECONDS:
+            await self._refresh(now)
+        if scheduler is self.runner.find_scheduler() and self.machines:
+            await self._carry_on(scheduler, waves)
+
+    async def _carry_on(
+        self,
+        scheduler: Scheduler,
+        waves: list[WaveProgress],
+    ) -> None:
+        plans: list[WavePlan] = []
+        for progress in waves:
+            await self._settle(progress)
+            loads = get_loads(scheduler)
+            now = self.get_moment()
+            plans.append(
+                self.planner.plan(progress, self.machines, loads, now),
+            )
+        self._free(scheduler, plans)
+        for wave, plan in zip(waves, plans, strict=True):
+            for machine in plan.ordered:
+                await self._begin(scheduler, wave, machine)
+
+    async def _refresh(self, now: Moment) -> None:
+        listed = await self.client.list_machines()
+        if (listed is not None) != self.is_known:
+            self.is_known = listed is not None
+            log_event(MachineListEvent(self.is_known, len(listed or ())))
+        if listed is not None:
+            self.machines = {found.machine: found for found in listed}
+            self.listed_at = now.steady
+
+    async def _settle(self, progress: WaveProgress) -> None:
+        """Find out from the list how far the machines are."""
+        for machine_id, step in list(progress.steps.items()):
+            is_open = step != MachineStep.over
+            if is_open and self._is_listed_after_order(machine_id):
+                await self._settle_machine(progress, machine_id, step)
+
+    def _is_listed_after_order(self, machine: MachineId) -> bool:
+        return self.listed_at > self.ordered_at.get(machine, -1000)
+
+    async def _settle_machine(
+        self,
+        progress: WaveProgress,
+        machine_id: MachineId,
+        step: MachineStep,
+    ) -> None:
+        machine = self.machines.get(machine_id)
+        if machine is None or _is_back(progress, machine, step):
+            # Maintained, or taken away.
+            await self._note(progress, machine_id, is_over=True)
+        elif step == MachineStep.ordered:
+            await self._find_out(progress, machine)
+
+    async def _find_out(
+        self,
+        progress: WaveProgress,
+        machine: Machine,
+    ) -> None:
+        """Find out about an order that had no clear answer."""
+        if machine.state == MachineState.maintenance:
+            await self._note(progress, machine.machine, is_over=False)
+        elif self._may_repeat(machine.machine):
+            await self._order(progress, machine)
+
+    def _may_repeat(self, machine: MachineId) -> bool:
+        ordered_at = self.ordered_at.get(machine, -1000)
+        return self.get_moment().steady - ordered_at > _REPEAT_SECONDS
+
+    def _free(self, scheduler: Scheduler, plans: list[WavePlan]) -> None:
+        reserved: set[WorkerId] = set()
+        urgent: set[WorkerId] = set()
+        for plan in plans:
+            reserved.update(plan.reserved)
+            urgent.update(plan.urgent)
+        free_workers(scheduler, reserved, urgent, self.get_moment())
+
+    async def _begin(
+        self,
+        scheduler: Scheduler,
+        progress: WaveProgress,
+        machine: Machine,
+    ) -> None:
+        session = scheduler.sessions.get(machine.worker)
+        if session is not None and session.runs:
+            # Something was placed since the plan was made.
+            return
+        if progress.count_down() >= progress.wave.max_down:
+            return
+        record = MaintenanceBegun(
+            progress.wave.number,
+            machine.machine,
+            machine.worker,
+        )
+        committed = await self.runner.commit((record,))
+        if committed.is_ok():
+            await self._order(progress, machine)
+
+    async def _order(self, progress: WaveProgress, machine: Machine) -> None:
+        scheduler = self.runner.find_scheduler()
+        if scheduler is None:
+            return
+        outcome = await self.client.maintain(
+            MachineOrder(
+                machine.machine,
+                self.holder,
+                scheduler.fencing_token,
+            ),
+            progress.wave.number,
+        )
+        now = self.get_moment()
+        self.ordered_at[machine.machine] = now.steady
+        log_event(
+            MachineOrderedEvent(
+                machine.machine,
+                machine.worker,
+                'maintain',
+                outcome.value,
+                scheduler.fencing_token,
+                progress.count_down(),
+            ),
+        )
+        match outcome:
+            case MachineOutcome.done:
+                scheduler.note_left(machine.worker, now)
+                await self._note(progress, machine.machine, is_over=False)
+            case MachineOutcome.busy | MachineOutcome.refused:
+                await self._refuse(progress, machine)
+
+    async def _refuse(self, progress: WaveProgress, machine: Machine) -> None:
+        """Have a machine wait again that the platform would not take."""
+        record = MaintenanceDone(
+            progress.wave.number,
+            machine.machine,
+            is_taken=False,
+            is_over=False,
+        )
+        await self.runner.commit((record,))
+
+    async def _note(
+        self,
+        progress: WaveProgress,
+        machine: MachineId,
+        *,
+        is_over: bool,
+    ) -> None:
+        record = MaintenanceDone(
+            progress.wave.number,
+            machine,
+            is_taken=True,
+            is_over=is_over,
+        )
+        await self.runner.commit((record,))
+
+
+def _is_back(
+    progress: WaveProgress,
+    machine: Machine,
+    step: MachineStep,
+) -> bool:
+    """Tell whether a machine is up again with a new worker."""
+    if step == MachineStep.waiting or machine.state != MachineState.up:
+        return False
+    return machine.worker != progress.workers.get(machine.machine)
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/effects.py
@@ -0,0 +1,38 @@
+"""Effects that the scheduler asks its endpoint to carry out."""
+
+from attrs import frozen
+
+from hornbeamstair_core.effects import Effect
+from hornbeamstair_core.records import Record
+from hornbeamstair_upstreams.work.messages import StartOrder, StopOrder
+from hornbeamstair_upstreams.work.session import WorkerSession
+
+__all__ = ('CommitBatch', 'SendStart', 'SendStop')
+
+
+@frozen
+class CommitBatch(Effect):
+    """Commit records, then tell the scheduler.
+
+    Once they are committed the worker may forget its ends up to a number.
+    """
+
+    records: tuple[Record, ...]
+    session: WorkerSession | None = None
+    cursor: int = 0
+
+
+@frozen
+class SendStart(Effect):
+    """Order a worker to start a run."""
+
+    session: WorkerSession
+    order: StartOrder
+
+
+@frozen
+class SendStop(Effect):
+    """Order a worker to stop a run."""
+
+    session: WorkerSession
+    order: StopOrder
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -0,0 +1,90 @@
+"""Records of the ends of runs, and of the jobs that fail by them."""
+
+from collections.abc import Iterable, Iterator
+
+from attrs import define
+
+from hornbeamstair_callers.jobs.events import RunEndedEvent
+from hornbeamstair_callers.jobs.messages import parse_task_id
+from hornbeamstair_callers.jobs.records import JobFailed, RunEnded
+from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_callers.jobs.waiting import WaitingJobs
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_core.records import Record
+from hornbeamstair_operators.manifest.table import ManifestTable
+from hornbeamstair_upstreams.work.messages import RunEnd
+from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
+from hornbeamstair_upstreams.work.session import WorkerSession
+
+__all__ = ('EndRecorder',)
+
+
+@define(eq=False)
+class EndRecorder:
+    """Turns ends of runs into records."""
+
+    jobs: JobTable
+    manifest: ManifestTable
+    waiting: WaitingJobs
+
+    def get_records(
+        self,
+        session: WorkerSession,
+        ended: Iterable[EndedRun],
+        now: Moment,
+    ) -> Iterator[Record]:
+        """Get the records of some ends on a worker."""
+        for end in ended:
+            run = end.run
+            log_event(
+                RunEndedEvent(
+                    run.task,
+                    run.run,
+                    session.announced.worker,
+                    end.end.value,
+                    run.state.value,
+                ),
+            )
+            # While the record of the start is on its way, it settles the run.
+            if run.state != RunState.recorded:
+                yield from self._get_run_records(end, now)
+
+    def _get_run_records(
+        self,
+        ended: EndedRun,
+        now: Moment,
+    ) -> Iterator[Record]:
+        run = ended.run
+        self.waiting.in_flight.add(run.task)
+        yield RunEnded(
+            run.task,
+            run.run,
+            ended.end,
+            ended.checkpoint,
+            now.wall,
+        )
+        if ended.end == RunEnd.failed and self._uses_up(run):
+            yield JobFailed(parse_task_id(run.task).key.job, now.wall)
+
+    def _uses_up(self, run: Run) -> bool:
+        """Tell whether a failure is the last that its job may have."""
+        job = self.jobs.jobs.get(parse_task_id(run.task).key.job)
+        if job is None or run.needs.lasts or not job.is_open:
+            return False
+        queue = self.manifest.find_known(job.queue)
+        if queue is None:
+            return False
+        return _count_failures(job, run) + 1 >= queue.max_attempts
+
+
+def _count_failures(job: Job, run: Run) -> int:
+    place = parse_task_id(run.task)
+    if not job.spec.phases[place.key.phase].is_gang:
+        return job.get_task(run.task).failures
+    prefix = f'{run.group}.'
+    return sum(
+        task.failures
+        for task_id, task in job.tasks.items()
+        if task_id.startswith(prefix)
+    )
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -0,0 +1,137 @@
+"""Events of jobs and of the runs of their tasks."""
+
+from attrs import frozen
+
+from hornbeamstair_core.events import Event, EventLevel, register_event
+
+__all__ = (
+    'HolderChangedEvent',
+    'JobAcceptedEvent',
+    'JobEndedEvent',
+    'RequestRefusedEvent',
+    'RunEndedEvent',
+    'RunPlacedEvent',
+    'WorkerBelievedEvent',
+    'WorkerQuarantinedEvent',
+)
+
+
+@register_event
+@frozen
+class JobAcceptedEvent(Event):
+    """Job whose record is committed."""
+
+    number = 2001
+    name = 'job_accepted'
+    summary = 'A job was accepted and its record is committed.'
+
+    job: str
+    queue: str
+    service: str
+    tasks: int
+    manifest_version: int
+    commit_ms: int
+
+
+@register_event
+@frozen
+class JobEndedEvent(Event):
+    """Job that will not run any more."""
+
+    number = 2002
+    name = 'job_ended'
+    summary = 'A job was completed, has failed or was cancelled.'
+
+    job: str
+    state: str
+    age_ms: int
+
+
+@register_event
+@frozen
+class RunPlacedEvent(Event):
+    """Run that was placed on a worker and is being recorded."""
+
+    number = 2003
+    name = 'run_placed'
+    summary = 'A task was placed on a worker.'
+
+    task: str
+    run: int
+    worker: str
+    fencing_token: int
+
+
+@register_event
+@frozen
+class RunEndedEvent(Event):
+    """Run that ended, as the worker listed it or as its lease proves."""
+
+    number = 2004
+    name = 'run_ended'
+    summary = 'A run ended, or its lease or worker is gone.'
+
+    task: str
+    run: int
+    worker: str
+    end: str
+    last_state: str
+
+
+@register_event
+@frozen
+class WorkerBelievedEvent(Event):
+    """Worker of which something new is believed."""
+
+    number = 2005
+    name = 'worker_believed'
+    summary = 'A worker is up, leaving, gone, or reached again.'
+
+    worker: str
+    service: str
+    belief: str
+    incarnation: int
+
+
+@register_event
+@frozen
+class WorkerQuarantinedEvent(Event):
+    """Worker that gets no work for a while."""
+
+    number = 2006
+    name = 'worker_quarantined'
+    summary = 'A worker fails what it is given and gets no work for a while.'
+    level = EventLevel.warning
+
+    worker: str
+    reason: str
+
+
+@register_event
+@frozen
+class HolderChangedEvent(Event):
+    """Process that began or ceased to give orders to workers."""
+
+    number = 2007
+    name = 'holder_changed'
+    summary = 'This process began or ceased to give orders to workers.'
+
+    fencing_token: int
+    holds: bool
+    workers: int
+    open_jobs: int
+
+
+@register_event
+@frozen
+class RequestRefusedEvent(Event):
+    """Request that was refused or has no sure outcome."""
+
+    number = 2008
+    name = 'request_refused'
+    summary = 'A request about a job was refused or has no sure outcome.'
+
+    request: str
+    subject: str
+    code: int
+    reason: str
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/failures.py
@@ -0,0 +1,49 @@
+"""Result codes of requests about jobs."""
+
+from attrs import frozen
+
+from hornbeamstair_core.failures import Failure, register_failure
+
+__all__ = ('JobUnknownFailure', 'QueueUnknownFailure', 'QueueFullFailure')
+
+
+@register_failure
+@frozen
+class QueueUnknownFailure(Failure):
+    """Place at which the manifest has no queue."""
+
+    number = 2101
+    name = 'queue_unknown'
+    summary = 'No queue is reached by this host and path.'
+    http_status = 404
+
+    host: str
+    path: str
+    manifest_version: int
+
+
+@register_failure
+@frozen
+class JobUnknownFailure(Failure):
+    """Job that was never accepted, or that ended long ago."""
+
+    number = 2102
+    name = 'job_unknown'
+    summary = 'No such job is known.'
+    http_status = 410
+
+    job: str
+
+
+@register_failure
+@frozen
+class QueueFullFailure(Failure):
+    """Job that was not accepted since it would come too late."""
+
+    number = 2103
+    name = 'queue_full'
+    summary = 'The job was not accepted: it could not run in time.'
+    http_status = 429
+
+    queue: str
+    retry_seconds: float
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/requests.py
@@ -0,0 +1,87 @@
+"""Requests of callers about jobs."""
+
+from typing import ClassVar
+
+from attrs import frozen
+
+from hornbeamstair_callers.jobs.messages import JobSpec, JobState
+from hornbeamstair_core.ids import JobId
+from hornbeamstair_core.requests import Reply, Request
+
+__all__ = (
+    'CancelJob',
+    'CountPending',
+    'JobReply',
+    'PendingReply',
+    'QueuePlace',
+    'ShowJob',
+    'SubmitJob',
+)
+
+
+@frozen
+class QueuePlace:
+    """Host and path by which a caller names a queue."""
+
+    host: str
+    path: str
+
+
+@frozen
+class SubmitJob(Request):
+    """Accept a job; a job that is known already stays as it is."""
+
+    kind: ClassVar[str] = 'submit_job'
+
+    place: QueuePlace
+    spec: JobSpec
+    # Seconds that the caller goes on waiting.
+    wait_seconds: float
+
+
+@frozen
+class ShowJob(Request):
+    """Show the state of a job."""
+
+    kind: ClassVar[str] = 'show_job'
+
+    place: QueuePlace
+    job: JobId
+
+
+@frozen
+class CancelJob(Request):
+    """Cancel a job."""
+
+    kind: ClassVar[str] = 'cancel_job'
+
+    place: QueuePlace
+    job: JobId
+
+
+@frozen
+class CountPending(Request):
+    """Count the jobs of a queue of which nothing was started."""
+
+    kind: ClassVar[str] = 'count_pending'
+
+    place: QueuePlace
+
+
+@frozen
+class JobReply(Reply):
+    """State of a job."""
+
+    kind: ClassVar[str] = 'job'
+
+    job: JobId
+    state: JobState
+
+
+@frozen
+class PendingReply(Reply):
+    """Jobs of a queue of which nothing was started."""
+
+    kind: ClassVar[str] = 'pending'
+
+    count: int
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -0,0 +1,258 @@
+"""Endpoint of the scheduler: commits its records and sends its orders."""
+
+from asyncio import Task, create_task, get_running_loop, sleep
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Final
+
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from hornbeamstair_callers.jobs.effects import (
+    CommitBatch,
+    SendStart,
+    SendStop,
+)
+from hornbeamstair_callers.jobs.events import HolderChangedEvent
+from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
+from hornbeamstair_callers.jobs.service import RecordCommitter
+from hornbeamstair_core.effects import Effect
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.ids import WorkerId
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_core.records import Record
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.tables.codec import TableStateMachine
+from hornbeamstair_upstreams.work.leases import LeaseTerms
+from hornbeamstair_upstreams.work.messages import OrderOutcome
+from hornbeamstair_upstreams.work.sender import WorkerSender
+from hornbeamstair_upstreams.work.session import WorkerSession
+
+__all__ = ('WorkRunner',)
+
+_TICK_SECONDS: Final = 0.05
+# Events that arrive together are decided together.
+_GATHER_SECONDS: Final = 0.004
+_RETRY_SECONDS: Final = 0.25
+_COMMIT_PAUSE_SECONDS: Final = 0.01
+# A batch has its place in the log: it is committed, or another process leads.
+_COMMIT_SECONDS: Final = 60.0
+
+
+@define(eq=False)
+class WorkRunner(RecordCommitter):
+    """Scheduler of the terms in which this process leads."""
+
+    group: VotingGroup
+    machine: TableStateMachine
+    state: SchedulerState
+    sender: WorkerSender
+    terms: LeaseTerms
+    metrics: Metrics
+    get_moment: Callable[[], Moment]
+    scheduler: Scheduler | None = field(default=None, init=False)
+    ticking: 'Task[None] | None' = field(default=None, init=False)
+    looks: dict[WorkerId, 'Task[None]'] = field(factory=dict, init=False)
+    tasks: 'set[Task[None]]' = field(factory=set, init=False)
+    last_commit: 'Task[None] | None' = field(default=None, init=False)
+    is_gathering: bool = field(default=False, init=False)
+    is_stopping: bool = field(default=False, init=False)
+
+    def start(self) -> None:
+        """Schedule whenever this process leads."""
+        self.ticking = create_task(self._keep_ticking())
+
+    async def stop(self) -> None:
+        """Give no more orders."""
+        self.is_stopping = True
+        if self.ticking is not None:
+            self.ticking.cancel()
+        self._drop()
+        await self.sender.close()
+
+    def leads(self) -> bool:
+        """Tell whether nobody else can have become the leader."""
+        role = self.group.node.voter.find_leader_role()
+        if role.is_error() or self.is_stopping:
+            return False
+        return role.ok.can_read(self.get_moment().steady)
+
+    def find_scheduler(self) -> Scheduler | None:
+        """Find the scheduler while this process leads."""
+        return self.scheduler if self.leads() else None
+
+    async def commit(
+        self,
+        records: Sequence[Record],
+    ) -> Result[None, Failure]:
+        """Commit records; they are applied when it returns."""
+        scheduler = self.scheduler
+        payload = self.machine.codec.write(records)
+        outcome = await self.group.propose_once(payload)
+        if outcome.is_error():
+            return Error(outcome.error)
+        if scheduler is not None and scheduler is self.scheduler:
+            for record in records:
+                scheduler.note_record(record, self.get_moment())
+            self._gather()
+        return Ok(None)
+
+    async def _keep_ticking(self) -> None:
+        while True:
+            self._follow_role()
+            scheduler = self.find_scheduler()
+            if scheduler is not None:
+                scheduler.tick(self.get_moment())
+                self._carry_out(scheduler)
+            await sleep(_TICK_SECONDS)
+
+    def _follow_role(self) -> None:
+        role = self.group.node.voter.find_leader_role()
+        term = self.group.node.voter.state.term
+        scheduler = self.scheduler
+        if scheduler is not None:
+            if role.is_error() or scheduler.fencing_token != term:
+                self._drop()
+        if self.scheduler is None and self.leads():
+            self._take_over(term)
+
+    def _take_over(self, term: int) -> None:
+        now = self.get_moment()
+        self.scheduler = Scheduler(self.state, term, self.terms)
+        self.scheduler.start(now)
+        self._log_change(self.scheduler, holds=True)
+
+    def _drop(self) -> None:
+        scheduler = self.scheduler
+        if scheduler is None:
+            return
+        self.scheduler = None
+        self.last_commit = None
+        for task in (*self.tasks, *self.looks.values()):
+            task.cancel()
+        self.looks.clear()
+        self._log_change(scheduler, holds=False)
+
+    def _log_change(self, scheduler: Scheduler, *, holds: bool) -> None:
+        open_jobs = sum(1 for _ in self.state.jobs.get_open())
+        log_event(
+            HolderChangedEvent(
+                scheduler.fencing_token,
+                holds,
+                len(scheduler.sessions),
+                open_jobs,
+            ),
+        )
+
+    def _gather(self) -> None:
+        if not self.is_gathering:
+            self.is_gathering = True
+            get_running_loop().call_later(_GATHER_SECONDS, self._place)
+
+    def _place(self) -> None:
+        self.is_gathering = False
+        scheduler = self.find_scheduler()
+        if scheduler is not None:
+            scheduler.place(self.get_moment())
+            self._carry_out(scheduler)
+
+    def _carry_out(self, scheduler: Scheduler) -> None:
+        for effect in scheduler.take_effects():
+            self._begin(self._get_work(scheduler, effect))
+        for worker, session in scheduler.sessions.items():
+            look = self.looks.get(worker)
+            if look is None or look.done():
+                self.looks[worker] = create_task(
+                    self._keep_looking(scheduler, session),
+                )
+
+    def _get_work(
+        self,
+        scheduler: Scheduler,
+        effect: Effect,
+    ) -> Coroutine[Any, Any, None]:
+        match effect:
+            case CommitBatch():
+                return self._commit_batch(scheduler, effect)
+            case SendStart():
+                return self._send_start(scheduler, effect)
+            case SendStop():
+                return self._send_stop(scheduler, effect)
+        raise TypeError(effect)
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task = create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _commit_batch(
+        self,
+        scheduler: Scheduler,
+        batch: CommitBatch,
+    ) -> None:
+        payload = self.machine.codec.write(batch.records)
+        outcome = await self.group.propose_once(payload, _COMMIT_SECONDS)
+        if outcome.is_ok() and scheduler is self.scheduler:
+            scheduler.note_committed(batch, self.get_moment())
+            self._gather()
+            self._carry_out(scheduler)
+
+    async def _send_start(
+        self,
+        scheduler: Scheduler,
+        effect: SendStart,
+    ) -> None:
+        if not self.leads():
+            # The next holder finds the run missing and starts another.
+            return
+        began = self.get_moment().steady
+        answer = await self.sender.start(effect.order)
+        now = self.get_moment()
+        self.metrics.orders.labels('start', answer.outcome.value).observe(
+            now.steady - began,
+        )
+        scheduler.note_start(effect.session, effect.order, answer, now)
+        if answer.outcome != OrderOutcome.done:
+            self._gather()
+        self._carry_out(scheduler)
+
+    async def _send_stop(
+        self,
+        scheduler: Scheduler,
+        effect: SendStop,
+    ) -> None:
+        if not self.leads():
+            return
+        began = self.get_moment().steady
+        answer = await self.sender.stop(effect.order)
+        now = self.get_moment()
+        self.metrics.orders.labels('stop', answer.outcome.value).observe(
+            now.steady - began,
+        )
+        scheduler.note_stop(effect.session, effect.order, answer, now)
+        self._carry_out(scheduler)
+
+    async def _keep_looking(
+        self,
+        scheduler: Scheduler,
+        session: WorkerSession,
+    ) -> None:
+        worker = session.announced.worker
+        while scheduler.sessions.get(worker) is session:
+            if not self.leads():
+                await sleep(_TICK_SECONDS)
+                continue
+            began = self.get_moment().steady
+            if session.seen_number > session.cursor:
+                # A look before the commit would list the same ends again.
+                await sleep(_COMMIT_PAUSE_SECONDS)
+                continue
+            order = session.get_hold(began)
+            answer = await self.sender.hold(order)
+            scheduler.note_hold(session, answer, began, self.get_moment())
+            self._carry_out(scheduler)
+            self._gather()
+            if answer.outcome != OrderOutcome.done:
+                self.metrics.count_retry(f'look_{answer.outcome.value}')
+                await sleep(_RETRY_SECONDS)
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -0,0 +1,363 @@
+"""Scheduler of the holder: jobs, workers and time in, effects out."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from attrs import define, field, frozen
+
+from hornbeamstair_callers.jobs.effects import (
+    CommitBatch,
+    SendStart,
+    SendStop,
+)
+from hornbeamstair_callers.jobs.ends import EndRecorder
+from hornbeamstair_callers.jobs.events import (
+    WorkerBelievedEvent,
+    WorkerQuarantinedEvent,
+)
+from hornbeamstair_callers.jobs.messages import parse_task_id
+from hornbeamstair_callers.jobs.order import ObjectiveOrder
+from hornbeamstair_callers.jobs.records import (
+    JobAccepted,
+    JobCancelled,
+    JobFailed,
+    JobsForgotten,
+    RunEnded,
+    RunStarted,
+)
+from hornbeamstair_callers.jobs.starts import StartPlanner
+from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_callers.jobs.waiting import WaitingJobs
+from hornbeamstair_core.effects import Effect
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.ids import JobId, ServiceName, TaskId, WorkerId
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_core.records import Record
+from hornbeamstair_operators.manifest.table import ManifestTable
+from hornbeamstair_upstreams.work.leases import LeaseTerms
+from hornbeamstair_upstreams.work.looks import take_look
+from hornbeamstair_upstreams.work.messages import (
+    Announced,
+    HoldAnswer,
+    OrderAnswer,
+    RunEnd,
+    StartOrder,
+    StopOrder,
+    WorkerGone,
+)
+from hornbeamstair_upstreams.work.placement import Placement
+from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
+from hornbeamstair_upstreams.work.session import WorkerSession
+from hornbeamstair_upstreams.work.table import WorkerTable
+
+__all__ = ('Scheduler', 'SchedulerState')
+
+# A worker that was silent for so long and holds nothing is forgotten.
+_SILENT_SECONDS: Final = 12.0
+# Callers may ask for the state of a job for so long after its end.
+_STATUS_SECONDS: Final = 180.0
+_FORGET_SECONDS: Final = 5.0
+
+
+@frozen
+class SchedulerState:
+    """Replicated tables that the scheduler reads."""
+
+    jobs: JobTable
+    manifest: ManifestTable
+    workers: WorkerTable
+
+
+@define(eq=False)
+class Scheduler:
+    """Decisions of the one process that gives orders to workers.
+
+    It lives as long as one term of its process as the leader. The term is
+    the fencing token of all its orders. It acts only on committed records.
+    """
+
+    state: SchedulerState
+    fencing_token: int
+    terms: LeaseTerms
+    sessions: dict[WorkerId, WorkerSession] = field(factory=dict)
+    effects: list[Effect] = field(factory=list)
+    forgot_at: float = 0
+    waiting: WaitingJobs = field(init=False)
+    starts: StartPlanner = field(init=False)
+    ends: EndRecorder = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Join the parts that share the index of waiting jobs."""
+        state = self.state
+        self.waiting = WaitingJobs(
+            state.jobs,
+            state.manifest,
+            ObjectiveOrder(),
+        )
+        self.starts = StartPlanner(self.waiting, self.fencing_token)
+        self.ends = EndRecorder(state.jobs, state.manifest, self.waiting)
+
+    def start(self, now: Moment) -> None:
+        """Take over the workers and the runs of the earlier holder."""
+        longest = self.terms.longest
+        for announced in self.state.workers.workers.values():
+            self._add_session(announced, now, now.steady + longest)
+        self.waiting.mark(self.state.jobs.jobs)
+        for job in self.state.jobs.jobs.values():
+            self._inherit(job, now)
+
+    def take_effects(self) -> list[Effect]:
+        """Take the effects since the last call."""
+        effects = self.effects
+        self.effects = []
+        return effects
+
+    def note_committed(self, batch: CommitBatch, now: Moment) -> None:
+        """Go on after records were committed and applied."""
+        for record in batch.records:
+            self.note_record(record, now)
+        if batch.session is not None:
+            batch.session.cursor = max(batch.session.cursor, batch.cursor)
+
+    def note_record(self, record: Record, now: Moment) -> None:
+        """Go on after a record was committed and applied."""
+        match record:
+            case RunStarted():
+                self._order_start(record, now)
+            case RunEnded(task):
+                self.waiting.in_flight.discard(task)
+                self.waiting.mark((parse_task_id(task).key.job,))
+            case JobAccepted(spec):
+                self.waiting.mark((spec.job,))
+            case JobCancelled(job) | JobFailed(job):
+                self._stop_job(job)
+
+    def note_announced(self, announced: Announced, now: Moment) -> bool:
+        """Take an announcement; tell whether it has to be recorded."""
+        session = self.sessions.get(announced.worker)
+        if session is None:
+            self._add_session(announced, now, now.steady)
+        elif session.is_older(announced):
+            # The announcement was held up on its way.
+            return False
+        else:
+            ended = session.note_announced(announced, now.steady)
+            self._commit_ends(session, ended, now)
+        recorded = self.state.workers.workers.get(announced.worker)
+        is_news = recorded is None or announced.differs(recorded)
+        if is_news:
+            belief = 'leaving' if announced.is_leaving else 'up'
+            _log_belief(announced, belief)
+        return is_news
+
+    def note_left(self, worker: WorkerId, now: Moment) -> None:
+        """Take the word of a worker that it ends now."""
+        session = self.sessions.get(worker)
+        if session is not None and session.gone_at is None:
+            session.gone_at = now.steady
+            _log_belief(session.announced, 'gone')
+
+    def note_hold(
+        self,
+        session: WorkerSession,
+        answer: HoldAnswer,
+        sent_at: float,
+        now: Moment,
+    ) -> None:
+        """Take the answer to a look."""
+        ended = take_look(session, answer, sent_at, now.steady)
+        self._commit_ends(session, ended, now)
+        if session.health.quarantine_if_bad(now.steady):
+            worker = session.announced.worker
+            log_event(WorkerQuarantinedEvent(worker, 'runs fail in a row'))
+
+    def note_start(
+        self,
+        session: WorkerSession,
+        order: StartOrder,
+        answer: OrderAnswer,
+        now: Moment,
+    ) -> None:
+        """Take the answer to an order to start."""
+        ended = session.note_start(order, answer, now.steady)
+        self._commit_ends(session, ended, now)
+
+    def note_stop(
+        self,
+        session: WorkerSession,
+        order: StopOrder,
+        answer: OrderAnswer,
+        now: Moment,
+    ) -> None:
+        """Take the answer to an order to stop."""
+        ended = session.note_stop(order, answer, now.steady)
+        self._commit_ends(session, ended, now)
+
+    def tick(self, now: Moment) -> None:
+        """Act on what time brings, then place what is ready."""
+        for session in list(self.sessions.values()):
+            self._commit_ends(session, session.expire(now.steady), now)
+            self._order_again(session, now)
+            if _is_gone(session, now):
+                self._forget_session(session)
+        if now.steady - self.forgot_at > _FORGET_SECONDS:
+            self.forgot_at = now.steady
+            self._forget_jobs(now)
+        self.waiting.mark_due()
+        self.place(now)
+
+    def place(self, now: Moment) -> None:
+        """Start what is ready as far as there is room."""
+        records: list[Record] = []
+        for service, jobs in self.waiting.get_waiting(now.wall).items():
+            placement = Placement(self.get_usable(service, now))
+            for waiting in jobs:
+                records.extend(self.starts.place_job(waiting, placement, now))
+        if records:
+            self.effects.append(CommitBatch(tuple(records)))
+        for session in self.sessions.values():
+            for order in session.get_stops(now.steady):
+                self.effects.append(SendStop(session, order))
+
+    def get_usable(
+        self,
+        service: ServiceName,
+        now: Moment,
+    ) -> list[WorkerSession]:
+        """Get the workers of a service that may get new work."""
+        return [
+            session
+            for session in self.sessions.values()
+            if session.announced.service == service
+            and session.may_start(now.steady)
+        ]
+
+    def _add_session(
+        self,
+        announced: Announced,
+        now: Moment,
+        lapse_at: float,
+    ) -> None:
+        self.sessions[announced.worker] = WorkerSession(
+            announced,
+            self.fencing_token,
+            self.terms,
+            lapse_at=lapse_at,
+            heard_at=now.steady,
+        )
+
+    def _inherit(self, job: Job, now: Moment) -> None:
+        for task_id, task in job.tasks.items():
+            session = self.sessions.get(task.worker)
+            if session is None:
+                continue
+            key = parse_task_id(task_id).key
+            run = Run(
+                task_id,
+                task.run,
+                job.spec.phases[key.phase].needs,
+                key.group,
+                RunState.inherited,
+                now.steady,
+                task.checkpoint,
+            )
+            session.add_run(run)
+            if not job.is_open:
+                session.want_stop(run)
+
+    def _find_job(self, task: TaskId) -> Job | None:
+        return self.state.jobs.jobs.get(parse_task_id(task).key.job)
+
+    def _order_start(self, record: RunStarted, now: Moment) -> None:
+        self.waiting.in_flight.discard(record.task)
+        session = self.sessions.get(record.worker)
+        run = None if session is None else session.runs.get(record.task)
+        if session is None or run is None or run.run != record.run:
+            # The worker's life ended while the start was recorded.
+            self._commit_lost(record, now)
+            return
+        job = self._find_job(record.task)
+        order = None
+        if job is not None and job.is_open and not run.is_stop_wanted:
+            order = session.make_start(run, job.spec.text, now.steady)
+        if order is None:
+            session.remove_run(run.task)
+            self._commit_lost(record, now)
+        else:
+            self.effects.append(SendStart(session, order))
+
+    def _commit_lost(self, record: RunStarted, now: Moment) -> None:
+        self.waiting.in_flight.add(record.task)
+        lost = RunEnded(record.task, record.run, RunEnd.lost, '', now.wall)
+        self.effects.append(CommitBatch((lost,)))
+
+    def _order_again(self, session: WorkerSession, now: Moment) -> None:
+        for run in session.get_unanswered(now.steady):
+            job = self._find_job(run.task)
+            if job is None or not job.is_open or run.is_stop_wanted:
+                session.want_stop(run)
+                continue
+            order = session.make_start(run, job.spec.text, now.steady)
+            if order is not None:
+                self.effects.append(SendStart(session, order))
+
+    def _commit_ends(
+        self,
+        session: WorkerSession,
+        ended: Iterable[EndedRun],
+        now: Moment,
+    ) -> None:
+        records = tuple(self.ends.get_records(session, ended, now))
+        if records or session.seen_number > session.cursor:
+            self.effects.append(
+                CommitBatch(records, session, session.seen_number),
+            )
+
+    def _stop_job(self, job_id: JobId) -> None:
+        self.waiting.mark((job_id,))
+        prefix = f'{job_id}.'
+        for session in self.sessions.values():
+            for run in session.runs.values():
+                if run.task.startswith(prefix):
+                    session.want_stop(run)
+
+    def _forget_session(self, session: WorkerSession) -> None:
+        announced = session.announced
+        self.sessions.pop(announced.worker)
+        record = WorkerGone(announced.worker, announced.incarnation)
+        self.effects.append(CommitBatch((record,)))
+
+    def _forget_jobs(self, now: Moment) -> None:
+        old = tuple(
+            job.spec.job
+            for job in self.state.jobs.jobs.values()
+            if _is_forgettable(job, now)
+        )
+        if old:
+            self.effects.append(CommitBatch((JobsForgotten(old),)))
+
+
+def _log_belief(announced: Announced, belief: str) -> None:
+    log_event(
+        WorkerBelievedEvent(
+            announced.worker,
+            announced.service,
+            belief,
+            announced.incarnation,
+        ),
+    )
+
+
+def _is_gone(session: WorkerSession, now: Moment) -> bool:
+    if session.runs or now.steady < session.lapse_at:
+        return False
+    if session.gone_at is not None:
+        return True
+    silent = now.steady - max(session.heard_at, session.reached_at)
+    return silent > _SILENT_SECONDS
+
+
+def _is_forgettable(job: Job, now: Moment) -> bool:
+    if job.is_open or any(task.worker for task in job.tasks.values()):
+        return False
+    return job.ended_at + _STATUS_SECONDS < now.wall
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -0,0 +1,187 @@
+"""Handling of requests about jobs and workers on the leader."""
+
+from abc import abstractmethod
+from collections.abc import Callable
+from typing import ClassVar
+
+from attrs import define
+from expression import Error, Ok, Result
+
+from hornbeamstair_callers.jobs.events import JobAcceptedEvent
+from hornbeamstair_callers.jobs.failures import (
+    JobUnknownFailure,
+    QueueUnknownFailure,
+)
+from hornbeamstair_callers.jobs.records import JobAccepted, JobCancelled
+from hornbeamstair_callers.jobs.requests import (
+    CancelJob,
+    CountPending,
+    JobReply,
+    PendingReply,
+    QueuePlace,
+    ShowJob,
+    SubmitJob,
+)
+from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
+from hornbeamstair_callers.jobs.table import Job
+from hornbeamstair_core.committing import Committer
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_core.requests import (
+    DoneReply,
+    Reply,
+    Request,
+    RequestHandler,
+)
+from hornbeamstair_operators.failures import NoManifestFailure
+from hornbeamstair_operators.manifest.messages import Queue
+from hornbeamstair_replicas.failures import NotLeaderFailure
+from hornbeamstair_upstreams.work.messages import Announced, WorkerSeen
+from hornbeamstair_upstreams.work.requests import (
+    AnnounceWorker,
+    WithdrawWorker,
+)
+
+__all__ = ('JobRequestHandler', 'RecordCommitter', 'WorkerRequestHandler')
+
+
+class RecordCommitter(Committer):
+    """Way to commit records and to reach the scheduler of this term."""
+
+    @abstractmethod
+    def find_scheduler(self) -> Scheduler | None:
+        """Find the scheduler while this process leads."""
+
+
+@define(eq=False)
+class JobRequestHandler(RequestHandler):
+    """Handler of the callers' requests."""
+
+    requests: ClassVar[tuple[type[Request], ...]] = (
+        CancelJob,
+        CountPending,
+        ShowJob,
+        SubmitJob,
+    )
+    replies: ClassVar[tuple[type[Reply], ...]] = (JobReply, PendingReply)
+
+    state: SchedulerState
+    committer: RecordCommitter
+    get_moment: Callable[[], Moment]
+
+    async def handle(self, request: Request) -> Result[Reply, Failure]:
+        """Handle a request."""
+        match request:
+            case SubmitJob():
+                return await self._submit(request)
+            case ShowJob():
+                return self._find_job(request).map(_show)
+            case CancelJob():
+                return await self._cancel(request)
+            case CountPending(place):
+                return self._find_queue(place).map(self._count)
+        raise TypeError(request)
+
+    async def _submit(self, request: SubmitJob) -> Result[Reply, Failure]:
+        queue = self._find_queue(request.place)
+        if queue.is_error():
+            return Error(queue.error)
+        job_id = request.spec.job
+        if job_id in self.state.jobs.jobs:
+            return Ok(DoneReply())
+        began = self.get_moment()
+        record = JobAccepted(
+            request.spec,
+            queue.ok.queue,
+            queue.ok.service,
+            began.wall,
+        )
+        committed = await self.committer.commit((record,))
+        if committed.is_error():
+            return Error(committed.error)
+        seconds = self.get_moment().steady - began.steady
+        log_event(
+            JobAcceptedEvent(
+                job_id,
+                queue.ok.queue,
+                queue.ok.service,
+                sum(phase.count for phase in request.spec.phases),
+                self.state.manifest.version,
+                round(seconds * 1000),
+            ),
+        )
+        return Ok(DoneReply())
+
+    async def _cancel(self, request: CancelJob) -> Result[Reply, Failure]:
+        job = self._find_job(request)
+        if job.is_error():
+            return Error(job.error)
+        if job.ok.is_open:
+            record = JobCancelled(request.job, self.get_moment().wall)
+            committed = await self.committer.commit((record,))
+            if committed.is_error():
+                return Error(committed.error)
+        return Ok(DoneReply())
+
+    def _find_job(
+        self,
+        request: ShowJob | CancelJob,
+    ) -> Result[Job, Failure]:
+        queue = self._find_queue(request.place)
+        if queue.is_error():
+            return Error(queue.error)
+        job = self.state.jobs.jobs.get(request.job)
+        if job is None:
+            return Error(JobUnknownFailure(request.job))
+        return Ok(job)
+
+    def _find_queue(self, place: QueuePlace) -> Result[Queue, Failure]:
+        manifest = self.state.manifest
+        if manifest.manifest is None:
+            return Error(NoManifestFailure())
+        queue = manifest.find_queue(place.host, place.path)
+        if queue is None:
+            return Error(
+                QueueUnknownFailure(place.host, place.path, manifest.version),
+            )
+        return Ok(queue)
+
+    def _count(self, queue: Queue) -> Reply:
+        return PendingReply(self.state.jobs.pending[queue.queue])
+
+
+@define(eq=False)
+class WorkerRequestHandler(RequestHandler):
+    """Handler of the workers' requests."""
+
+    requests: ClassVar[tuple[type[Request], ...]] = (
+        AnnounceWorker,
+        WithdrawWorker,
+    )
+    replies: ClassVar[tuple[type[Reply], ...]] = (DoneReply,)
+
+    committer: RecordCommitter
+    get_moment: Callable[[], Moment]
+
+    async def handle(self, request: Request) -> Result[Reply, Failure]:
+        """Handle a request."""
+        scheduler = self.committer.find_scheduler()
+        if scheduler is None:
+            return Error(NotLeaderFailure(''))
+        now = self.get_moment()
+        match request:
+            case AnnounceWorker(announced):
+                if scheduler.note_announced(announced, now):
+                    return await self._record(announced)
+            case WithdrawWorker(worker):
+                scheduler.note_left(worker, now)
+        return Ok(DoneReply())
+
+    async def _record(self, announced: Announced) -> Result[Reply, Failure]:
+        committed = await self.committer.commit((WorkerSeen(announced),))
+        return committed.map(lambda _: DoneReply())
+
+
+def _show(job: Job) -> Reply:
+    return JobReply(job.spec.job, job.state)
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -0,0 +1,122 @@
+"""Placement of the waiting tasks and the records of their starts."""
+
+from collections.abc import Iterator
+
+from attrs import define
+
+from hornbeamstair_callers.jobs.events import RunPlacedEvent
+from hornbeamstair_callers.jobs.ready import ReadyPhase
+from hornbeamstair_callers.jobs.records import RunStarted
+from hornbeamstair_callers.jobs.table import Job
+from hornbeamstair_callers.jobs.waiting import WaitingJob, WaitingJobs
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.ids import TaskId
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_upstreams.work.placement import Placement
+from hornbeamstair_upstreams.work.runs import Run, RunState
+from hornbeamstair_upstreams.work.session import WorkerSession
+
+__all__ = ('StartPlanner',)
+
+
+@define(eq=False)
+class StartPlanner:
+    """Placement of tasks; each takes room at once, before its record."""
+
+    waiting: WaitingJobs
+    fencing_token: int
+
+    def place_job(
+        self,
+        found: WaitingJob,
+        placement: Placement,
+        now: Moment,
+    ) -> Iterator[RunStarted]:
+        """Place the ready tasks of a job as far as there is room."""
+        left: list[ReadyPhase] = []
+        for ready in found.phases:
+            tasks = self._get_tasks(ready)
+            placed = self._place_phase(found.job, ready, tasks, placement, now)
+            rest = tuple(tasks[len(placed) :])
+            if rest:
+                left.append(
+                    ReadyPhase(ready.key, ready.phase, ready.group, rest),
+                )
+            yield from placed
+        self.waiting.put_left(found.job.spec.job, left)
+
+    def _get_tasks(self, ready: ReadyPhase) -> list[TaskId]:
+        in_flight = self.waiting.in_flight
+        tasks = [task for task in ready.tasks if task not in in_flight]
+        if ready.phase.is_gang and len(tasks) < ready.phase.count:
+            # A gang starts as a whole.
+            return []
+        return tasks
+
+    def _place_phase(
+        self,
+        job: Job,
+        ready: ReadyPhase,
+        tasks: list[TaskId],
+        placement: Placement,
+        now: Moment,
+    ) -> list[RunStarted]:
+        chosen: list[tuple[WorkerSession, Run]] = []
+        for task in tasks:
+            session = placement.choose(ready.phase.needs, ready.group)
+            if session is None:
+                break
+            run = _make_run(job, ready, task, now)
+            session.add_run(run)
+            chosen.append((session, run))
+        if ready.phase.is_gang and len(chosen) < len(tasks):
+            for taken, unplaced in chosen:
+                taken.remove_run(unplaced.task)
+            return []
+        return [self._record(*pair) for pair in chosen]
+
+    def _record(self, session: WorkerSession, run: Run) -> RunStarted:
+        self.waiting.in_flight.add(run.task)
+        announced = session.announced
+        log_event(
+            RunPlacedEvent(
+                run.task,
+                run.run,
+                announced.worker,
+                self.fencing_token,
+            ),
+        )
+        return RunStarted(
+            run.task,
+            run.run,
+            announced.worker,
+            announced.incarnation,
+        )
+
+
+def _make_run(
+    job: Job,
+    ready: ReadyPhase,
+    task: TaskId,
+    now: Moment,
+) -> Run:
+    # The members of a gang share the number of their run.
+    members = ready.tasks if ready.phase.is_gang else (task,)
+    return Run(
+        task,
+        1 + max(job.get_task(member).run for member in members),
+        ready.phase.needs,
+        ready.group,
+        RunState.recorded,
+        now.steady,
+        _get_checkpoint(job, ready, task),
+    )
+
+
+def _get_checkpoint(job: Job, ready: ReadyPhase, task: TaskId) -> str:
+    own = job.get_task(task).checkpoint
+    if not ready.phase.is_gang:
+        return own
+    # All members start from the same point, which any of them may give.
+    saved = (job.get_task(member).checkpoint for member in ready.tasks)
+    return next((found for found in saved if found), '')
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -0,0 +1,245 @@
+"""Replicated table of jobs and of the runs of their tasks."""
+
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any, ClassVar
+
+from attrs import define, field, frozen
+
+from hornbeamstair_callers.jobs.messages import (
+    JobSpec,
+    JobState,
+    PhaseKey,
+    TaskPlace,
+    make_task_id,
+    parse_task_id,
+)
+from hornbeamstair_callers.jobs.records import (
+    JobAccepted,
+    JobCancelled,
+    JobFailed,
+    JobsForgotten,
+    RunEnded,
+    RunStarted,
+)
+from hornbeamstair_core.ids import (
+    JobId,
+    QueueName,
+    ServiceName,
+    TaskId,
+    WorkerId,
+)
+from hornbeamstair_core.invariants import check_invariant
+from hornbeamstair_core.records import Record, RecordTable
+from hornbeamstair_upstreams.work.messages import RunEnd
+
+__all__ = ('Job', 'JobTable', 'JobTableState', 'Task')
+
+_NO_WORKER = WorkerId('')
+
+
+@define(eq=False)
+class Task:
+    """Task of a job: its last run and what is known of its work."""
+
+    run: int = 0
+    # Worker of the run that has not ended; empty if there is none.
+    worker: WorkerId = _NO_WORKER
+    incarnation: int = 0
+    is_done: bool = False
+    failures: int = 0
+    checkpoint: str = ''
+
+
+@define(eq=False)
+class Job:
+    """Accepted job."""
+
+    spec: JobSpec
+    queue: QueueName
+    service: ServiceName
+    accepted_at: float
+    state: JobState = JobState.queued
+    # Tasks that were started at least once.
+    tasks: dict[TaskId, Task] = field(factory=dict)
+    # Tasks done, by occurrence and phase.
+    done: dict[str, int] = field(factory=dict)
+    ended_at: float = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether tasks of the job may still start."""
+        return self.state in {JobState.queued, JobState.running}
+
+    def get_task(self, task: TaskId) -> Task:
+        """Get a task, also one that never started."""
+        return self.tasks.get(task) or Task()
+
+    def count_done(self, occurrence: int, phase: int) -> int:
+        """Count the tasks of a phase that are done."""
+        return self.done.get(f'{occurrence}.{phase}', 0)
+
+    def is_phase_done(self, occurrence: int, phase: int) -> bool:
+        """Tell whether all tasks of a phase are done."""
+        wanted = self.spec.phases[phase].count
+        return self.count_done(occurrence, phase) >= wanted
+
+    def is_done(self) -> bool:
+        """Tell whether every task of every occurrence is done."""
+        wanted = sum(phase.count for phase in self.spec.phases)
+        return sum(self.done.values()) >= wanted * self.spec.occurrences
+
+    def note_done(self, key: PhaseKey, task: Task) -> None:
+        """Count a task as done."""
+        if task.is_done:
+            return
+        task.is_done = True
+        name = f'{key.occurrence}.{key.phase}'
+        self.done[name] = self.done.get(name, 0) + 1
+
+
+@frozen
+class JobTableState:
+    """Jobs in a snapshot."""
+
+    jobs: tuple[Job, ...]
+
+
+@define(eq=False)
+class JobTable(RecordTable):
+    """Jobs by their identifier."""
+
+    name: ClassVar[str] = 'jobs'
+    records: ClassVar[tuple[type[Record], ...]] = (
+        JobAccepted,
+        JobCancelled,
+        JobFailed,
+        JobsForgotten,
+        RunEnded,
+        RunStarted,
+    )
+    state_class: ClassVar[type[Any]] = JobTableState
+
+    jobs: dict[JobId, Job] = field(factory=dict)
+    # Jobs of each queue of which nothing was started.
+    pending: 'Counter[QueueName]' = field(factory=Counter)
+
+    def apply(self, record: Record) -> object:
+        """Apply a record; tell whether it changed anything."""
+        match record:
+            case JobAccepted():
+                return self._accept(record)
+            case JobCancelled(job, at):
+                return self._end(job, JobState.cancelled, at)
+            case JobFailed(job, at):
+                return self._end(job, JobState.failed, at)
+            case JobsForgotten(jobs):
+                return self._forget(jobs)
+            case RunStarted():
+                return self._start(record)
+            case RunEnded():
+                return self._end_run(record)
+        return False
+
+    def get_open(self) -> Iterator[Job]:
+        """Get the jobs of which tasks may still start."""
+        return (job for job in self.jobs.values() if job.is_open)
+
+    def get_state(self) -> JobTableState:
+        """Get the jobs."""
+        return JobTableState(tuple(self.jobs.values()))
+
+    def put_state(self, state: Any) -> None:
+        """Replace the jobs."""
+        found = () if state is None else state.jobs
+        self.jobs = {job.spec.job: job for job in found}
+        self.pending = Counter(
+            job.queue for job in found if job.state == JobState.queued
+        )
+
+    def _accept(self, record: JobAccepted) -> bool:
+        job = record.spec.job
+        if job in self.jobs:
+            return False
+        self.jobs[job] = Job(
+            record.spec,
+            record.queue,
+            record.service,
+            record.accepted_at,
+        )
+        self.pending[record.queue] += 1
+        return True
+
+    def _end(self, job_id: JobId, state: JobState, at: float) -> bool:
+        job = self.jobs.get(job_id)
+        if job is None or not job.is_open:
+            return False
+        self._leave_queue(job)
+        job.state = state
+        job.ended_at = at
+        return True
+
+    def _forget(self, jobs: tuple[JobId, ...]) -> bool:
+        for job in jobs:
+            self.jobs.pop(job, None)
+        return True
+
+    def _leave_queue(self, job: Job) -> None:
+        if job.state == JobState.queued:
+            self.pending[job.queue] -= 1
+
+    def _start(self, record: RunStarted) -> bool:
+        place = parse_task_id(record.task)
+        job = self.jobs.get(place.key.job)
+        if job is None or not job.is_open:
+            return False
+        task = job.tasks.setdefault(record.task, Task())
+        check_invariant(
+            not task.worker and not task.is_done and record.run > task.run,
+            'a task has one run at a time',
+            f'{record.task} run {record.run} beside {task.run}',
+        )
+        task.run = record.run
+        task.worker = record.worker
+        task.incarnation = record.incarnation
+        self._leave_queue(job)
+        job.state = JobState.running
+        return True
+
+    def _end_run(self, record: RunEnded) -> bool:
+        place = parse_task_id(record.task)
+        job = self.jobs.get(place.key.job)
+        task = None if job is None else job.tasks.get(record.task)
+        if job is None or task is None or task.run != record.run:
+            return False
+        if not task.worker:
+            return False
+        task.worker = _NO_WORKER
+        task.checkpoint = record.checkpoint or task.checkpoint
+        if record.end == RunEnd.failed:
+            task.failures += 1
+        if record.end == RunEnd.done:
+            self._note_done(job, place, task, record.at)
+        return True
+
+    def _note_done(
+        self,
+        job: Job,
+        place: TaskPlace,
+        task: Task,
+        at: float,
+    ) -> None:
+        key = place.key
+        phase = job.spec.phases[key.phase]
+        if phase.needs.lasts:
+            # A task that lasts runs again however it ends.
+            return
+        job.note_done(key, task)
+        if phase.is_gang:
+            # The members of a gang end together: one end stands for all.
+            for index in range(phase.count):
+                member = job.tasks.setdefault(make_task_id(key, index), Task())
+                job.note_done(key, member)
+        if job.is_open and job.is_done():
+            job.state = JobState.completed
+            job.ended_at = at
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting.py
@@ -0,0 +1,82 @@
+"""Index of the jobs that have tasks to start."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from hornbeamstair_callers.jobs.order import JobOrder
+from hornbeamstair_callers.jobs.ready import ReadyPhase, find_ready
+from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_core.ids import JobId, ServiceName, TaskId
+from hornbeamstair_operators.manifest.table import ManifestTable
+
+__all__ = ('WaitingJob', 'WaitingJobs')
+
+
+@define(eq=False)
+class WaitingJob:
+    """Job with its place in the order and its ready tasks."""
+
+    key: tuple[float, ...]
+    job: Job
+    phases: list[ReadyPhase]
+
+
+@define(eq=False)
+class WaitingJobs:
+    """Ready tasks by job, worked out again only for jobs that changed."""
+
+    jobs: JobTable
+    manifest: ManifestTable
+    order: JobOrder
+    ready: dict[JobId, list[ReadyPhase]] = field(factory=dict)
+    stale: set[JobId] = field(factory=set)
+    # Tasks of which a start or an end is being recorded.
+    in_flight: set[TaskId] = field(factory=set)
+
+    def mark(self, jobs: Iterable[JobId]) -> None:
+        """Have the ready tasks of jobs worked out again."""
+        self.stale.update(jobs)
+
+    def mark_due(self) -> None:
+        """Have the jobs worked out again that become due by time."""
+        self.mark(
+            job.spec.job
+            for job in self.jobs.get_open()
+            if job.spec.repeat_count
+        )
+
+    def get_waiting(
+        self,
+        wall: float,
+    ) -> dict[ServiceName, list[WaitingJob]]:
+        """Get the waiting jobs of each service in their order."""
+        self._refresh(wall)
+        by_service: dict[ServiceName, list[WaitingJob]] = {}
+        for job_id, phases in self.ready.items():
+            job = self.jobs.jobs[job_id]
+            queue = self.manifest.find_known(job.queue)
+            if queue is not None:
+                key = self.order.get_key(job, queue, wall)
+                waiting = WaitingJob(key, job, phases)
+                by_service.setdefault(queue.service, []).append(waiting)
+        for found in by_service.values():
+            found.sort(key=_get_key)
+        return by_service
+
+    def put_left(self, job: JobId, phases: list[ReadyPhase]) -> None:
+        """Keep the tasks that could not be placed."""
+        if phases:
+            self.ready[job] = phases
+        else:
+            self.ready.pop(job, None)
+
+    def _refresh(self, wall: float) -> None:
+        for job_id in self.stale:
+            job = self.jobs.jobs.get(job_id)
+            self.put_left(job_id, [] if job is None else find_ready(job, wall))
+        self.stale.clear()
+
+
+def _get_key(waiting: WaitingJob) -> tuple[float, ...]:
+    return waiting.key
--- a/packages/core/hornbeamstair_core/events.py
+++ b/packages/core/hornbeamstair_core/events.py
@@ -2,6 +2,8 @@
 
 import json
 import logging as std_logging
+import os
+import sys
 from abc import ABC
 from enum import Enum
 from typing import ClassVar, Final, TypeVar
@@ -9,6 +11,7 @@
 from absl import flags, logging
 from attrs import asdict, frozen
 
+from hornbeamstair_core.log_stream import EventBudget, NonBlockingStream
 from hornbeamstair_core.registry import NumberedRegistry
 
 __all__ = (
@@ -18,6 +21,7 @@
     'log_event',
     'register_event',
     'set_up_logging',
+    'set_up_stream_logging',
 )
 
 
@@ -101,6 +105,44 @@
         std_logging.getLogger(name).setLevel(std_logging.ERROR)
 
 
+class _StreamHandler(std_logging.Handler):
+    """Write records as JSON lines, bounded for each event."""
+
+    def __init__(self, process: str) -> None:
+        """Write to standard output without ever waiting for it."""
+        super().__init__()
+        self.setFormatter(_JsonEventFormatter())
+        self.budget = EventBudget()
+        self.process = process
+        descriptor = sys.stdout.fileno()
+        os.set_blocking(descriptor, False)
+        self.stream = NonBlockingStream(descriptor)
+
+    def emit(self, record: std_logging.LogRecord) -> None:
+        """Write a record unless its event is over its budget."""
+        event = getattr(record, 'event', None)
+        number = 0 if event is None else event.number
+        if not self.budget.take(number, record.created):
+            return
+        line = self.format(record)
+        left_out = self.budget.pop_left_out(number)
+        extra = f', "left_out": {left_out}' if left_out else ''
+        text = f'{{"process": "{self.process}"{extra}, {line[1:]}\n'
+        self.stream.write(text.encode())
+
+
+def set_up_stream_logging(process: str) -> None:
+    """Send log records to standard output as bounded JSON lines."""
+    set_up_logging(as_json=True)
+    logger = logging.get_absl_logger()
+    for handler in list(logger.handlers):
+        logger.removeHandler(handler)
+    root = std_logging.getLogger()
+    for root_handler in list(root.handlers):
+        root.removeHandler(root_handler)
+    root.addHandler(_StreamHandler(process))
+
+
 def log_event(event: Event) -> None:
     """Write an event to the log."""
     logging.log(event.level.value, '%s', event.name, extra={'event': event})
--- a/packages/core/hornbeamstair_core/front_end.py
+++ b/packages/core/hornbeamstair_core/front_end.py
@@ -125,6 +125,9 @@
 class HttpFrontEnd(FrontEnd):
     """Front end over HTTP on the loop of the process."""
 
+    # Seconds that a connection without a request stays open.
+    keep_alive_seconds: ClassVar[int] = 5
+
     listener: Listener
     server: _EmbeddedServer | None = field(default=None, init=False)
     serving: 'Task[None] | None' = field(default=None, init=False)
@@ -145,6 +148,7 @@
                 loop='asyncio',
                 lifespan='off',
                 log_config=None,
+                timeout_keep_alive=self.keep_alive_seconds,
                 access_log=False,
                 proxy_headers=False,
                 server_header=False,
--- a/packages/core/hornbeamstair_core/ids.py
+++ b/packages/core/hornbeamstair_core/ids.py
@@ -6,24 +6,34 @@
 __all__ = (
     'CustomerId',
     'HostId',
+    'JobId',
+    'MachineId',
     'PoolName',
     'ProcessId',
+    'QueueName',
     'RackName',
     'RequestId',
     'ServiceName',
+    'TaskId',
     'UpstreamId',
+    'WorkerId',
     'ZoneName',
     'is_name',
 )
 
 CustomerId = NewType('CustomerId', str)
 HostId = NewType('HostId', str)
+JobId = NewType('JobId', str)
+MachineId = NewType('MachineId', str)
 PoolName = NewType('PoolName', str)
 ProcessId = NewType('ProcessId', str)
+QueueName = NewType('QueueName', str)
 RackName = NewType('RackName', str)
 RequestId = NewType('RequestId', str)
 ServiceName = NewType('ServiceName', str)
+TaskId = NewType('TaskId', str)
 UpstreamId = NewType('UpstreamId', str)
+WorkerId = NewType('WorkerId', str)
 ZoneName = NewType('ZoneName', str)
 
 _NAME_PATTERN: Final = re.compile('[a-z0-9](?:[a-z0-9._-]{0,62}[a-z0-9])?')
--- a/packages/core/hornbeamstair_core/metrics.py
+++ b/packages/core/hornbeamstair_core/metrics.py
@@ -19,6 +19,8 @@
     outcomes: Counter = field(init=False)
     start_wait: Histogram = field(init=False)
     gauges: Gauge = field(init=False)
+    orders: Histogram = field(init=False)
+    leader_calls: Histogram = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the metrics in the registry."""
@@ -46,6 +48,18 @@
             ['service'],
             registry=self.registry,
         )
+        self.orders = Histogram(
+            'hornbeamstair_order_seconds',
+            'Time from an order to a worker to its answer, by outcome.',
+            ['order', 'outcome'],
+            registry=self.registry,
+        )
+        self.leader_calls = Histogram(
+            'hornbeamstair_leader_call_seconds',
+            'Time that a request to the leader took, by kind and outcome.',
+            ['request', 'outcome'],
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             'hornbeamstair_state',
             'Sizes of the state in memory.',
--- a/packages/daemon/hornbeamstair_daemon/events.py
+++ b/packages/daemon/hornbeamstair_daemon/events.py
@@ -9,6 +9,7 @@
     'DaemonStartedEvent',
     'DaemonStoppedEvent',
     'DaemonStoppingEvent',
+    'SettingsReloadedEvent',
 )
 
 
@@ -61,3 +62,15 @@
     level = EventLevel.error
 
     reason: str
+
+
+@register_event
+@frozen
+class SettingsReloadedEvent(Event):
+    """Settings that were read again."""
+
+    number = 7005
+    name = 'settings_reloaded'
+    summary = 'The settings were read again; a refused file changes nothing.'
+
+    refusal: str
--- a/packages/daemon/hornbeamstair_daemon/groups.py
+++ b/packages/daemon/hornbeamstair_daemon/groups.py
@@ -19,12 +19,9 @@
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.state_machine import StateMachine
 from hornbeamstair_replicas.storage.file import FileLogStorage
-from hornbeamstair_replicas.transport.base import (
-    LocalTransport,
-    PeerTransport,
-    get_address,
-)
+from hornbeamstair_replicas.transport.base import LocalTransport, PeerTransport
 from hornbeamstair_replicas.transport.websocket import WebsocketTransport
+from hornbeamstair_replicas.voter_ids import get_address
 from hornbeamstair_replicas.voting.timing import Timing
 
 __all__ = ('GroupFactory', 'make_group_factory')
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/system/__init__.py
@@ -0,0 +1,1 @@
+"""Processes that find each other from a few seed addresses."""
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -0,0 +1,195 @@
+"""Wiring of the roles of the system."""
+
+from random import Random
+from typing import Final
+
+from hornbeamstair_callers.endpoints.maintenance import MaintenanceKeeper
+from hornbeamstair_callers.jobs.runner import WorkRunner
+from hornbeamstair_callers.jobs.scheduler import SchedulerState
+from hornbeamstair_callers.jobs.service import (
+    JobRequestHandler,
+    WorkerRequestHandler,
+)
+from hornbeamstair_callers.jobs.table import JobTable
+from hornbeamstair_core.clock import get_moment, get_steady_time
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.requests import DoneReply
+from hornbeamstair_daemon.system.identity import open_identity
+from hornbeamstair_daemon.system.process import (
+    ControlProcess,
+    EntryProcess,
+)
+from hornbeamstair_daemon.system.settings import SystemSettings
+from hornbeamstair_fleet.machines import MachinesClient
+from hornbeamstair_fleet.waves.service import WaveRequestHandler
+from hornbeamstair_fleet.waves.table import WaveTable
+from hornbeamstair_operators.manifest.service import ManifestRequestHandler
+from hornbeamstair_operators.manifest.table import ManifestTable
+from hornbeamstair_replicas.calls.codec import RequestCodec
+from hornbeamstair_replicas.calls.endpoints.channel import LeaderChannel
+from hornbeamstair_replicas.calls.endpoints.client import (
+    LeaderClient,
+    RequestService,
+)
+from hornbeamstair_replicas.calls.targets import LeaderTargets
+from hornbeamstair_replicas.groups.node import open_node
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.membership.groups import MembershipKeeper
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.storage.file import FileLogStorage
+from hornbeamstair_replicas.tables.codec import TableStateMachine
+from hornbeamstair_replicas.transport.resolvers import (
+    AddressedPeersResolver,
+    get_addressed_process,
+)
+from hornbeamstair_replicas.transport.websocket import WebsocketTransport
+from hornbeamstair_replicas.voter_ids import get_address
+from hornbeamstair_replicas.voting.timing import Timing
+from hornbeamstair_upstreams.work.sender import WorkerSender
+from hornbeamstair_upstreams.work.table import WorkerTable
+
+__all__ = ('get_contacts', 'wire_control', 'wire_entry')
+
+_GROUP: Final = 'work'
+_HANDLERS: Final = (
+    JobRequestHandler,
+    ManifestRequestHandler,
+    WaveRequestHandler,
+    WorkerRequestHandler,
+)
+
+
+def get_contacts(settings: SystemSettings) -> tuple[VoterId, ...]:
+    """Get the processes that may know the leader."""
+    return tuple(
+        get_address(get_addressed_process(seed)) for seed in settings.seeds
+    )
+
+
+def wire_entry(settings: SystemSettings) -> EntryProcess:
+    """Wire a process between callers and the leader."""
+    metrics = Metrics()
+    own = get_address(get_addressed_process(settings.listener))
+    transport = _make_transport(settings, own, metrics)
+    channel = _make_channel(settings, transport, metrics)
+    client = LeaderClient(channel, _make_codec(), metrics, get_steady_time)
+    return EntryProcess(settings, metrics, transport, channel, client)
+
+
+def wire_control(
+    settings: SystemSettings,
+    sender: WorkerSender,
+    machines: MachinesClient | None,
+) -> ControlProcess:
+    """Wire a process that may vote; ValueError without a data folder."""
+    if settings.data_folder is None:
+        raise ValueError('a process that votes needs a data folder')
+    identity = open_identity(
+        get_addressed_process(settings.listener),
+        settings.data_folder,
+        tuple(get_addressed_process(seed) for seed in settings.seeds),
+        bootstrap=settings.bootstrap,
+    )
+    metrics = Metrics()
+    transport = _make_transport(settings, identity.voter, metrics)
+    state = SchedulerState(JobTable(), ManifestTable(), WorkerTable())
+    waves = WaveTable()
+    machine = TableStateMachine(
+        (state.jobs, state.manifest, state.workers, waves),
+    )
+    node = open_node(
+        _GROUP,
+        identity.voter,
+        FileLogStorage(settings.data_folder / _GROUP),
+        machine,
+        identity.founders,
+        Timing(),
+        Random(),
+        get_steady_time(),
+    )
+    group = VotingGroup(_GROUP, node, transport, get_steady_time)
+    channel = _make_channel(settings, transport, metrics)
+    codec = _make_codec()
+    runner = WorkRunner(
+        group,
+        machine,
+        state,
+        sender,
+        settings.lease,
+        metrics,
+        get_moment,
+    )
+    handlers = (
+        JobRequestHandler(state, runner, get_moment),
+        ManifestRequestHandler(state.manifest, runner),
+        WorkerRequestHandler(runner, get_moment),
+        WaveRequestHandler(waves, runner, get_moment),
+    )
+    channel.service = RequestService(
+        group,
+        handlers,
+        codec,
+        lambda: runner.find_scheduler() is not None,
+    )
+    return ControlProcess(
+        settings,
+        metrics,
+        transport,
+        channel,
+        LeaderClient(channel, codec, metrics, get_steady_time),
+        group,
+        MembershipKeeper(group, channel, settings.zone, get_steady_time),
+        runner,
+        _make_maintenance(settings, waves, runner, machines),
+    )
+
+
+def _make_maintenance(
+    settings: SystemSettings,
+    waves: WaveTable,
+    runner: WorkRunner,
+    machines: MachinesClient | None,
+) -> MaintenanceKeeper | None:
+    if machines is None:
+        return None
+    return MaintenanceKeeper(
+        settings.label,
+        waves,
+        runner,
+        machines,
+        get_moment,
+    )
+
+
+def _make_codec() -> RequestCodec:
+    requests = [kind for found in _HANDLERS for kind in found.requests]
+    replies = [kind for found in _HANDLERS for kind in found.replies]
+    return RequestCodec(requests, (DoneReply, *replies))
+
+
+def _make_transport(
+    settings: SystemSettings,
+    own: VoterId,
+    metrics: Metrics,
+) -> WebsocketTransport:
+    return WebsocketTransport(
+        own,
+        listener=settings.listener,
+        # The network between the processes is closed to all others.
+        key=b'',
+        metrics=metrics,
+        resolver=AddressedPeersResolver(),
+    )
+
+
+def _make_channel(
+    settings: SystemSettings,
+    transport: WebsocketTransport,
+    metrics: Metrics,
+) -> LeaderChannel:
+    return LeaderChannel(
+        transport,
+        LeaderTargets(get_contacts(settings)),
+        metrics,
+        get_steady_time,
+    )
--- /dev/null
+++ b/packages/fleet/hornbeamstair_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet: hosts, pools, moves and maintenance waves."""
--- a/packages/platform/hornbeamstair_platform/assignment.py
+++ b/packages/fleet/hornbeamstair_fleet/assignment.py
@@ -6,8 +6,8 @@
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import HostId, PoolName
 from hornbeamstair_core.invariants import check_invariant
-from hornbeamstair_platform.failures import HostTakenFailure
-from hornbeamstair_platform.messages import Pool
+from hornbeamstair_fleet.failures import HostTakenFailure
+from hornbeamstair_fleet.messages import Pool
 
 __all__ = ('PoolTable',)
 
--- a/packages/platform/hornbeamstair_platform/failures.py
+++ b/packages/fleet/hornbeamstair_fleet/failures.py
@@ -4,7 +4,7 @@
 
 from hornbeamstair_core.failures import Failure, register_failure
 
-__all__ = ('HostTakenFailure',)
+__all__ = ('HostTakenFailure', 'WaveUnknownFailure')
 
 
 @register_failure
@@ -19,3 +19,16 @@
 
     host: str
     pool: str
+
+
+@register_failure
+@frozen
+class WaveUnknownFailure(Failure):
+    """Wave that was never declared."""
+
+    number = 6002
+    name = 'wave_unknown'
+    summary = 'No such wave was declared.'
+    http_status = 404
+
+    wave: int
--- a/packages/platform/hornbeamstair_platform/messages.py
+++ b/packages/fleet/hornbeamstair_fleet/messages.py
@@ -1,4 +1,4 @@
-"""Hosts and pools as the platform knows them."""
+"""Hosts and pools of the fleet."""
 
 from attrs import frozen
 
@@ -15,7 +15,7 @@
 
 @frozen
 class Host:
-    """Worker of the platform and the failure domains it stands in."""
+    """Machine of the fleet and the failure domains it stands in."""
 
     host: HostId
     zone: ZoneName
--- /dev/null
+++ b/packages/fleet/hornbeamstair_fleet/waves/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance waves: which machine goes down when."""
--- a/packages/operators/hornbeamstair_operators/capacity.py
+++ b/packages/operators/hornbeamstair_operators/capacity.py
@@ -7,9 +7,9 @@
 
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import ServiceName
+from hornbeamstair_fleet.messages import Pool
 from hornbeamstair_operators.failures import OverPromiseFailure
 from hornbeamstair_operators.messages import Contract
-from hornbeamstair_platform.messages import Pool
 
 __all__ = ('check_capacity',)
 
--- a/packages/operators/hornbeamstair_operators/changes/pool.py
+++ b/packages/operators/hornbeamstair_operators/changes/pool.py
@@ -6,10 +6,10 @@
 from expression import Result
 
 from hornbeamstair_core.failures import Failure
+from hornbeamstair_fleet.messages import Pool
 from hornbeamstair_operators.capacity import check_capacity
 from hornbeamstair_operators.changes.base import Change
 from hornbeamstair_operators.tables import ControlTables
-from hornbeamstair_platform.messages import Pool
 
 __all__ = ('DeclarePoolChange',)
 
--- a/packages/operators/hornbeamstair_operators/codec.py
+++ b/packages/operators/hornbeamstair_operators/codec.py
@@ -6,6 +6,7 @@
 
 from hornbeamstair_core.codec import make_family_converter
 from hornbeamstair_core.ids import RequestId
+from hornbeamstair_fleet.messages import Pool
 from hornbeamstair_operators.changes.base import Change, ChangeRequest
 from hornbeamstair_operators.changes.contract import (
     ApplyContractChange,
@@ -14,7 +15,6 @@
 from hornbeamstair_operators.changes.pool import DeclarePoolChange
 from hornbeamstair_operators.messages import ChangeAnswer, Contract
 from hornbeamstair_operators.state import ControlState, SubjectRevision
-from hornbeamstair_platform.messages import Pool
 
 __all__ = (
     'read_change_request',
--- a/packages/operators/hornbeamstair_operators/documents.py
+++ b/packages/operators/hornbeamstair_operators/documents.py
@@ -17,12 +17,12 @@
 )
 from hornbeamstair_core.options import OptionsReader
 from hornbeamstair_core.units import DAY
+from hornbeamstair_fleet.messages import Host, Pool
 from hornbeamstair_operators.messages import (
     Contract,
     ServicePromise,
     Urgency,
 )
-from hornbeamstair_platform.messages import Host, Pool
 
 __all__ = (
     'read_contract',
--- a/packages/operators/hornbeamstair_operators/failures.py
+++ b/packages/operators/hornbeamstair_operators/failures.py
@@ -5,6 +5,8 @@
 from hornbeamstair_core.failures import Failure, register_failure
 
 __all__ = (
+    'InvalidManifestFailure',
+    'NoManifestFailure',
     'NotFoundFailure',
     'OverPromiseFailure',
     'RevisionConflictFailure',
@@ -67,3 +69,27 @@
     name = 'unauthorized'
     summary = 'The credential is missing or wrong.'
     http_status = 401
+
+
+@register_failure
+@frozen
+class InvalidManifestFailure(Failure):
+    """Manifest that breaks a rule and changes nothing."""
+
+    number = 4005
+    name = 'invalid_manifest'
+    summary = 'The manifest is not valid; nothing was changed.'
+
+    version: int
+    reason: str
+
+
+@register_failure
+@frozen
+class NoManifestFailure(Failure):
+    """Request that needs a manifest before there is one."""
+
+    number = 4006
+    name = 'no_manifest'
+    summary = 'No manifest was accepted yet.'
+    http_status = 503
--- /dev/null
+++ b/packages/operators/hornbeamstair_operators/manifest/__init__.py
@@ -0,0 +1,1 @@
+"""Manifest: the queues of the callers and the services that run them."""
--- a/packages/operators/hornbeamstair_operators/service.py
+++ b/packages/operators/hornbeamstair_operators/service.py
@@ -7,6 +7,7 @@
 
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import CustomerId
+from hornbeamstair_fleet.messages import Pool
 from hornbeamstair_operators.changes.base import ChangeRequest
 from hornbeamstair_operators.codec import write_change_request
 from hornbeamstair_operators.failures import NotFoundFailure
@@ -14,7 +15,6 @@
 from hornbeamstair_operators.messages import ChangeAnswer, Contract
 from hornbeamstair_operators.state import ControlState
 from hornbeamstair_operators.state_machine import ControlStateMachine
-from hornbeamstair_platform.messages import Pool
 from hornbeamstair_replicas.groups.admin import GroupAdmin
 from hornbeamstair_replicas.groups.base import ReplicaGroup
 
--- a/packages/operators/hornbeamstair_operators/tables.py
+++ b/packages/operators/hornbeamstair_operators/tables.py
@@ -3,8 +3,8 @@
 from attrs import define, field
 
 from hornbeamstair_core.ids import CustomerId
+from hornbeamstair_fleet.assignment import PoolTable
 from hornbeamstair_operators.messages import Contract
-from hornbeamstair_platform.assignment import PoolTable
 
 __all__ = ('ControlTables',)
 
--- a/packages/platform/hornbeamstair_platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The platform that hornbeamstair manages."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls from any process to the leader of a group."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/calls/codec.py
@@ -0,0 +1,75 @@
+"""Encoding of requests to the leader, of its replies and refusals."""
+
+from collections.abc import Iterable
+from typing import Any, Final
+
+from cattrs import BaseValidationError
+from cattrs.preconf.cbor2 import make_converter
+from expression import Error, Ok, Result
+
+from hornbeamstair_core.codec import (
+    make_family_converter,
+    read_cbor,
+    write_cbor,
+)
+from hornbeamstair_core.failures import (
+    Failure,
+    InternalFailure,
+    UnreadablePayloadFailure,
+    find_failure,
+)
+from hornbeamstair_core.requests import Reply, Request
+
+__all__ = ('RequestCodec',)
+
+_ERRORS: Final = (BaseValidationError, KeyError, TypeError, ValueError)
+_NUMBER: Final = 'failure'
+
+
+class RequestCodec:
+    """Encoding of the requests and replies of some handlers as CBOR."""
+
+    def __init__(
+        self,
+        requests: Iterable[type[Request]],
+        replies: Iterable[type[Reply]],
+    ) -> None:
+        """Prepare the encoding of these classes."""
+        self.requests = make_family_converter(Request, tuple(requests))
+        self.replies = make_family_converter(Reply, tuple(set(replies)))
+        self.failures = make_converter()
+
+    def write_request(self, request: Request) -> bytes:
+        """Encode a request."""
+        return write_cbor(self.requests.unstructure(request, Request))
+
+    def read_request(self, payload: bytes) -> Result[Request, Failure]:
+        """Decode a request."""
+        try:
+            fields = read_cbor(payload)
+            return Ok(self.requests.structure(fields, Request))
+        except _ERRORS as error:
+            return Error(UnreadablePayloadFailure(repr(error)))
+
+    def write_outcome(self, outcome: Result[Reply, Failure]) -> bytes:
+        """Encode a reply or a failure."""
+        if outcome.is_ok():
+            return write_cbor(self.replies.unstructure(outcome.ok, Reply))
+        fields = self.failures.unstructure(outcome.error)
+        return write_cbor({_NUMBER: outcome.error.number, 'fields': fields})
+
+    def read_outcome(self, payload: bytes) -> Result[Reply, Failure]:
+        """Decode a reply or a failure."""
+        try:
+            fields = read_cbor(payload)
+            if _NUMBER in fields:
+                return Error(self._read_failure(fields))
+            return Ok(self.replies.structure(fields, Reply))
+        except _ERRORS as error:
+            return Error(InternalFailure(f'unreadable reply: {error!r}'))
+
+    def _read_failure(self, fields: dict[str, Any]) -> Failure:
+        failure_class = find_failure(fields[_NUMBER])
+        if failure_class is None:
+            return InternalFailure(f'unknown result code {fields[_NUMBER]}')
+        return self.failures.structure(fields['fields'], failure_class)
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints of the calls to the leader."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/calls/messages.py
@@ -0,0 +1,44 @@
+"""Messages between any process and the leader of a group."""
+
+from typing import ClassVar
+
+from attrs import frozen
+
+from hornbeamstair_core.ids import ZoneName
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.peer_messages import PeerMessage
+
+__all__ = ('LeaderAnswer', 'LeaderCall', 'MemberReport')
+
+
+@frozen
+class LeaderCall(PeerMessage):
+    """Call that only the leader answers; empty to ask whether it leads."""
+
+    kind: ClassVar[str] = 'leader_call'
+
+    number: int
+    payload: bytes
+
+
+@frozen
+class LeaderAnswer(PeerMessage):
+    """Answer of the leader, or of another voter that names the leader."""
+
+    kind: ClassVar[str] = 'leader_answer'
+
+    number: int
+    payload: bytes
+    is_leader: bool
+    leader: VoterId
+    voters: tuple[VoterId, ...]
+
+
+@frozen
+class MemberReport(PeerMessage):
+    """Report of a process that can vote."""
+
+    kind: ClassVar[str] = 'member_report'
+
+    voter: VoterId
+    zone: ZoneName
--- a/packages/replicas/hornbeamstair_replicas/codec.py
+++ b/packages/replicas/hornbeamstair_replicas/codec.py
@@ -15,6 +15,11 @@
     VoterChangeAnswer,
     VoterChangeRequest,
 )
+from hornbeamstair_replicas.calls.messages import (
+    LeaderAnswer,
+    LeaderCall,
+    MemberReport,
+)
 from hornbeamstair_replicas.peer_messages import (
     Envelope,
     FeedAnswer,
@@ -52,6 +57,9 @@
         FeedRequest,
         ForwardAnswer,
         ForwardRequest,
+        LeaderAnswer,
+        LeaderCall,
+        MemberReport,
         SnapshotAnswer,
         SnapshotChunk,
         TransferRequest,
--- a/packages/replicas/hornbeamstair_replicas/events.py
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -11,6 +11,7 @@
     'SnapshotWrittenEvent',
     'StorageFailedEvent',
     'TornTailCutEvent',
+    'VotersChangeEvent',
 )
 
 
@@ -95,3 +96,17 @@
     level = EventLevel.warning
 
     peer: str
+
+
+@register_event
+@frozen
+class VotersChangeEvent(Event):
+    """Change of the voters that the leader began."""
+
+    number = 5007
+    name = 'voters_change'
+    summary = 'The leader began to change the voters.'
+
+    change: str
+    voter: str
+    refusal: str
--- a/packages/replicas/hornbeamstair_replicas/groups/admin.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/admin.py
@@ -26,7 +26,8 @@
 from hornbeamstair_replicas.learning.members import Member
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
-from hornbeamstair_replicas.transport.base import PeerTransport, get_address
+from hornbeamstair_replicas.transport.base import PeerTransport
+from hornbeamstair_replicas.voter_ids import get_address
 from hornbeamstair_replicas.voting.roles.leader import LeaderRole
 
 __all__ = ('GroupAdmin',)
--- a/packages/replicas/hornbeamstair_replicas/groups/base.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/base.py
@@ -10,6 +10,7 @@
 
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_replicas.failures import NotLeaderFailure
+from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.voting.roles.leader import LeaderRole
 
 __all__ = ('GroupStatus', 'ReplicaGroup')
@@ -27,7 +28,7 @@
     role: str
     term: int
     leader: str
-    voters: tuple[str, ...]
+    voters: tuple[VoterId, ...]
     applied_index: int
 
 
--- a/packages/replicas/hornbeamstair_replicas/groups/learning.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/learning.py
@@ -31,11 +31,8 @@
     PeerMessage,
 )
 from hornbeamstair_replicas.state_machine import StateMachine
-from hornbeamstair_replicas.transport.base import (
-    PeerTransport,
-    get_address,
-    get_process,
-)
+from hornbeamstair_replicas.transport.base import PeerTransport
+from hornbeamstair_replicas.voter_ids import get_address, get_process
 from hornbeamstair_replicas.voting.roles.leader import LeaderRole
 
 __all__ = ('LearnerGroup',)
@@ -209,11 +206,18 @@
             self.leader = VoterId('')
             answer.set_result(Error(NotLeaderFailure('')))
         elif message.index <= self.applied_index:
-            answer.set_result(Ok(self.answers.get(message.index)))
+            answer.set_result(self._get_answer(message.index))
         else:
             self.placed[message.index] = answer
             self._ask(sender)
 
+    def _get_answer(self, index: int) -> Answer:
+        try:
+            return Ok(self.answers[index])
+        except KeyError:
+            # A snapshot covered the entry: its answer was never seen here.
+            return Error(NotCommittedFailure('the answer is not held here'))
+
     def _send(self, receiver: VoterId, message: PeerMessage) -> None:
         own = self.transport.own
         self.transport.send(Envelope(self.group, own, receiver, message))
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -91,7 +91,11 @@
         self._tick()
         self._flush()
 
-    async def propose_once(self, payload: bytes) -> Answer:
+    async def propose_once(
+        self,
+        payload: bytes,
+        seconds: float = _COMMIT_SECONDS,
+    ) -> Answer:
         """Commit a payload and return the answer of the state machine."""
         if self.failure is not None:
             return Error(self.failure)
@@ -99,7 +103,7 @@
         self.proposals.append(_Proposal(payload, answer))
         self._schedule()
         try:
-            async with timeout(_COMMIT_SECONDS):
+            async with timeout(seconds):
                 return await answer
         except TimeoutError:
             return Error(NotCommittedFailure('no quorum in time'))
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Voters that follow the machines as they come and go."""
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/membership/groups.py
@@ -0,0 +1,116 @@
+"""Reports of processes that can vote, and the leader's changes."""
+
+from asyncio import Task, create_task, sleep
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field
+from expression import Result
+
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.ids import ZoneName
+from hornbeamstair_replicas.calls.endpoints.channel import LeaderChannel
+from hornbeamstair_replicas.calls.messages import MemberReport
+from hornbeamstair_replicas.events import VotersChangeEvent
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.membership.planner import (
+    AbandonJoining,
+    AddVoter,
+    MembershipPlanner,
+    RemoveVoter,
+    VoterChange,
+)
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
+from hornbeamstair_replicas.voting.roles.leader import LeaderRole
+
+__all__ = ('MembershipKeeper',)
+
+_CHANNEL: Final = 'members'
+_REPORT_SECONDS: Final = 0.5
+_ASK_SECONDS: Final = 0.4
+
+
+@define(eq=False)
+class MembershipKeeper:
+    """Endpoint that keeps the voters of a group alive."""
+
+    group: VotingGroup
+    channel: LeaderChannel
+    zone: ZoneName
+    get_time: Callable[[], float]
+    planner: MembershipPlanner = field(factory=MembershipPlanner)
+    reporting: 'Task[None] | None' = None
+
+    def start(self) -> None:
+        """Report to the leader, or plan changes as the leader."""
+        self.group.transport.add_receiver(_CHANNEL, self._receive)
+        self.reporting = create_task(self._keep_reporting())
+
+    def stop(self) -> None:
+        """Report no more."""
+        if self.reporting is not None:
+            self.reporting.cancel()
+
+    async def _keep_reporting(self) -> None:
+        while True:
+            role = self.group.node.voter.find_leader_role()
+            if role.is_ok():
+                self._lead(role.ok)
+            else:
+                await self._report()
+            await sleep(_REPORT_SECONDS)
+
+    async def _report(self) -> None:
+        state = self.group.node.voter.state
+        if not state.leader:
+            # A process that is no voter hears of no election.
+            await self.channel.ask(b'', _ASK_SECONDS)
+        leader = state.leader or self.channel.targets.leader
+        if leader:
+            report = MemberReport(state.voter, self.zone)
+            self.group.transport.send(
+                Envelope(_CHANNEL, state.voter, leader, report),
+            )
+
+    def _receive(self, sender: VoterId, message: PeerMessage) -> None:
+        if isinstance(message, MemberReport):
+            now = self.get_time()
+            self.planner.note_report(message.voter, message.zone, now)
+
+    def _lead(self, role: LeaderRole) -> None:
+        now = self.get_time()
+        own = role.state.voter
+        self.planner.note_report(own, self.zone, now)
+        silence = {
+            voter: role.get_silence(voter, now)
+            for voter in role.state.log.get_voters()
+        }
+        change = self.planner.plan(silence, role.joining, now)
+        if change is None:
+            return
+        outcome = _change(role, change, now)
+        log_event(
+            VotersChangeEvent(
+                type(change).__name__,
+                change.voter,
+                outcome.error.describe() if outcome.is_error() else '',
+            ),
+        )
+        self.group.find_leading_role()
+
+
+def _change(
+    role: LeaderRole,
+    change: VoterChange,
+    now: float,
+) -> Result[None, Failure]:
+    match change:
+        case AddVoter(voter):
+            return role.add_voter(voter, now)
+        case RemoveVoter(voter):
+            return role.remove_voter(voter, now)
+        case AbandonJoining():
+            role.abandon_joining()
+    return Result.Ok(None)
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state made of tables."""
--- a/packages/replicas/hornbeamstair_replicas/transport/base.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/base.py
@@ -6,11 +6,11 @@
 
 from attrs import define, field
 
-from hornbeamstair_core.ids import ProcessId
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
+from hornbeamstair_replicas.voter_ids import get_address, get_process
 
-__all__ = ('LocalTransport', 'PeerTransport', 'get_address', 'get_process')
+__all__ = ('LocalTransport', 'PeerTransport')
 
 Receiver = Callable[[VoterId, PeerMessage], None]
 
@@ -52,16 +52,6 @@
             receiver(envelope.sender, envelope.message)
 
 
-def get_process(voter: VoterId) -> ProcessId:
-    """Get the process of a voter."""
-    return ProcessId(voter.partition('/')[0])
-
-
-def get_address(process: ProcessId) -> VoterId:
-    """Get the address of a process in any incarnation."""
-    return VoterId(f'{process}/')
-
-
 @define(eq=False)
 class LocalTransport(PeerTransport):
     """Transport of a process without others."""
--- a/packages/replicas/hornbeamstair_replicas/transport/websocket.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/websocket.py
@@ -2,6 +2,7 @@
 
 from asyncio import Event, Task, create_task, gather, sleep, timeout
 from collections import deque
+from contextlib import suppress
 from typing import ClassVar, Final
 
 from attrs import define, field, frozen
@@ -9,6 +10,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from hornbeamstair_core.clock import get_steady_time
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.front_end import Listener
 from hornbeamstair_core.ids import ProcessId
@@ -17,18 +19,25 @@
 from hornbeamstair_replicas.codec import read_envelope, write_envelope
 from hornbeamstair_replicas.events import PeerRefusedEvent
 from hornbeamstair_replicas.peer_messages import Envelope
-from hornbeamstair_replicas.transport.base import PeerTransport, get_process
+from hornbeamstair_replicas.transport.base import PeerTransport
 from hornbeamstair_replicas.transport.handshake import Handshake, make_nonce
+from hornbeamstair_replicas.transport.resolvers import (
+    FixedPeersResolver,
+    PeerResolver,
+)
+from hornbeamstair_replicas.voter_ids import get_process
 
 __all__ = ('PeerAddress', 'WebsocketTransport')
 
 _MAX_MESSAGE_BYTES: Final = 4 * MIB
 _MAX_QUEUED: Final = 1024
-_HANDSHAKE_SECONDS: Final = 2.0
+_HANDSHAKE_SECONDS: Final = 1.0
 _REOPEN_SECONDS: Final = 0.2
-# A connection without an answer for three seconds is closed and reopened.
-_PING_SECONDS: Final = 1.0
-_PONG_SECONDS: Final = 2.0
+# A silent connection is reopened before a cut of some seconds is over.
+_PING_SECONDS: Final = 0.5
+_PONG_SECONDS: Final = 0.8
+# A connection opened on demand ends when nothing was sent for so long.
+_IDLE_SECONDS: Final = 12.0
 _CLIENT: Final = 'client'
 _SERVER: Final = 'server'
 
@@ -49,6 +58,8 @@
     queue: 'deque[bytes]' = field(factory=lambda: deque(maxlen=_MAX_QUEUED))
     ready: Event = field(factory=Event)
     sending: 'Task[None] | None' = None
+    is_permanent: bool = True
+    used_at: float = 0
 
 
 @define(eq=False)
@@ -60,6 +71,7 @@
     listener: Listener
     key: bytes
     metrics: Metrics
+    resolver: PeerResolver = field(factory=FixedPeersResolver)
     links: dict[ProcessId, _Link] = field(factory=dict)
     server: Server | None = None
 
@@ -93,17 +105,36 @@
 
     def send(self, envelope: Envelope) -> None:
         """Queue a message; the oldest is dropped from a full queue."""
-        link = self.links.get(get_process(envelope.receiver))
+        link = self._find_link(get_process(envelope.receiver))
         if link is None:
             return
+        link.used_at = get_steady_time()
         if len(link.queue) == _MAX_QUEUED:
             self.metrics.count_retry('peer_queue_full')
         link.queue.append(write_envelope(envelope))
         link.ready.set()
 
+    def _find_link(self, process: ProcessId) -> _Link | None:
+        link = self.links.get(process)
+        if link is not None or process == get_process(self.own):
+            return link
+        listener = self.resolver.find(process)
+        if listener is None:
+            return None
+        link = _Link(PeerAddress(process, listener), is_permanent=False)
+        self.links[process] = link
+        link.sending = create_task(self._send_on_demand(link))
+        return link
+
+    async def _send_on_demand(self, link: _Link) -> None:
+        try:
+            await self._keep_sending(link)
+        finally:
+            self.links.pop(link.address.process, None)
+
     async def _keep_sending(self, link: _Link) -> None:
         listener = link.address.listener
-        while True:
+        while not _is_idle(link):
             try:
                 async with connect(
                     f'ws://{listener.address}:{listener.port}',
@@ -130,8 +161,10 @@
         if not await self._prove_client(connection):
             self._refuse(link.address.process)
             return
-        while True:
-            await link.ready.wait()
+        while not _is_idle(link):
+            with suppress(TimeoutError):
+                async with timeout(_IDLE_SECONDS):
+                    await link.ready.wait()
             link.ready.clear()
             while link.queue:
                 await connection.send(link.queue.popleft())
@@ -180,5 +213,11 @@
         log_event(PeerRefusedEvent(peer))
 
 
+def _is_idle(link: _Link) -> bool:
+    if link.is_permanent:
+        return False
+    return get_steady_time() - link.used_at >= _IDLE_SECONDS
+
+
 def _get_bytes(payload: bytes | str) -> bytes:
     return payload if isinstance(payload, bytes) else payload.encode()
--- a/packages/replicas/hornbeamstair_replicas/voting/roles/leader.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/roles/leader.py
@@ -96,6 +96,20 @@
         self.replicator.send(voter, now)
         return Ok(None)
 
+    def abandon_joining(self) -> None:
+        """Give up a new voter that does not come up to date."""
+        if self.joining is None:
+            return
+        peers = self.replicator.peers
+        if self.joining not in self.state.log.get_voters():
+            peers.pop(self.joining, None)
+        self.joining = None
+
+    def get_silence(self, voter: VoterId, now: float) -> float:
+        """Get the seconds since a peer last answered."""
+        progress = self.replicator.peers.get(voter)
+        return 0 if progress is None else now - progress.acknowledged_at
+
     def remove_voter(self, voter: VoterId, now: float) -> Result[None, Failure]:
         """Remove a voter with the next commit."""
         voters = self.state.log.get_voters()
--- a/packages/tools/hornbeamstair_tools/check_imports.py
+++ b/packages/tools/hornbeamstair_tools/check_imports.py
@@ -17,10 +17,12 @@
     {
         'core': frozenset(),
         'replicas': frozenset(('core',)),
-        'platform': frozenset(('core',)),
-        'upstreams': frozenset(('core', 'platform')),
-        'operators': frozenset(('core', 'replicas', 'platform')),
-        'callers': frozenset(('core', 'replicas', 'upstreams', 'operators')),
+        'fleet': frozenset(('core',)),
+        'upstreams': frozenset(('core', 'fleet')),
+        'operators': frozenset(('core', 'replicas', 'fleet')),
+        'callers': frozenset(
+            ('core', 'fleet', 'replicas', 'upstreams', 'operators'),
+        ),
     }
 )
 # Modules that encode messages: they may import codec libraries.
@@ -30,7 +32,6 @@
         'codec',
         'documents',
         'key_codec',
-        'records',
         'state_machine',
     )
 )
--- a/packages/tools/hornbeamstair_tools/reference.py
+++ b/packages/tools/hornbeamstair_tools/reference.py
@@ -16,7 +16,7 @@
     'hornbeamstair_callers',
     'hornbeamstair_daemon',
     'hornbeamstair_operators',
-    'hornbeamstair_platform',
+    'hornbeamstair_fleet',
     'hornbeamstair_replicas',
     'hornbeamstair_upstreams',
 )
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints towards workers."""
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
@@ -0,0 +1,209 @@
+"""HTTP client for orders: one attempt each, over kept connections.
+
+Orders are many and small, so that the cost of each counts: the client
+works directly on the transports of asyncio with httptools as its parser.
+"""
+
+from asyncio import (
+    Future,
+    Protocol,
+    Transport,
+    get_running_loop,
+    timeout,
+)
+from collections.abc import Callable
+from socket import IPPROTO_TCP
+from typing import Any, Final
+
+from attrs import define, field, frozen
+from httptools import HttpParserError, HttpResponseParser
+
+__all__ = ('HttpOrder', 'HttpReply', 'OrderClient')
+
+_CONNECT_SECONDS: Final = 0.6
+# Shorter than the time after which anything between may forget the channel.
+_IDLE_SECONDS: Final = 8.0
+
+
+@frozen
+class HttpOrder:
+    """Request to an address, and the seconds to wait for its reply."""
+
+    address: str
+    port: int
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout: float
+
+
+@frozen
+class HttpReply:
+    """Whole reply."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Connection(Protocol):
+    """Connection that carries one exchange at a time."""
+
+    def __init__(self, on_lost: Callable[['_Connection'], None]) -> None:
+        """Tell a function when the connection is lost."""
+        self.on_lost = on_lost
+        self.transport: Transport | None = None
+        self.parser: Any = None
+        self.reply: Future[HttpReply] | None = None
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self.used_at: float = 0
+        self.is_open = False
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self.transport = transport
+        self.is_open = True
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange in progress."""
+        self.is_open = False
+        self.on_lost(self)
+        self._fail(exc or ConnectionResetError('closed before the reply'))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self.parser is None:
+            self.close()
+            return
+        try:
+            self.parser.feed_data(data)
+        except HttpParserError as error:
+            self._fail(ConnectionResetError(str(error)))
+            self.close()
+
+    def send(self, payload: bytes) -> 'Future[HttpReply]':
+        """Send a request."""
+        self.parser = HttpResponseParser(self)
+        self.headers = {}
+        self.body = bytearray()
+        self.reply = get_running_loop().create_future()
+        if self.transport is not None:
+            self.transport.write(payload)
+        return self.reply
+
+    def close(self) -> None:
+        """Drop the connection at once."""
+        self.is_open = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    # Callbacks of the parser
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Keep a header."""
+        self.headers[name.decode('latin-1').lower()] = text.decode('latin-1')
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        """Hand the reply over."""
+        parser = self.parser
+        self.parser = None
+        reply = HttpReply(
+            parser.get_status_code(),
+            self.headers,
+            bytes(self.body),
+        )
+        if not parser.should_keep_alive():
+            self.is_open = False
+        if self.reply is not None and not self.reply.done():
+            self.reply.set_result(reply)
+
+    def _fail(self, error: Exception) -> None:
+        if self.reply is not None and not self.reply.done():
+            self.reply.set_exception(error)
+
+
+@define(eq=False)
+class OrderClient:
+    """Kept connections to many addresses."""
+
+    idle: dict[tuple[str, int], list[_Connection]] = field(factory=dict)
+
+    async def send(self, order: HttpOrder) -> HttpReply:
+        """Send an order once.
+
+        ConnectionRefusedError proves that it did not arrive; after any
+        other OSError or TimeoutError it may be carried out.
+        """
+        place = (order.address, order.port)
+        connection = await self._take(place)
+        try:
+            async with timeout(order.timeout):
+                reply = await connection.send(_write(order))
+        except BaseException:
+            connection.close()
+            # What else is open to that address may be as silent.
+            self.forget(place)
+            raise
+        self._give_back(place, connection)
+        return reply
+
+    def forget(self, place: tuple[str, int]) -> None:
+        """Close the idle connections to an address."""
+        for connection in self.idle.pop(place, ()):
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for place in list(self.idle):
+            self.forget(place)
+
+    async def _take(self, place: tuple[str, int]) -> _Connection:
+        oldest = get_running_loop().time() - _IDLE_SECONDS
+        kept = self.idle.get(place, [])
+        while kept:
+            connection = kept.pop()
+            if connection.is_open and connection.used_at > oldest:
+                return connection
+            connection.close()
+        address, port = place
+        async with timeout(_CONNECT_SECONDS):
+            _, opened = await get_running_loop().create_connection(
+                lambda: _Connection(self._drop),
+                address,
+                port,
+                proto=IPPROTO_TCP,
+            )
+        return opened
+
+    def _give_back(
+        self,
+        place: tuple[str, int],
+        connection: _Connection,
+    ) -> None:
+        if connection.is_open:
+            connection.used_at = get_running_loop().time()
+            self.idle.setdefault(place, []).append(connection)
+        else:
+            connection.close()
+
+    def _drop(self, connection: _Connection) -> None:
+        for kept in self.idle.values():
+            if connection in kept:
+                kept.remove(connection)
+
+
+def _write(order: HttpOrder) -> bytes:
+    lines = [
+        f'{order.method} {order.path} HTTP/1.1',
+        f'Host: {order.address}:{order.port}',
+        f'Content-Length: {len(order.body)}',
+    ]
+    lines.extend(f'{name}: {text}' for name, text in order.headers)
+    head = '\r\n'.join((*lines, '', ''))
+    return head.encode('latin-1') + order.body
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/work/__init__.py
@@ -0,0 +1,1 @@
+"""Workers that run tasks under leases, and what is placed on them."""
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/work/looks.py
@@ -0,0 +1,124 @@
+"""What a look at a worker tells of its runs."""
+
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.messages import (
+    EndReport,
+    HoldAnswer,
+    OrderOutcome,
+    RunReport,
+)
+from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
+from hornbeamstair_upstreams.work.session import WorkerSession
+
+__all__ = ('take_look',)
+
+# A worker returns so many ends at a time.
+_ENDS_AT_A_TIME: Final = 500
+_MILLISECONDS: Final = 1000
+
+
+def take_look(
+    session: WorkerSession,
+    answer: HoldAnswer,
+    sent_at: float,
+    now: float,
+) -> list[EndedRun]:
+    """Take the answer to a look; return the ends to record."""
+    if answer.outcome == OrderOutcome.other_life:
+        return session.end_life(None, now)
+    if answer.outcome == OrderOutcome.fenced:
+        session.is_fenced = True
+    if answer.outcome != OrderOutcome.done:
+        return []
+    ended: list[EndedRun] = []
+    if session.is_new_life(answer.incarnation):
+        ended.extend(session.end_life(answer.incarnation, now))
+    session.reached_at = now
+    session.is_synced = True
+    session.note_clock(answer.clock, now)
+    ended.extend(_take_ends(session, answer.ended))
+    listed = {report.task: report for report in answer.running}
+    _take_running(session, listed, now)
+    if len(answer.ended) < _ENDS_AT_A_TIME:
+        missing = _find_missing(session, listed, sent_at)
+        ended.extend(session.lose(missing))
+    _stop_strays(session, answer.running)
+    return ended
+
+
+def _take_ends(
+    session: WorkerSession,
+    reports: Iterable[EndReport],
+) -> Iterator[EndedRun]:
+    for report in reports:
+        if report.number <= session.seen_number:
+            continue
+        session.seen_number = report.number
+        session.stops.pop((report.task, report.run), None)
+        run = session.runs.get(report.task)
+        if run is None or run.run != report.run:
+            continue
+        session.remove_run(report.task)
+        session.health.note_end(report.end, run.group)
+        checkpoint = report.checkpoint or run.checkpoint
+        yield EndedRun(run, report.end, checkpoint)
+
+
+def _take_running(
+    session: WorkerSession,
+    listed: dict[TaskId, RunReport],
+    now: float,
+) -> None:
+    for task, report in listed.items():
+        run = session.runs.get(task)
+        if run is None or run.run != report.run:
+            continue
+        run.checkpoint = report.checkpoint or run.checkpoint
+        if report.percent > run.percent or not run.percent_at:
+            run.percent_at = now
+        run.percent = report.percent
+        run.reading = report.reading
+        run.slow_since = _get_slow_since(run, now)
+        session.late_starts.pop((task, run.run), None)
+        session.settle(run, RunState.running, now)
+
+
+def _find_missing(
+    session: WorkerSession,
+    listed: dict[TaskId, RunReport],
+    sent_at: float,
+) -> list[TaskId]:
+    return [
+        task
+        for task, run in session.runs.items()
+        if task not in listed and _is_over(run, sent_at)
+    ]
+
+
+def _stop_strays(
+    session: WorkerSession,
+    running: Iterable[RunReport],
+) -> None:
+    """Have runs stopped that nobody counts on any more."""
+    for report in running:
+        run = session.runs.get(report.task)
+        if run is None or run.run != report.run:
+            session.want_stray_stop(report.task, report.run)
+
+
+def _is_over(run: Run, sent_at: float) -> bool:
+    """Tell whether a look sent at a time would list the run."""
+    if run.state == RunState.inherited:
+        # The look carried our token: no earlier order can come after it.
+        return True
+    return run.settled_at is not None and run.settled_at < sent_at
+
+
+def _get_slow_since(run: Run, now: float) -> float | None:
+    target = run.needs.target_seconds * _MILLISECONDS
+    if not target or run.reading <= target:
+        return None
+    return now if run.slow_since is None else run.slow_since
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -0,0 +1,91 @@
+"""Choice of the worker for a task."""
+
+from collections.abc import Iterable, Sequence
+
+from attrs import define
+
+from hornbeamstair_upstreams.work.messages import TaskNeeds
+from hornbeamstair_upstreams.work.session import (
+    WorkerSession,
+    get_taken_room,
+)
+
+__all__ = ('Placement',)
+
+
+@define(eq=False)
+class Placement:
+    """Workers of one service that may get new work now."""
+
+    sessions: Sequence[WorkerSession]
+
+    def choose(self, needs: TaskNeeds, group: str) -> WorkerSession | None:
+        """Choose a worker; None if the task has to wait.
+
+        The worker with the most room left keeps tasks apart, so that one
+        lost worker costs few tasks and few tasks disturb each other.
+        """
+        fitting = [
+            session for session in self.sessions if fits(session, needs, group)
+        ]
+        if not fitting:
+            return None
+        near = self._get_near(fitting, needs, group)
+        return max(near, key=_get_preference)
+
+    def can_ever_fit(self, needs: TaskNeeds) -> bool:
+        """Tell whether some worker would fit the task if it were empty."""
+        return any(
+            session.announced.room.fits(get_taken_room(needs))
+            and _has_label(session, needs)
+            for session in self.sessions
+        )
+
+    def _get_near(
+        self,
+        fitting: list[WorkerSession],
+        needs: TaskNeeds,
+        group: str,
+    ) -> list[WorkerSession]:
+        rack = needs.data_rack
+        if needs.one_rack and not rack:
+            rack = _find_rack(self.sessions, group)
+        near = [found for found in fitting if found.announced.rack == rack]
+        return near or fitting
+
+
+def fits(session: WorkerSession, needs: TaskNeeds, group: str) -> bool:
+    """Tell whether a task may start on a worker now."""
+    if not session.get_free().fits(get_taken_room(needs)):
+        return False
+    if not _has_label(session, needs):
+        return False
+    limit = needs.spread_limit
+    if limit and session.count_group(group) >= limit:
+        return False
+    return not _would_disturb(session, needs)
+
+
+def _has_label(session: WorkerSession, needs: TaskNeeds) -> bool:
+    return not needs.label or needs.label in session.announced.labels
+
+
+def _would_disturb(session: WorkerSession, needs: TaskNeeds) -> bool:
+    """Tell whether a filling task would stand beside a serving one."""
+    if needs.fills:
+        return any(run.needs.target_seconds for run in session.runs.values())
+    if needs.target_seconds:
+        return any(run.needs.fills for run in session.runs.values())
+    return False
+
+
+def _find_rack(sessions: Iterable[WorkerSession], group: str) -> str:
+    for session in sessions:
+        if session.count_group(group):
+            return session.announced.rack
+    return ''
+
+
+def _get_preference(session: WorkerSession) -> tuple[int, int, str]:
+    free = session.get_free()
+    return free.cpu, free.memory, session.announced.worker
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -0,0 +1,65 @@
+"""Run of a task as the holder of its worker sees it."""
+
+from enum import Enum
+
+from attrs import define, field
+
+from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.messages import RunEnd, TaskNeeds
+
+__all__ = ('EndedRun', 'Run', 'RunState')
+
+
+class RunState(Enum):
+    """What is known of a run."""
+
+    # Recorded by an earlier holder; the worker was not asked yet.
+    inherited = 'inherited'
+    # Being recorded; no order was sent.
+    recorded = 'recorded'
+    # Ordered; the order has no answer yet.
+    ordered = 'ordered'
+    # An order to start had no answer: it may be carried out later.
+    unanswered = 'unanswered'
+    # Seen at work, or the worker said so.
+    running = 'running'
+    # Told to stop; its end is not listed yet.
+    stopping = 'stopping'
+
+
+@define(eq=False)
+class Run:
+    """Run that takes room on a worker."""
+
+    task: TaskId
+    run: int
+    needs: TaskNeeds
+    # Tasks of the same phase of the same occurrence.
+    group: str
+    state: RunState
+    started_at: float
+    checkpoint: str = ''
+    ticket: str = ''
+    # A look that began later and does not list the run proves its end.
+    settled_at: float | None = None
+    percent: float = 0
+    percent_at: float = 0
+    reading: float = 0
+    # Since when the run stays over its response time.
+    slow_since: float | None = None
+    ordered_at: float = 0
+    is_stop_wanted: bool = field(default=False)
+
+    @property
+    def is_at_work(self) -> bool:
+        """Tell whether the run is known to do its work."""
+        return self.state == RunState.running and self.percent >= 1
+
+
+@define(eq=False)
+class EndedRun:
+    """End of a run that is to be recorded."""
+
+    run: Run
+    end: RunEnd
+    checkpoint: str
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -0,0 +1,350 @@
+"""Dealings of the holder with one worker, without any I/O."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from attrs import define, evolve, field
+
+from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.clocks import WorkerClock
+from hornbeamstair_upstreams.work.health import WorkerHealth
+from hornbeamstair_upstreams.work.leases import LeaseTerms
+from hornbeamstair_upstreams.work.messages import (
+    Announced,
+    HoldOrder,
+    OrderAnswer,
+    OrderOutcome,
+    Room,
+    RunEnd,
+    StartOrder,
+    StopOrder,
+    TaskNeeds,
+)
+from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
+
+__all__ = ('WorkerSession', 'get_taken_room')
+
+# Bounds the time that an order may wait on its way, with some margin.
+_LATE_ORDER_SECONDS: Final = 16.0
+# A worker that answered within this time may get new work.
+_REACHED_SECONDS: Final = 2.2
+_RETRY_SECONDS: Final = 0.3
+_STOP_RETRY_SECONDS: Final = 0.5
+# Time between the word of a leaving worker and its end.
+_GONE_SECONDS: Final = 0.5
+_NEVER: Final = -1000.0
+# Allowance for timers that fire late, on either side.
+_LAPSE_MARGIN: Final = 0.25
+
+
+@define(eq=False)
+class WorkerSession:
+    """Runs, lease and reachability of one life of a worker."""
+
+    announced: Announced
+    fencing_token: int
+    terms: LeaseTerms
+    # Time by which every lease that was ever given has surely lapsed.
+    lapse_at: float
+    heard_at: float
+    clock: WorkerClock | None = None
+    cursor: int = 0
+    # Highest number of an end that was handed over to be recorded.
+    seen_number: int = 0
+    runs: dict[TaskId, Run] = field(factory=dict)
+    # Ends handed over whose record is not committed yet.
+    ending: dict[TaskId, int] = field(factory=dict)
+    # Starts without an answer, which may be carried out by the next life.
+    late_starts: dict[tuple[TaskId, int], float] = field(factory=dict)
+    # Orders to stop that are due; answered ones are taken out.
+    stops: dict[tuple[TaskId, int], float] = field(factory=dict)
+    health: WorkerHealth = field(factory=WorkerHealth)
+    is_synced: bool = False
+    is_fenced: bool = False
+    reached_at: float = _NEVER
+    gone_at: float | None = None
+    # Kept free of new work for maintenance or a move.
+    is_reserved: bool = False
+    used: Room = field(factory=Room)
+
+    def may_start(self, now: float) -> bool:
+        """Tell whether new work may be placed on the worker."""
+        is_closed = self.announced.is_leaving or self.is_reserved
+        if is_closed or self.gone_at is not None:
+            return False
+        if not self.is_synced or self.is_fenced:
+            return False
+        return self.is_reached(now) and not self.health.is_quarantined(now)
+
+    def is_reached(self, now: float) -> bool:
+        """Tell whether the worker answered a short time ago."""
+        return now - self.reached_at < _REACHED_SECONDS + self.terms.wait
+
+    def get_free(self) -> Room:
+        """Get the room that is not taken."""
+        return self.announced.room.minus(self.used)
+
+    def count_group(self, group: str) -> int:
+        """Count the runs of one phase on the worker."""
+        return sum(1 for run in self.runs.values() if run.group == group)
+
+    # Runs
+
+    def add_run(self, run: Run) -> None:
+        """Take room for a run."""
+        self.runs[run.task] = run
+        self.used = self.used.plus(get_taken_room(run.needs))
+
+    def remove_run(self, task: TaskId) -> Run | None:
+        """Give the room of a run back."""
+        run = self.runs.pop(task, None)
+        if run is not None:
+            self.used = self.used.minus(get_taken_room(run.needs))
+        return run
+
+    # Leases
+
+    def get_lease_end(self, now: float) -> float | None:
+        """Get the worker's clock at which a lease given now ends."""
+        if self.clock is None:
+            return None
+        lease_end = self.clock.get_earliest(now) + self.terms.lease
+        lapse_at = self.clock.get_surely_past(lease_end) + _LAPSE_MARGIN
+        self.lapse_at = max(self.lapse_at, lapse_at)
+        return lease_end
+
+    def note_clock(self, clock: float | None, now: float) -> None:
+        """Note what the worker's clock showed in an answer."""
+        if clock is None:
+            return
+        if self.clock is None:
+            self.clock = WorkerClock(clock, now)
+        else:
+            self.clock.note(clock, now)
+
+    # Looks
+
+    def get_hold(self, now: float) -> HoldOrder:
+        """Get the next look; only a reached worker gets a longer lease."""
+        is_reached = self.is_synced and self.is_reached(now)
+        return HoldOrder(
+            worker=self.announced.worker,
+            address=self.announced.address,
+            port=self.announced.port,
+            fencing_token=self.fencing_token,
+            cursor=self.cursor,
+            wait_seconds=self.terms.wait if is_reached else 0,
+            lease_end=self.get_lease_end(now) if is_reached else None,
+        )
+
+    def end_life(
+        self,
+        incarnation: int | None,
+        now: float,
+    ) -> list[EndedRun]:
+        """Count all runs of a life that ended as lost."""
+        self.clock = None
+        self.cursor = 0
+        self.seen_number = 0
+        self.is_synced = False
+        self.lapse_at = now
+        self.health = WorkerHealth()
+        if incarnation is None:
+            self.gone_at = now if self.gone_at is None else self.gone_at
+        else:
+            self.announced = evolve(
+                self.announced,
+                incarnation=incarnation,
+                sequence=0,
+                is_leaving=False,
+            )
+        self.stops.clear()
+        for (task, run), sent_at in self.late_starts.items():
+            if now - sent_at < _LATE_ORDER_SECONDS:
+                self.stops[(task, run)] = _NEVER
+        return self.lose(list(self.runs))
+
+    def expire(self, now: float) -> list[EndedRun]:
+        """Count runs as lost whose lease has surely lapsed."""
+        if self.gone_at is not None and self.gone_at + _GONE_SECONDS < now:
+            if now - self.reached_at > _GONE_SECONDS:
+                return self.lose(list(self.runs))
+        if now < self.lapse_at:
+            return []
+        return self.lose(
+            [
+                task
+                for task, run in self.runs.items()
+                if run.state != RunState.recorded
+            ],
+        )
+
+    # Announcements
+
+    def is_older(self, announced: Announced) -> bool:
+        """Tell whether an announcement is older than the last one."""
+        known = self.announced
+        return (announced.incarnation, announced.sequence) < (
+            known.incarnation,
+            known.sequence,
+        )
+
+    def note_announced(
+        self,
+        announced: Announced,
+        now: float,
+    ) -> list[EndedRun]:
+        """Take a newer announcement; return the ends of a former life."""
+        ended: list[EndedRun] = []
+        if announced.incarnation > self.announced.incarnation:
+            ended = self.end_life(announced.incarnation, now)
+            self.gone_at = None
+        self.announced = announced
+        self.heard_at = now
+        return ended
+
+    # Starts and stops
+
+    def make_start(self, run: Run, spec: str, now: float) -> StartOrder | None:
+        """Make the order to start a run; None if it must wait."""
+        lease_end = self.get_lease_end(now)
+        if lease_end is None:
+            return None
+        run.state = RunState.ordered
+        run.ordered_at = now
+        self.late_starts[(run.task, run.run)] = now
+        return StartOrder(
+            worker=self.announced.worker,
+            address=self.announced.address,
+            port=self.announced.port,
+            fencing_token=self.fencing_token,
+            task=run.task,
+            run=run.run,
+            spec=spec,
+            lease_end=lease_end,
+            checkpoint=run.checkpoint,
+            ticket=run.ticket,
+        )
+
+    def note_start(
+        self,
+        order: StartOrder,
+        answer: OrderAnswer,
+        now: float,
+    ) -> list[EndedRun]:
+        """Take the answer to an order to start."""
+        run = self.runs.get(order.task)
+        if answer.outcome != OrderOutcome.unknown:
+            self.late_starts.pop((order.task, order.run), None)
+        if answer.outcome == OrderOutcome.other_life:
+            return self.end_life(None, now)
+        if run is None or run.run != order.run:
+            return []
+        if self.is_new_life(answer.incarnation):
+            return self.end_life(answer.incarnation, now)
+        self.note_clock(answer.clock, now)
+        match answer.outcome:
+            case OrderOutcome.done | OrderOutcome.old:
+                # An old number ended there: the next look lists its end.
+                self.settle(run, RunState.running, now)
+            case OrderOutcome.unknown:
+                self.health.note_silent(now)
+                if run.state == RunState.ordered:
+                    run.state = RunState.unanswered
+            case OrderOutcome.fenced:
+                self.is_fenced = True
+                run.state = RunState.unanswered
+            case OrderOutcome.late:
+                run.state = RunState.unanswered
+            case OrderOutcome.refused | OrderOutcome.invalid:
+                self.health.note_refused(now)
+                return self.lose([run.task])
+        return []
+
+    def get_unanswered(self, now: float) -> list[Run]:
+        """Get the runs whose start is due to be ordered again."""
+        if not self.is_synced or not self.is_reached(now) or self.is_fenced:
+            return []
+        return [
+            run
+            for run in self.runs.values()
+            if run.state == RunState.unanswered
+            and now - run.ordered_at > _RETRY_SECONDS
+        ]
+
+    def want_stop(self, run: Run) -> None:
+        """Have a run stopped."""
+        run.is_stop_wanted = True
+        self.stops.setdefault((run.task, run.run), _NEVER)
+
+    def want_stray_stop(self, task: TaskId, run: int) -> None:
+        """Have a run stopped that takes no room here."""
+        self.stops.setdefault((task, run), _NEVER)
+
+    def get_stops(self, now: float) -> list[StopOrder]:
+        """Get the orders to stop that are due."""
+        if self.is_fenced:
+            return []
+        due = [
+            key
+            for key, sent_at in self.stops.items()
+            if now - sent_at > _STOP_RETRY_SECONDS
+        ]
+        self.stops.update(dict.fromkeys(due, now))
+        return [self._make_stop(task, run) for task, run in due]
+
+    def note_stop(
+        self,
+        order: StopOrder,
+        answer: OrderAnswer,
+        now: float,
+    ) -> list[EndedRun]:
+        """Take the answer to an order to stop."""
+        if answer.outcome == OrderOutcome.other_life:
+            return self.end_life(None, now)
+        if answer.outcome == OrderOutcome.fenced:
+            self.is_fenced = True
+        if answer.outcome == OrderOutcome.done:
+            self.stops.pop((order.task, order.run), None)
+            run = self.runs.get(order.task)
+            if run is not None and run.run == order.run:
+                self.settle(run, RunState.stopping, now)
+        return []
+
+    def settle(self, run: Run, state: RunState, now: float) -> None:
+        """Note that later looks list a run as long as it goes on."""
+        if run.state != RunState.stopping:
+            run.state = state
+        if run.settled_at is None or state == RunState.stopping:
+            run.settled_at = now
+
+    def is_new_life(self, incarnation: int | None) -> bool:
+        """Tell whether an answer is of a later life of the worker."""
+        known = self.announced.incarnation
+        return incarnation is not None and incarnation > known
+
+    def lose(self, tasks: Iterable[TaskId]) -> list[EndedRun]:
+        """Count runs as lost."""
+        lost = [self.remove_run(task) for task in tasks]
+        return [
+            EndedRun(run, RunEnd.lost, run.checkpoint)
+            for run in lost
+            if run is not None
+        ]
+
+    def _make_stop(self, task: TaskId, run: int) -> StopOrder:
+        return StopOrder(
+            worker=self.announced.worker,
+            address=self.announced.address,
+            port=self.announced.port,
+            fencing_token=self.fencing_token,
+            task=task,
+            run=run,
+        )
+
+
+def get_taken_room(needs: TaskNeeds) -> Room:
+    """Get the room that a run takes from what others may use."""
+    if needs.fills:
+        return Room(0, needs.room.memory, needs.room.accelerators)
+    return needs.room
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/work/table.py
@@ -0,0 +1,53 @@
+"""Replicated table of the workers that announced themselves."""
+
+from typing import Any, ClassVar
+
+from attrs import define, field, frozen
+
+from hornbeamstair_core.ids import WorkerId
+from hornbeamstair_core.records import Record, RecordTable
+from hornbeamstair_upstreams.work.messages import (
+    Announced,
+    WorkerGone,
+    WorkerSeen,
+)
+
+__all__ = ('WorkerTable', 'WorkerTableState')
+
+
+@frozen
+class WorkerTableState:
+    """Workers in a snapshot."""
+
+    workers: tuple[Announced, ...]
+
+
+@define(eq=False)
+class WorkerTable(RecordTable):
+    """Last announcement of each worker that tells something new."""
+
+    name: ClassVar[str] = 'workers'
+    records: ClassVar[tuple[type[Record], ...]] = (WorkerSeen, WorkerGone)
+    state_class: ClassVar[type[Any]] = WorkerTableState
+
+    workers: dict[WorkerId, Announced] = field(factory=dict)
+
+    def apply(self, record: Record) -> object:
+        """Note or forget a worker."""
+        match record:
+            case WorkerSeen(announced):
+                self.workers[announced.worker] = announced
+            case WorkerGone(worker, incarnation):
+                known = self.workers.get(worker)
+                if known is not None and known.incarnation <= incarnation:
+                    self.workers.pop(worker)
+        return None
+
+    def get_state(self) -> WorkerTableState:
+        """Get the workers."""
+        return WorkerTableState(tuple(self.workers.values()))
+
+    def put_state(self, state: Any) -> None:
+        """Replace the workers."""
+        found = () if state is None else state.workers
+        self.workers = {announced.worker: announced for announced in found}
