Count machines without a worker as maintained once they are up again

Cause: a switched-off machine has no worker before and after, so that its maintenance never counted as over and held a place of the wave.

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -35,6 +35,8 @@
 # Reading the list costs; a machine is down for longer than this.
 _LIST_SECONDS: Final = 1.2
 _REPEAT_SECONDS: Final = 1.5
+# Maintenance and the lag of the list together take less.
+_BACK_SECONDS: Final = 4.0
 
 
 @define(eq=False)
@@ -125,7 +127,12 @@
         step: MachineStep,
     ) -> None:
         machine = self.machines.get(machine_id)
-        if machine is None or _is_back(progress, machine, step):
+        ordered_at = self.ordered_at.setdefault(
+            machine_id,
+            self.get_moment().steady,
+        )
+        is_late = self.listed_at - ordered_at > _BACK_SECONDS
+        if machine is None or _is_back(progress, machine, step, is_late):
             # Maintained, or taken away.
             await self._note(progress, machine_id, is_over=True)
         elif step == MachineStep.ordered:
@@ -236,8 +243,15 @@
     progress: WaveProgress,
     machine: Machine,
     step: MachineStep,
+    is_late: bool,
 ) -> bool:
-    """Tell whether a machine is up again with a new worker."""
+    """Tell whether a machine is up again with a new worker.
+
+    A machine that is switched off has no worker before or after.
+    """
     if step == MachineStep.waiting or machine.state != MachineState.up:
         return False
-    return machine.worker != progress.workers.get(machine.machine)
+    before = progress.workers.get(machine.machine)
+    if not before:
+        return step == MachineStep.taken and is_late
+    return machine.worker != before
