Move spare machines to the pool whose work waits

Cause: each queue in its turn asks for about twice what its pool holds, while the standby machines stayed off; jobs waited 5 s and more for a first start. Change: fleet/moves (planner, table), demand of each pool from waiting tasks, machines on loan return when idle.

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -6,14 +6,15 @@
 
 from attrs import define, field
 
+from hornbeamstair_callers.endpoints.machine_list import MachineList
+from hornbeamstair_callers.endpoints.moves import MoveKeeper
 from hornbeamstair_callers.jobs.evacuation import free_workers, get_loads
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import MachineId, WorkerId
 from hornbeamstair_core.moments import Moment
-from hornbeamstair_fleet.events import MachineListEvent, MachineOrderedEvent
-from hornbeamstair_fleet.machines import MachinesClient
+from hornbeamstair_fleet.events import MachineOrderedEvent
 from hornbeamstair_fleet.waves.messages import (
     Machine,
     MachineOrder,
@@ -32,7 +33,7 @@
 __all__ = ('MaintenanceKeeper',)
 
 _PASS_SECONDS: Final = 0.2
-# Reading the list costs; a machine is down for longer than this.
+# Each reading has its price; a machine is down for longer than this.
 _LIST_SECONDS: Final = 1.2
 _REPEAT_SECONDS: Final = 1.5
 # Maintenance and the lag of the list together take less.
@@ -46,14 +47,10 @@
     holder: str
     table: WaveTable
     runner: WorkRunner
-    client: MachinesClient
+    machines: MachineList
     get_moment: Callable[[], Moment]
+    moves: MoveKeeper
     planner: WavePlanner = field(factory=WavePlanner)
-    machines: dict[MachineId, Machine] = field(factory=dict)
-    listed_at: float = -1000
-    is_known: bool = True
-    # Time of the last order about a machine.
-    ordered_at: dict[MachineId, float] = field(factory=dict)
     keeping: 'Task[None] | None' = None
 
     def start(self) -> None:
@@ -74,14 +71,14 @@
 
     async def _pass(self, scheduler: Scheduler) -> None:
         waves = list(self.table.get_open())
-        now = self.get_moment()
-        if not waves:
-            free_workers(scheduler, (), (), now)
-            return
-        if now.steady - self.listed_at > _LIST_SECONDS:
-            await self._refresh(now)
-        if scheduler is self.runner.find_scheduler() and self.machines:
-            await self._carry_on(scheduler, waves)
+        if waves:
+            has_list = await self.machines.refresh(_LIST_SECONDS)
+            if has_list and scheduler is self.runner.find_scheduler():
+                await self._carry_on(scheduler, waves)
+        else:
+            free_workers(scheduler, (), (), self.get_moment())
+        if scheduler is self.runner.find_scheduler():
+            await self.moves.carry_on(scheduler)
 
     async def _carry_on(
         self,
@@ -94,44 +91,34 @@
             loads = get_loads(scheduler)
             now = self.get_moment()
             plans.append(
-                self.planner.plan(progress, self.machines, loads, now),
+                self.planner.plan(
+                    progress,
+                    self.machines.machines,
+                    loads,
+                    now,
+                ),
             )
         self._free(scheduler, plans)
         for wave, plan in zip(waves, plans, strict=True):
             for machine in plan.ordered:
                 await self._begin(scheduler, wave, machine)
 
-    async def _refresh(self, now: Moment) -> None:
-        listed = await self.client.list_machines()
-        if (listed is not None) != self.is_known:
-            self.is_known = listed is not None
-            log_event(MachineListEvent(self.is_known, len(listed or ())))
-        if listed is not None:
-            self.machines = {found.machine: found for found in listed}
-            self.listed_at = now.steady
-
     async def _settle(self, progress: WaveProgress) -> None:
         """Find out from the list how far the machines are."""
         for machine_id, step in list(progress.steps.items()):
             is_open = step != MachineStep.over
-            if is_open and self._is_listed_after_order(machine_id):
+            if is_open and self.machines.is_newer_than_order(machine_id):
                 await self._settle_machine(progress, machine_id, step)
 
-    def _is_listed_after_order(self, machine: MachineId) -> bool:
-        return self.listed_at > self.ordered_at.get(machine, -1000)
-
     async def _settle_machine(
         self,
         progress: WaveProgress,
         machine_id: MachineId,
         step: MachineStep,
     ) -> None:
-        machine = self.machines.get(machine_id)
-        ordered_at = self.ordered_at.setdefault(
-            machine_id,
-            self.get_moment().steady,
-        )
-        is_late = self.listed_at - ordered_at > _BACK_SECONDS
+        machine = self.machines.machines.get(machine_id)
+        age = self.machines.get_age_of_order(machine_id)
+        is_late = age > _BACK_SECONDS
         if machine is None or _is_back(progress, machine, step, is_late):
             # Maintained, or taken away.
             await self._note(progress, machine_id, is_over=True)
@@ -146,13 +133,9 @@
         """Find out about an order that had no clear answer."""
         if machine.state == MachineState.maintenance:
             await self._note(progress, machine.machine, is_over=False)
-        elif self._may_repeat(machine.machine):
+        elif self.machines.get_age_of_order(machine.machine) > _REPEAT_SECONDS:
             await self._order(progress, machine)
 
-    def _may_repeat(self, machine: MachineId) -> bool:
-        ordered_at = self.ordered_at.get(machine, -1000)
-        return self.get_moment().steady - ordered_at > _REPEAT_SECONDS
-
     def _free(self, scheduler: Scheduler, plans: list[WavePlan]) -> None:
         reserved: set[WorkerId] = set()
         urgent: set[WorkerId] = set()
@@ -186,7 +169,7 @@
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
             return
-        outcome = await self.client.maintain(
+        outcome = await self.machines.client.maintain(
             MachineOrder(
                 machine.machine,
                 self.holder,
@@ -195,7 +178,7 @@
             progress.wave.number,
         )
         now = self.get_moment()
-        self.ordered_at[machine.machine] = now.steady
+        self.machines.note_order(machine.machine)
         log_event(
             MachineOrderedEvent(
                 machine.machine,
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -0,0 +1,138 @@
+"""Endpoint that moves machines between pools while this process leads."""
+
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field
+
+from hornbeamstair_callers.endpoints.machine_list import MachineList
+from hornbeamstair_callers.jobs.demand import get_demands
+from hornbeamstair_callers.jobs.evacuation import get_loads
+from hornbeamstair_callers.jobs.runner import WorkRunner
+from hornbeamstair_callers.jobs.scheduler import Scheduler
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.ids import MachineId, PoolName
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_fleet.events import MachineOrderedEvent
+from hornbeamstair_fleet.moves.messages import Move, MoveBegun, MoveEnded
+from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
+from hornbeamstair_fleet.moves.table import MoveTable
+from hornbeamstair_fleet.waves.messages import (
+    MachineOrder,
+    MachineOutcome,
+    MachineState,
+)
+from hornbeamstair_fleet.waves.table import MachineStep, WaveTable
+
+__all__ = ('MoveKeeper',)
+
+# A list this old shows where the machines are that nobody moved since.
+_LIST_SECONDS: Final = 3.0
+# While machines are on their way the list is read more often.
+_MOVING_LIST_SECONDS: Final = 1.2
+_REPEAT_SECONDS: Final = 1.5
+
+
+@define(eq=False)
+class MoveKeeper:
+    """Orders to move machines, one at a time for each machine."""
+
+    holder: str
+    table: MoveTable
+    waves: WaveTable
+    runner: WorkRunner
+    machines: MachineList
+    get_moment: Callable[[], Moment]
+    planner: MovePlanner = field(factory=MovePlanner)
+
+    async def carry_on(self, scheduler: Scheduler) -> None:
+        """Settle the moves in progress and begin new ones."""
+        now = self.get_moment()
+        demands = get_demands(scheduler, now)
+        is_busy = any(found.waiting for found in demands.values())
+        if not is_busy and not self.table.begun and not self._get_lent():
+            return
+        is_moving = bool(self.table.begun)
+        age = _MOVING_LIST_SECONDS if is_moving else _LIST_SECONDS
+        if not await self.machines.refresh(age):
+            return
+        for move in list(self.table.begun.values()):
+            await self._settle(move)
+        view = PoolView(
+            demands,
+            self.machines.machines,
+            get_loads(scheduler),
+            self.table.homes,
+            self._get_bound(),
+        )
+        for planned in self.planner.plan(view, now.steady):
+            await self._begin(scheduler, planned)
+
+    def _get_lent(self) -> list[MachineId]:
+        """Get the machines that are not at home."""
+        listed = self.machines.machines
+        return [
+            machine
+            for machine, home in self.table.homes.items()
+            if machine not in listed or listed[machine].pool != home
+        ]
+
+    def _get_bound(self) -> dict[MachineId, PoolName]:
+        bound = {move.machine: move.pool for move in self.table.begun.values()}
+        for progress in self.waves.get_open():
+            bound.update(
+                (machine, PoolName(''))
+                for machine, step in progress.steps.items()
+                if step != MachineStep.over
+            )
+        return bound
+
+    async def _begin(self, scheduler: Scheduler, move: Move) -> None:
+        session = scheduler.sessions.get(move.worker)
+        if session is not None:
+            if session.runs:
+                # Something was placed since the plan was made.
+                return
+            session.is_moving = True
+        committed = await self.runner.commit((MoveBegun(move),))
+        if committed.is_ok():
+            await self._order(move)
+
+    async def _order(self, move: Move) -> None:
+        scheduler = self.runner.find_scheduler()
+        if scheduler is None:
+            return
+        token = scheduler.fencing_token
+        order = MachineOrder(move.machine, self.holder, token)
+        outcome = await self.machines.client.move(order, move.pool)
+        self.machines.note_order(move.machine)
+        log_event(
+            MachineOrderedEvent(
+                move.machine,
+                move.worker,
+                f'move to {move.pool}',
+                outcome.value,
+                token,
+                len(self.table.begun),
+            ),
+        )
+        session = scheduler.sessions.get(move.worker)
+        if outcome == MachineOutcome.done:
+            scheduler.note_left(move.worker, self.get_moment())
+        elif outcome in {MachineOutcome.busy, MachineOutcome.refused}:
+            if session is not None:
+                session.is_moving = False
+            await self.runner.commit((MoveEnded(move.machine),))
+
+    async def _settle(self, move: Move) -> None:
+        """Find out from the list how far a move is."""
+        if not self.machines.is_newer_than_order(move.machine):
+            return
+        machine = self.machines.machines.get(move.machine)
+        is_there = machine is not None and machine.pool == move.pool
+        if machine is None or (is_there and machine.state == MachineState.up):
+            await self.runner.commit((MoveEnded(move.machine),))
+        elif machine.pool != move.pool and machine.state == MachineState.up:
+            age = self.machines.get_age_of_order(move.machine)
+            if age > _REPEAT_SECONDS:
+                await self._order(move)
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -3,7 +3,9 @@
 from random import Random
 from typing import Final
 
+from hornbeamstair_callers.endpoints.machine_list import MachineList
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceKeeper
+from hornbeamstair_callers.endpoints.moves import MoveKeeper
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import SchedulerState
 from hornbeamstair_callers.jobs.service import (
@@ -21,6 +23,7 @@
 )
 from hornbeamstair_daemon.system.settings import SystemSettings
 from hornbeamstair_fleet.machines import MachinesClient
+from hornbeamstair_fleet.moves.table import MoveTable
 from hornbeamstair_fleet.waves.service import WaveRequestHandler
 from hornbeamstair_fleet.waves.table import WaveTable
 from hornbeamstair_operators.manifest.service import ManifestRequestHandler
@@ -94,8 +97,9 @@
     transport = _make_transport(settings, identity.voter, metrics)
     state = SchedulerState(JobTable(), ManifestTable(), WorkerTable())
     waves = WaveTable()
+    moves = MoveTable()
     machine = TableStateMachine(
-        (state.jobs, state.manifest, state.workers, waves),
+        (state.jobs, state.manifest, state.workers, waves, moves),
     )
     node = open_node(
         _GROUP,
@@ -140,24 +144,29 @@
         group,
         MembershipKeeper(group, channel, settings.zone, get_steady_time),
         runner,
-        _make_maintenance(settings, waves, runner, machines),
+        _make_maintenance(settings, waves, moves, runner, machines),
     )
 
 
 def _make_maintenance(
     settings: SystemSettings,
     waves: WaveTable,
+    moves: MoveTable,
     runner: WorkRunner,
-    machines: MachinesClient | None,
+    client: MachinesClient | None,
 ) -> MaintenanceKeeper | None:
-    if machines is None:
+    if client is None:
         return None
+    holder = settings.label
+    machines = MachineList(client, get_steady_time)
+    mover = MoveKeeper(holder, moves, waves, runner, machines, get_moment)
     return MaintenanceKeeper(
-        settings.label,
+        holder,
         waves,
         runner,
         machines,
         get_moment,
+        mover,
     )
 
 
--- /dev/null
+++ b/packages/fleet/hornbeamstair_fleet/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of machines between pools, as demand asks."""
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -65,12 +65,15 @@
     gone_at: float | None = None
     # Kept free of new work for maintenance or a move.
     is_reserved: bool = False
+    # Its machine is told to go elsewhere.
+    is_moving: bool = False
     used: Room = field(factory=Room)
 
     def may_start(self, now: float) -> bool:
         """Tell whether new work may be placed on the worker."""
-        is_closed = self.announced.is_leaving or self.is_reserved
-        if is_closed or self.gone_at is not None:
+        if self.announced.is_leaving or self.gone_at is not None:
+            return False
+        if self.is_reserved or self.is_moving:
             return False
         if not self.is_synced or self.is_fenced:
             return False
