Order jobs by what they can still reach; move machines as work arrives

Cause: in a burst of twice what the pool holds, jobs that could no longer be in time still went first, and machines moved one after the other once a queue had built up. Change: the objective is compared with the work that is left; moves are planned from the work that arrives as well as from what waits, recorded in one batch and ordered side by side.

--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -1,5 +1,6 @@
 """Endpoint that moves machines between pools while this process leads."""
 
+from asyncio import gather
 from collections.abc import Callable
 from typing import Final
 
@@ -49,7 +50,10 @@
         """Settle the moves in progress and begin new ones."""
         now = self.get_moment()
         demands = get_demands(scheduler, now)
-        is_busy = any(found.waiting for found in demands.values())
+        is_busy = any(
+            found.waiting or found.arriving > found.room / 2
+            for found in demands.values()
+        )
         if not is_busy and not self.table.begun and not self._get_lent():
             return
         is_moving = bool(self.table.begun)
@@ -65,8 +69,12 @@
             self.table.homes,
             self._get_bound(),
         )
-        for planned in self.planner.plan(view, now.steady):
-            await self._begin(scheduler, planned)
+        planned = [
+            move
+            for move in self.planner.plan(view, now.steady)
+            if self._reserve(scheduler, move)
+        ]
+        await self._begin(planned)
 
     def _get_lent(self) -> list[MachineId]:
         """Get the machines that are not at home."""
@@ -87,16 +95,21 @@
             )
         return bound
 
-    async def _begin(self, scheduler: Scheduler, move: Move) -> None:
+    def _reserve(self, scheduler: Scheduler, move: Move) -> bool:
+        """Keep new work off a machine; tell whether it may move."""
         session = scheduler.sessions.get(move.worker)
-        if session is not None:
-            if session.runs:
-                # Something was placed since the plan was made.
-                return
-            session.is_moving = True
-        committed = await self.runner.commit((MoveBegun(move),))
+        if session is None:
+            return True
+        # Something may have been placed since the plan was made.
+        session.is_moving = not session.runs
+        return session.is_moving
+
+    async def _begin(self, moves: list[Move]) -> None:
+        if not moves:
+            return
+        committed = await self.runner.commit(tuple(map(MoveBegun, moves)))
         if committed.is_ok():
-            await self._order(move)
+            await gather(*map(self._order, moves))
 
     async def _order(self, move: Move) -> None:
         scheduler = self.runner.find_scheduler()
--- a/packages/callers/hornbeamstair_callers/jobs/demand.py
+++ b/packages/callers/hornbeamstair_callers/jobs/demand.py
@@ -21,6 +21,7 @@
             name,
             waiting.get(name, []),
             is_standby=service.is_standby,
+            arriving=round(scheduler.arrivals.get_rate(name, now.wall)),
             now=now,
         )
         for name, service in scheduler.state.manifest.services.items()
@@ -33,6 +34,7 @@
     waiting: list[WaitingJob],
     *,
     is_standby: bool,
+    arriving: int,
     now: Moment,
 ) -> PoolDemand:
     usable = scheduler.get_usable(service, now)
@@ -53,4 +55,6 @@
         waiting=cores,
         drain_seconds=work / max(room, 1),
         free=sum(session.get_free().cpu for session in usable),
+        room=room,
+        arriving=arriving,
     )
--- a/packages/callers/hornbeamstair_callers/jobs/order.py
+++ b/packages/callers/hornbeamstair_callers/jobs/order.py
@@ -1,7 +1,7 @@
 """Order in which jobs get room on the workers."""
 
 from abc import ABC, abstractmethod
-from typing import ClassVar
+from typing import ClassVar, Final
 
 from attrs import frozen
 
@@ -9,7 +9,15 @@
 from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_operators.manifest.messages import Queue
 
-__all__ = ('JobOrder', 'ObjectiveOrder', 'get_chain_seconds')
+__all__ = (
+    'JobOrder',
+    'ObjectiveOrder',
+    'get_chain_seconds',
+    'get_rest_seconds',
+)
+
+# Estimates are rough; a job is given up while this share is still missing.
+_MARGIN_SHARE: Final = 0.1
 
 
 @frozen
@@ -32,8 +40,8 @@
 class ObjectiveOrder(JobOrder):
     """Lasting jobs first, then those that can still meet their objective.
 
-    Answers a burst that asks for more than the pool holds: a job whose
-    objective has passed yields to one that can still meet its own.
+    Answers a burst that asks for more than the pool holds: a job that can
+    no longer be done in time yields to one that still can.
     """
 
     name: ClassVar[str] = 'objective'
@@ -47,10 +55,11 @@
         """Get the key by priority, objective and arrival."""
         if job.spec.lasts:
             return (0, queue.priority, job.accepted_at)
-        chain = get_chain_seconds(job.spec)
         due = max(job.accepted_at, job.spec.get_due(0))
+        chain = get_chain_seconds(job.spec)
         objective = due + chain * queue.stretch + queue.target_seconds
-        is_hopeless = wall > objective
+        rest = get_rest_seconds(job) * (1 + _MARGIN_SHARE)
+        is_hopeless = wall + rest > objective
         return (1 + is_hopeless, queue.priority, due)
 
 
@@ -61,3 +70,16 @@
         before = max((ends[number] for number in phase.after), default=0)
         ends.append(before + phase.needs.estimate_seconds)
     return max(ends, default=0)
+
+
+def get_rest_seconds(job: Job) -> float:
+    """Get the longest chain of the phases that are not done.
+
+    For a job with several occurrences it is that of the first.
+    """
+    ends: list[float] = []
+    for number, phase in enumerate(job.spec.phases):
+        before = max((ends[found] for found in phase.after), default=0)
+        is_done = job.is_phase_done(0, number)
+        ends.append(before + (0 if is_done else phase.needs.estimate_seconds))
+    return max(ends, default=0)
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field, frozen
 
+from hornbeamstair_callers.jobs.arrivals import ArrivalRates
 from hornbeamstair_callers.jobs.effects import (
     CommitBatch,
     SendStart,
@@ -82,6 +83,7 @@
     sessions: dict[WorkerId, WorkerSession] = field(factory=dict)
     effects: list[Effect] = field(factory=list)
     forgot_at: float = 0
+    arrivals: ArrivalRates = field(factory=ArrivalRates)
     waiting: WaitingJobs = field(init=False)
     starts: StartPlanner = field(init=False)
     ends: EndRecorder = field(init=False)
@@ -127,8 +129,9 @@
             case RunEnded(task):
                 self.waiting.in_flight.discard(task)
                 self.waiting.mark((parse_task_id(task).key.job,))
-            case JobAccepted(spec):
-                self.waiting.mark((spec.job,))
+            case JobAccepted():
+                self.waiting.mark((record.spec.job,))
+                self.arrivals.note(record)
             case JobCancelled(job) | JobFailed(job):
                 self._stop_job(job)
 
--- a/packages/fleet/hornbeamstair_fleet/moves/messages.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/messages.py
@@ -51,3 +51,7 @@
     drain_seconds: float
     # Processor that is free on workers that may get work.
     free: int
+    # Processor of all workers that may get work.
+    room: int
+    # Processor that the work of the last arrivals keeps busy.
+    arriving: int
--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -1,5 +1,6 @@
 """Decision which machines move to which pool."""
 
+import math
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Final
@@ -15,8 +16,8 @@
 
 # A move takes about two seconds: what is over sooner needs none.
 _DRAIN_SECONDS: Final = 0.6
-# Tasks that wait are worked on in turns of about this many seconds.
-_TURN_SECONDS: Final = 1.0
+# Share of its room that a pool can keep busy without making jobs wait.
+_BUSY_SHARE: Final = 0.8
 _CORES_PER_MACHINE: Final = 16000
 # The price of two moves is that of about two seconds in a pool.
 _IDLE_SECONDS: Final = 2.5
@@ -107,12 +108,15 @@
 
 
 def _count_wanted(demand: PoolDemand) -> int:
-    if demand.is_standby or demand.drain_seconds < _DRAIN_SECONDS:
+    """Count the machines that a pool lacks, by what waits and arrives."""
+    if demand.is_standby:
         return 0
-    missing = demand.waiting - demand.free
-    turns = max(demand.drain_seconds / _TURN_SECONDS, 1)
-    per_turn = missing / _CORES_PER_MACHINE
-    return max(int(per_turn), int(turns > 1))
+    coming = demand.arriving - demand.room * _BUSY_SHARE
+    backlog = 0
+    if demand.drain_seconds >= _DRAIN_SECONDS:
+        backlog = max(demand.waiting - demand.free, 0)
+    missing = max(coming, backlog)
+    return max(math.ceil(missing / _CORES_PER_MACHINE), 0)
 
 
 def _may_help(view: PoolView, machine: Machine) -> bool:
