--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -62,6 +62,10 @@
         if self.keeping is not None:
             self.keeping.cancel()
 
+    def get_machines(self) -> tuple[Machine, ...]:
+        """Get the machines as the platform listed them last."""
+        return tuple(self.machines.machines.values())
+
     async def _keep(self) -> None:
         while True:
             scheduler = self.runner.find_scheduler()
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/listing.py
@@ -0,0 +1,91 @@
+"""Requests and rows by which operators see jobs, workers and machines."""
+
+from typing import ClassVar
+
+from attrs import frozen
+
+from hornbeamstair_core.requests import Reply, Request
+from hornbeamstair_fleet.waves.messages import Machine
+
+__all__ = (
+    'JobRow',
+    'JobsReply',
+    'ListJobs',
+    'ListMachines',
+    'ListWorkers',
+    'MachinesReply',
+    'WorkerRow',
+    'WorkersReply',
+)
+
+
+@frozen
+class ListJobs(Request):
+    """List the jobs."""
+
+    kind: ClassVar[str] = 'list_jobs'
+
+
+@frozen
+class ListWorkers(Request):
+    """List the workers and what is believed of them."""
+
+    kind: ClassVar[str] = 'list_workers'
+
+
+@frozen
+class ListMachines(Request):
+    """List the machines as the platform told last."""
+
+    kind: ClassVar[str] = 'list_machines'
+
+
+@frozen
+class JobRow:
+    """Job as operators see it."""
+
+    job: str
+    queue: str
+    state: str
+    tasks: int
+    tasks_done: int
+    tasks_running: int
+
+
+@frozen
+class WorkerRow:
+    """Worker as operators see it; room in thousandths of a core."""
+
+    worker: str
+    service: str
+    zone: str
+    belief: str
+    runs: int
+    free_cpu: int
+
+
+@frozen
+class JobsReply(Reply):
+    """Jobs in the order of their arrival."""
+
+    kind: ClassVar[str] = 'jobs'
+
+    jobs: tuple[JobRow, ...]
+
+
+@frozen
+class WorkersReply(Reply):
+    """Workers by name."""
+
+    kind: ClassVar[str] = 'workers'
+
+    workers: tuple[WorkerRow, ...]
+
+
+@frozen
+class MachinesReply(Reply):
+    """Machines by name."""
+
+    kind: ClassVar[str] = 'machines'
+
+    machines: tuple[Machine, ...]
--- a/packages/daemon/hornbeamstair_daemon/settings.py
+++ b/packages/daemon/hornbeamstair_daemon/settings.py
@@ -16,7 +16,13 @@
 from hornbeamstair_replicas.learning.members import Member
 from hornbeamstair_replicas.transport.websocket import PeerAddress
 
-__all__ = ('Listeners', 'PeerSettings', 'Settings', 'read_settings')
+__all__ = (
+    'Listeners',
+    'PeerSettings',
+    'Settings',
+    'read_listener',
+    'read_settings',
+)
 
 _MAX_PORT: Final = 65535
 _MIN_TOKEN_LENGTH: Final = 16
@@ -144,21 +150,22 @@
         ZoneName(reader.get_name_opt('zone')),
         reader.get_bool_opt('is_voter', default=False),
     )
-    listener = _read_listener(reader)
+    listener = read_listener(reader)
     return member, PeerAddress(process, listener)
 
 
 def _read_listeners(reader: OptionsReader) -> Listeners:
     listeners = Listeners(
-        callers=_read_listener(reader.get_section('callers')),
-        upstreams=_read_listener(reader.get_section('upstreams')),
-        operators=_read_listener(reader.get_section('operators')),
+        callers=read_listener(reader.get_section('callers')),
+        upstreams=read_listener(reader.get_section('upstreams')),
+        operators=read_listener(reader.get_section('operators')),
     )
     reader.check_unknown()
     return listeners
 
 
-def _read_listener(reader: OptionsReader) -> Listener:
+def read_listener(reader: OptionsReader) -> Listener:
+    """Read an address with a port."""
     address = reader.get_str_opt('address')
     try:
         ip_address(address)
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/system/__main__.py
@@ -0,0 +1,5 @@
+"""Run a process of the system as a module."""
+
+from hornbeamstair_daemon.system.main import main
+
+main()
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/system/main.py
@@ -0,0 +1,78 @@
+"""Program of one process of the system, with the product's own interface."""
+
+from asyncio import run
+from pathlib import Path
+from typing import Annotated, Final
+
+from expression import Result
+from typer import Exit, Option, echo
+from typer import run as run_program
+
+from hornbeamstair_callers.front_ends.system import SystemFrontEnd
+from hornbeamstair_core.events import log_event, set_up_stream_logging
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_daemon.events import DaemonFailedEvent
+from hornbeamstair_daemon.system.lifetime import run_system_process
+from hornbeamstair_daemon.system.options import (
+    SystemOptions,
+    read_system_options,
+)
+from hornbeamstair_daemon.system.process import EntryProcess, SystemProcess
+from hornbeamstair_daemon.system.settings import SystemSettings
+from hornbeamstair_daemon.system.wiring import wire_control, wire_entry
+from hornbeamstair_upstreams.endpoints.http_workers import HttpWorkerSender
+
+__all__ = ('main', 'serve')
+
+_EXIT_FAILED: Final = 1
+_EXIT_SETTINGS: Final = 2
+
+
+def serve(
+    settings: Annotated[Path, Option(help='Settings file in YAML.')],
+    *,
+    bootstrap: Annotated[
+        bool,
+        Option(
+            '--bootstrap', help='The whole system starts for the first time.'
+        ),
+    ] = False,
+    check: Annotated[
+        bool,
+        Option('--check', help='Check the settings and exit.'),
+    ] = False,
+) -> None:
+    """Serve in the role that the settings name."""
+    found = read_system_options(settings, bootstrap=bootstrap)
+    if found.is_error():
+        echo(f'{found.error.number} {found.error.describe()}', err=True)
+        raise Exit(_EXIT_SETTINGS)
+    if check:
+        echo(f'{settings}: settings are valid')
+        return
+    set_up_stream_logging(found.ok.settings.label)
+
+    def read_again() -> Result[SystemSettings, Failure]:  # noqa: WPS430
+        again = read_system_options(settings, bootstrap=bootstrap)
+        return again.map(lambda options: options.settings)
+
+    try:
+        run(run_system_process(_wire(found.ok), read_again))
+    except (OSError, ValueError) as error:
+        log_event(DaemonFailedEvent(repr(error)))
+        raise Exit(_EXIT_FAILED) from error
+
+
+def main() -> None:
+    """Run the program."""
+    run_program(serve)
+
+
+def _wire(options: SystemOptions) -> SystemProcess:
+    if options.role == EntryProcess.role:
+        process: SystemProcess = wire_entry(options.settings)
+    else:
+        process = wire_control(options.settings, HttpWorkerSender(), None)
+    front_end = SystemFrontEnd(options.api, client=process.client)
+    process.add_front_ends((front_end,))
+    return process
--- /dev/null
+++ b/packages/daemon/hornbeamstair_daemon/system/options.py
@@ -0,0 +1,83 @@
+"""Settings file in YAML of a process of the system."""
+
+from functools import partial
+from pathlib import Path
+from typing import Final
+
+from attrs import frozen
+from expression import Error, Result
+
+from hornbeamstair_core.codec import read_message, read_yaml_mapping
+from hornbeamstair_core.failures import Failure, UnreadablePayloadFailure
+from hornbeamstair_core.front_end import Listener
+from hornbeamstair_core.ids import ZoneName
+from hornbeamstair_core.options import OptionsReader
+from hornbeamstair_core.units import HOUR
+from hornbeamstair_daemon.settings import read_listener
+from hornbeamstair_daemon.system.settings import SystemSettings
+from hornbeamstair_upstreams.work.leases import get_lease_terms
+
+__all__ = ('SystemOptions', 'read_system_options')
+
+_ROLES: Final = ('control', 'entry')
+_DEFAULT_LEASE_SECONDS: Final = 6.0
+_DEFAULT_STOP_SECONDS: Final = 0.2
+_DEFAULT_GRACE_SECONDS: Final = 6.0
+
+
+@frozen
+class SystemOptions:
+    """Role of a process, its settings and the address of its own API."""
+
+    role: str
+    settings: SystemSettings
+    api: Listener
+
+
+def read_system_options(
+    path: Path,
+    *,
+    bootstrap: bool,
+) -> Result[SystemOptions, Failure]:
+    """Read a settings file, naming every option that breaks its rule."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        return Error(UnreadablePayloadFailure(reason=str(error)))
+    read_options = partial(_read, bootstrap=bootstrap)
+    return read_yaml_mapping(text).bind(
+        lambda options: read_message(options, read_options),
+    )
+
+
+def _read(reader: OptionsReader, *, bootstrap: bool) -> SystemOptions:
+    folder = reader.get_str_opt('data_folder', '')
+    longest = reader.get_float_opt(
+        'longest_lease_seconds',
+        1,
+        HOUR,
+        _DEFAULT_LEASE_SECONDS,
+    )
+    stop = reader.get_float_opt('stop_seconds', 0, HOUR, _DEFAULT_STOP_SECONDS)
+    role = reader.get_choice_opt('role', _ROLES)
+    if role == 'control' and not folder:
+        reader.add_problem('data_folder', 'is required to vote')
+    settings = SystemSettings(
+        label=reader.get_name_opt('process'),
+        zone=ZoneName(reader.get_name_opt('zone')),
+        listener=read_listener(reader.get_section('listen')),
+        seeds=tuple(map(read_listener, reader.get_sections('seeds'))),
+        bootstrap=bootstrap,
+        data_folder=Path(folder) if folder else None,
+        lease=get_lease_terms(longest, stop),
+        grace_seconds=reader.get_float_opt(
+            'grace_seconds',
+            0,
+            HOUR,
+            _DEFAULT_GRACE_SECONDS,
+        ),
+        metrics=None,
+    )
+    return SystemOptions(
+        role, settings, read_listener(reader.get_section('api'))
+    )
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import Final
 
+from hornbeamstair_callers.endpoints.listing import ListingHandler
 from hornbeamstair_callers.endpoints.machine_list import MachineList
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceKeeper
 from hornbeamstair_callers.endpoints.moves import MoveKeeper
@@ -56,6 +57,7 @@
 _GROUP: Final = 'work'
 _HANDLERS: Final = (
     JobRequestHandler,
+    ListingHandler,
     ManifestRequestHandler,
     WaveRequestHandler,
     WorkerRequestHandler,
@@ -123,7 +125,14 @@
         metrics,
         get_moment,
     )
+    maintenance = _make_maintenance(settings, waves, moves, runner, machines)
     handlers = (
+        ListingHandler(
+            state,
+            runner,
+            lambda: () if maintenance is None else maintenance.get_machines(),
+            get_moment,
+        ),
         JobRequestHandler(state, runner, get_moment),
         ManifestRequestHandler(state.manifest, runner),
         WorkerRequestHandler(runner, get_moment),
@@ -144,7 +153,7 @@
         group,
         MembershipKeeper(group, channel, settings.zone, get_steady_time),
         runner,
-        _make_maintenance(settings, waves, moves, runner, machines),
+        maintenance,
     )
 
 
--- a/packages/operators/hornbeamstair_operators/command_line/client.py
+++ b/packages/operators/hornbeamstair_operators/command_line/client.py
@@ -59,6 +59,18 @@
         """Send a document."""
         return run(self._send('POST', path, document))
 
+    def put(
+        self,
+        path: str,
+        document: dict[str, Any],
+    ) -> Result[ApiAnswer, UnreachableError]:
+        """Put a document in place."""
+        return run(self._send('PUT', path, document))
+
+    def delete(self, path: str) -> Result[ApiAnswer, UnreachableError]:
+        """Take something away."""
+        return run(self._send('DELETE', path, None))
+
     async def _send(
         self,
         method: str,
--- a/packages/operators/hornbeamstair_operators/command_line/session.py
+++ b/packages/operators/hornbeamstair_operators/command_line/session.py
@@ -56,6 +56,14 @@
         """Send a document; exit if it is refused."""
         return self._get_document(self.client.post(path, document))
 
+    def put(self, path: str, document: dict[str, Any]) -> Any:
+        """Put a document in place; exit if it is refused."""
+        return self._get_document(self.client.put(path, document))
+
+    def delete(self, path: str) -> Any:
+        """Take something away; exit if it is refused."""
+        return self._get_document(self.client.delete(path))
+
     def read_file(self, path: Path) -> dict[str, Any]:
         """Read a YAML file; exit if it is not well formed."""
         try:
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
@@ -0,0 +1,88 @@
+"""The product's own interface to workers: orders as JSON over HTTP."""
+
+from typing import Any, ClassVar, Final, TypeVar
+
+from attrs import define, field
+from cattrs import BaseValidationError
+
+from hornbeamstair_core.codec import json_converter
+from hornbeamstair_upstreams.endpoints.order_client import (
+    HttpOrder,
+    OrderClient,
+)
+from hornbeamstair_upstreams.work.messages import (
+    HoldAnswer,
+    HoldOrder,
+    OrderAnswer,
+    OrderOutcome,
+    StartOrder,
+    StopOrder,
+)
+from hornbeamstair_upstreams.work.sender import WorkerSender
+
+__all__ = ('HttpWorkerSender', 'LOOK_PATH', 'START_PATH', 'STOP_PATH')
+
+LOOK_PATH: Final = '/v1/looks'
+START_PATH: Final = '/v1/starts'
+STOP_PATH: Final = '/v1/stops'
+
+# A sound worker answers in milliseconds.
+_ORDER_SECONDS: Final = 0.8
+_OK: Final = 200
+
+Answer = TypeVar('Answer', HoldAnswer, OrderAnswer)
+
+
+@define(eq=False)
+class HttpWorkerSender(WorkerSender):
+    """Sender of orders whose fields are those of the messages."""
+
+    name: ClassVar[str] = 'http'
+
+    client: OrderClient = field(factory=OrderClient)
+
+    async def hold(self, order: HoldOrder) -> HoldAnswer:
+        """Renew the lease and look at the runs and their ends."""
+        seconds = _ORDER_SECONDS + order.wait_seconds
+        answer = await self._post(order, LOOK_PATH, HoldAnswer, seconds)
+        return answer or HoldAnswer(OrderOutcome.unknown)
+
+    async def start(self, order: StartOrder) -> OrderAnswer:
+        """Start a run."""
+        answer = await self._post(order, START_PATH, OrderAnswer)
+        return answer or OrderAnswer(OrderOutcome.unknown)
+
+    async def stop(self, order: StopOrder) -> OrderAnswer:
+        """Stop a run."""
+        answer = await self._post(order, STOP_PATH, OrderAnswer)
+        return answer or OrderAnswer(OrderOutcome.unknown)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        self.client.close()
+
+    async def _post(
+        self,
+        order: Any,
+        path: str,
+        answer_class: type[Answer],
+        seconds: float = _ORDER_SECONDS,
+    ) -> Answer | None:
+        try:
+            reply = await self.client.send(
+                HttpOrder(
+                    order.address,
+                    order.port,
+                    'POST',
+                    path,
+                    (('Content-Type', 'application/json'),),
+                    json_converter.dumps(order).encode(),
+                    seconds,
+                ),
+            )
+            if reply.status != _OK:
+                return None
+            return json_converter.loads(reply.body, answer_class)
+        except (OSError, ValueError, BaseValidationError):
+            # Lost or unreadable: what became of the order is not known.
+            return None
