--- a/packages/callers/hornbeamstair_callers/endpoints/machine_list.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/machine_list.py
@@ -21,6 +21,8 @@
     get_time: Callable[[], float]
     machines: dict[MachineId, Machine] = field(factory=dict)
     listed_at: float = -1000
+    # Time of the last list that held a machine.
+    seen_at: dict[MachineId, float] = field(factory=dict)
     is_known: bool = True
     # Time of the last order about a machine.
     ordered_at: dict[MachineId, float] = field(factory=dict)
@@ -37,6 +39,7 @@
         if listed is not None:
             self.machines = {found.machine: found for found in listed}
             self.listed_at = began
+            self.seen_at.update(dict.fromkeys(self.machines, began))
         return bool(self.machines)
 
     def note_order(self, machine: MachineId) -> None:
@@ -47,6 +50,11 @@
         """Tell whether the list was read after the last order."""
         return self.listed_at > self.ordered_at.get(machine, -1000)
 
+    def get_absence(self, machine: MachineId) -> float:
+        """Get the seconds for which the lists have missed a machine."""
+        seen_at = self.seen_at.setdefault(machine, self.get_time())
+        return max(self.listed_at - seen_at, 0)
+
     def get_age_of_order(self, machine: MachineId) -> float:
         """Get the seconds from the last order to the list."""
         ordered_at = self.ordered_at.setdefault(machine, self.get_time())
--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -38,6 +38,8 @@
 _REPEAT_SECONDS: Final = 1.5
 # Maintenance and the lag of the list together take less.
 _BACK_SECONDS: Final = 4.0
+# A list that misses a machine for a moment does not prove that it is gone.
+_ABSENT_SECONDS: Final = 6.0
 
 
 @define(eq=False)
@@ -66,14 +68,8 @@
         """Get the machines as the platform listed them last."""
         return tuple(self.machines.machines.values())
 
-    async def _keep(self) -> None:
-        while True:
-            scheduler = self.runner.find_scheduler()
-            if scheduler is not None:
-                await self._pass(scheduler)
-            await sleep(_PASS_SECONDS)
-
-    async def _pass(self, scheduler: Scheduler) -> None:
+    async def carry_on_all(self, scheduler: Scheduler) -> None:
+        """Carry on all waves and moves."""
         waves = list(self.table.get_open())
         if waves:
             has_list = await self.machines.refresh(_LIST_SECONDS)
@@ -84,6 +80,13 @@
         if scheduler is self.runner.find_scheduler():
             await self.moves.carry_on(scheduler)
 
+    async def _keep(self) -> None:
+        while True:
+            scheduler = self.runner.find_scheduler()
+            if scheduler is not None:
+                await self.carry_on_all(scheduler)
+            await sleep(_PASS_SECONDS)
+
     async def _carry_on(
         self,
         scheduler: Scheduler,
@@ -121,13 +124,16 @@
         step: MachineStep,
     ) -> None:
         machine = self.machines.machines.get(machine_id)
-        age = self.machines.get_age_of_order(machine_id)
-        is_late = age > _BACK_SECONDS
-        if machine is None or _is_back(progress, machine, step, is_late):
-            # Maintained, or taken away.
-            await self._note(progress, machine_id, is_over=True)
+        if machine is None:
+            if self.machines.get_absence(machine_id) > _ABSENT_SECONDS:
+                # The machine was taken away.
+                await self._note(progress, machine_id, is_over=True)
         elif step == MachineStep.ordered:
             await self._find_out(progress, machine)
+        elif step == MachineStep.taken:
+            age = self.machines.get_age_of_order(machine_id)
+            if _is_back(progress, machine, is_late=age > _BACK_SECONDS):
+                await self._note(progress, machine_id, is_over=True)
 
     async def _find_out(
         self,
@@ -229,16 +235,16 @@
 def _is_back(
     progress: WaveProgress,
     machine: Machine,
-    step: MachineStep,
+    *,
     is_late: bool,
 ) -> bool:
     """Tell whether a machine is up again with a new worker.
 
-    A machine that is switched off has no worker before or after.
+    A machine that is switched off has no worker before or after. Only a
+    machine that the platform took down counts: a worker that crashes is
+    replaced as well.
     """
-    if step == MachineStep.waiting or machine.state != MachineState.up:
+    if machine.state != MachineState.up:
         return False
     before = progress.workers.get(machine.machine)
-    if not before:
-        return step == MachineStep.taken and is_late
-    return machine.worker != before
+    return machine.worker != before if before else is_late
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -73,10 +73,7 @@
 
     def leads(self) -> bool:
         """Tell whether nobody else can have become the leader."""
-        role = self.group.node.voter.find_leader_role()
-        if role.is_error() or self.is_stopping:
-            return False
-        return role.ok.can_read(self.get_moment().steady)
+        return not self.is_stopping and self.group.can_serve()
 
     def find_scheduler(self) -> Scheduler | None:
         """Find the scheduler while this process leads."""
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -3,6 +3,7 @@
 from asyncio import Future, TimerHandle, get_running_loop, timeout
 from collections import OrderedDict
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from attrs import define, field, frozen
@@ -133,6 +134,19 @@
         self._schedule()
         return self.node.voter.find_leader_role()
 
+    def can_serve(self) -> bool:
+        """Tell whether this process leads and its state is the newest.
+
+        What an earlier leader committed is committed again by the first
+        entry of the term, and counts here only once it is applied.
+        """
+        role = self.node.voter.find_leader_role()
+        if role.is_error() or self.failure is not None:
+            return False
+        if self.node.applied_index < role.ok.first_index:
+            return False
+        return role.ok.can_read(self.get_time())
+
     async def stop(self) -> None:
         """Commit what is pending and release the storage."""
         self._flush()
@@ -221,25 +235,12 @@
         term = self.node.voter.state.term
         index = indexes.ok[0]
         answer: Future[Answer] = get_running_loop().create_future()
-        answer.add_done_callback(
-            lambda done: self._send_place(
-                sender,
-                ForwardAnswer(request.number, index, term),
-                done.result(),
-            ),
-        )
+        place = ForwardAnswer(request.number, index, term)
+        send = partial(self._send, sender)
+        answer.add_done_callback(partial(_send_place, send, place))
         self.waiting[index] = _Waiting(term, answer)
         self._schedule()
 
-    def _send_place(
-        self,
-        sender: VoterId,
-        place: ForwardAnswer,
-        outcome: Answer,
-    ) -> None:
-        if outcome.is_ok():
-            self._send(sender, place)
-
     def _take_place(self, message: ForwardAnswer) -> None:
         answer = self.forwarded.pop(message.number, None)
         if answer is None:
@@ -307,6 +308,16 @@
         self.waiting.clear()
 
 
+def _send_place(
+    send: Callable[[ForwardAnswer], None],
+    place: ForwardAnswer,
+    done: 'Future[Answer]',
+) -> None:
+    """Tell a sender its place; without one the sender gives up by itself."""
+    if done.result().is_ok():
+        send(place)
+
+
 def _set_answer(answer: 'Future[Answer]', outcome: Answer) -> None:
     if not answer.done():
         answer.set_result(outcome)
--- /dev/null
+++ b/tests/features/steps/planning_steps.py
@@ -0,0 +1,478 @@
+"""Steps with the planners."""
+
+from asyncio import run
+from random import Random
+from typing import Any
+
+from attrs import define, evolve
+from behave import given, then, when
+
+from hornbeamstair_callers.jobs.messages import JobSpec
+from hornbeamstair_callers.jobs.order import ObjectiveOrder
+from hornbeamstair_callers.jobs.table import Job
+from hornbeamstair_core.ids import (
+    JobId,
+    MachineId,
+    PoolName,
+    ProcessId,
+    WorkerId,
+    ZoneName,
+)
+from hornbeamstair_core.log_stream import EventBudget, NonBlockingStream
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_fleet.moves.messages import PoolDemand
+from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
+from hornbeamstair_fleet.waves.messages import (
+    Machine,
+    MachineOutcome,
+    MachineState,
+    Wave,
+)
+from hornbeamstair_fleet.waves.planner import MachineLoad, WavePlanner
+from hornbeamstair_fleet.waves.table import MachineStep, WaveProgress
+from hornbeamstair_replicas.failures import NotCommittedFailure
+from hornbeamstair_replicas.groups.learning import LearnerGroup
+from hornbeamstair_replicas.groups.node import open_node
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.learning.members import Member
+from hornbeamstair_replicas.learning.source import FeedSource
+from hornbeamstair_replicas.membership.planner import MembershipPlanner
+from hornbeamstair_replicas.messages import LogEntry, Snapshot, VoterId
+from hornbeamstair_replicas.peer_messages import (
+    Envelope,
+    FeedAnswer,
+    ForwardAnswer,
+    ForwardRequest,
+)
+from hornbeamstair_replicas.storage.memory import MemoryLogStorage
+from hornbeamstair_replicas.tables.codec import TableStateMachine
+from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.voting.timing import Timing
+from hornbeamstair_upstreams.work.table import WorkerTable
+from tests.support.waves import make_waves
+from tests.support.work_model import (
+    QUEUE,
+    SERVICE,
+    WorkModel,
+    make_manifest,
+    make_phase,
+)
+
+BUSY = PoolName('busy')
+STANDBY = PoolName('standby')
+ZONE = ZoneName('z')
+NOW = 100
+# A batch of no records in CBOR.
+EMPTY_BATCH = b'\x80'
+
+
+@given('voters a, b and c of which c has been silent for {seconds:d} seconds')
+def start_voters(context: Any, seconds: int) -> None:
+    """Describe three voters."""
+    context.planner = MembershipPlanner()
+    context.now = NOW
+    context.joining = None
+    context.silence = {'a/1': 0, 'b/1': 0, 'c/1': seconds}
+    for voter in ('a/1', 'b/1'):
+        context.planner.note_report(VoterId(voter), ZONE, NOW)
+    context.planner.note_report(VoterId('c/1'), ZONE, NOW - seconds - 1)
+
+
+@given('a spare d that reports')
+def report_spare(context: Any) -> None:
+    """Have a spare process report."""
+    context.planner.note_report(VoterId('d/x'), ZONE, NOW)
+
+
+@given('a spare c with a new disk that reports')
+def report_wiped(context: Any) -> None:
+    """Have the process of a voter report with a new disk."""
+    context.planner.note_report(VoterId('c/2'), ZONE, NOW)
+
+
+@when('d votes')
+def let_spare_vote(context: Any) -> None:
+    """Count the spare among the voters."""
+    context.silence['d/x'] = 0
+
+
+@when('c with its new disk votes')
+def let_wiped_vote(context: Any) -> None:
+    """Count the new identity among the voters."""
+    context.silence['c/2'] = 0
+
+
+@when('d has been joining for {seconds:d} seconds')
+def let_join(context: Any, seconds: int) -> None:
+    """Let the spare be joining for some time."""
+    context.joining = VoterId('d/x')
+    context.now += seconds
+
+
+@then('the plan is to {action} {voter:w}')
+def check_plan(context: Any, action: str, voter: str) -> None:
+    """Check the next change."""
+    suffix = 'x' if voter == 'd' else '1'
+    _check_change(context, action, f'{voter}/{suffix}')
+
+
+@then('the new identity of c is to be added')
+def check_wiped_plan(context: Any) -> None:
+    """Check that the new identity is added."""
+    _check_change(context, 'add', 'c/2')
+
+
+@then('nothing is planned')
+def check_no_plan(context: Any) -> None:
+    """Check that nothing changes."""
+    assert _plan(context) is None
+
+
+@given('a standby pool with {spares:d} machines and a busy pool with {busy:d}')
+def make_pools(context: Any, spares: int, busy: int) -> None:
+    """Describe two pools."""
+    pools = [STANDBY] * spares + [BUSY] * busy
+    context.machines = {
+        MachineId(f'm{number}'): _make_machine(number, pool)
+        for number, pool in enumerate(pools)
+    }
+    context.homes = {}
+    context.loads = {
+        machine.worker: MachineLoad(1, 1)
+        for machine in context.machines.values()
+        if machine.pool == BUSY
+    }
+    context.moves = MovePlanner()
+
+
+@when('the busy pool lacks the processor of {count:d} machines')
+def make_demand(context: Any, count: int) -> None:
+    """Plan with work that waits."""
+    context.plan = context.moves.plan(_view(context, count * 16000), NOW)
+
+
+@when('they have arrived and nothing waits for {seconds:d} seconds')
+def arrive_idle(context: Any, seconds: int) -> None:
+    """Let the moved machines be idle."""
+    _arrive(context)
+    context.moves.plan(_view(context, 0), NOW + 1)
+    context.plan = context.moves.plan(_view(context, 0), NOW + 1 + seconds)
+
+
+@when('they have arrived and run something')
+def arrive_busy(context: Any) -> None:
+    """Let the moved machines run something."""
+    _arrive(context)
+    for machine in context.machines.values():
+        context.loads[machine.worker] = MachineLoad(2, 1)
+    context.moves.plan(_view(context, 0), NOW + 1)
+    context.plan = context.moves.plan(_view(context, 0), NOW + 9)
+
+
+@then('{count:d} machines move to the {name} pool')
+def check_moves(context: Any, count: int, name: str) -> None:
+    """Check the planned moves."""
+    targets = [move.pool for move in context.plan]
+    assert targets == [PoolName(name)] * count, context.plan
+
+
+@given(
+    'a wave of {due:d} machines of one pool of {size:d} with at most '
+    '{limit:d} down',
+)
+def make_wave(context: Any, due: int, size: int, limit: int) -> None:
+    """Describe a wave."""
+    context.machines = {
+        MachineId(f'm{number}'): _make_machine(number, BUSY)
+        for number in range(size)
+    }
+    machines = tuple(list(context.machines)[:due])
+    wave = Wave(1, machines, NOW, NOW + 60, limit)
+    steps = dict.fromkeys(machines, MachineStep.waiting)
+    context.progress = WaveProgress(wave, steps)
+
+
+@when('{count:d} of them are down')
+def take_down(context: Any, count: int) -> None:
+    """Take some machines down."""
+    for machine in list(context.progress.steps)[:count]:
+        context.progress.steps[machine] = MachineStep.taken
+
+
+@then('{count:d} machines are ordered down at once')
+def check_ordered(context: Any, count: int) -> None:
+    """Check how many machines are ordered down."""
+    plan = WavePlanner().plan(
+        context.progress,
+        context.machines,
+        {},
+        Moment(NOW, NOW),
+    )
+    assert len(plan.ordered) == count, plan
+
+
+@given('the order of jobs by what they can still reach')
+def make_order(context: Any) -> None:
+    """Choose the policy."""
+    context.order = ObjectiveOrder()
+    context.queue = make_manifest().queues[0]
+
+
+@then('a job that can still be in time goes before one that cannot')
+def check_reachable(context: Any) -> None:
+    """Compare a job from long ago with one that has just come."""
+    late, new = _make_job(NOW - 10), _make_job(NOW)
+    assert _get_key(context, new) < _get_key(context, late)
+
+
+@then('of two jobs that can, the one that came first goes first')
+def check_first(context: Any) -> None:
+    """Compare two new jobs."""
+    first, second = _make_job(NOW - 0.5), _make_job(NOW)
+    assert _get_key(context, first) < _get_key(context, second)
+
+
+@given('a learner that a snapshot brought past entry {index:d}')
+def start_learner(context: Any, index: int) -> None:
+    """Feed a learner with a snapshot."""
+    own = Member(ProcessId('l'), ZONE, is_voter=False)
+    other = Member(ProcessId('v'), ZONE, is_voter=True)
+    learner = LearnerGroup(
+        'keys',
+        TableStateMachine((WorkerTable(),)),
+        FeedSource(own, (other,), NOW),
+        PlacingTransport(VoterId('l/')),
+        lambda: NOW,
+    )
+    snapshot = Snapshot(index + 1, 1, b'')
+    feed = FeedAnswer(snapshot, (), index + 1, VoterId('v/1'), ())
+    context.learner = learner
+    context.feed = feed
+
+
+@when('the leader says that a claim has its place at entry {index:d}')
+def place_claim(context: Any, index: int) -> None:
+    """Forward a claim and take its place."""
+    context.outcome = run(_claim(context.learner, context.feed, index))
+
+
+@then('the claim has no sure outcome')
+def check_claim(context: Any) -> None:
+    """Check that the claim is not granted."""
+    assert context.outcome.is_error(), context.outcome
+    assert isinstance(context.outcome.error, NotCommittedFailure)
+
+
+@given('a log stream whose reader takes nothing')
+def start_stream(context: Any) -> None:
+    """Make a stream whose writes would block."""
+
+    context.stream = NonBlockingStream(1, _refuse_write)
+
+
+@when('{count:d} lines are written')
+def write_lines(context: Any, count: int) -> None:
+    """Write lines of 100 bytes."""
+    for _ in range(count):
+        context.stream.write(b'x' * 100)
+
+
+@then('at most {limit:d} bytes are held and the rest is counted')
+def check_held(context: Any, limit: int) -> None:
+    """Check the bound of the stream."""
+    stream = context.stream
+    assert stream.held_bytes <= limit, stream.held_bytes
+    assert stream.dropped + len(stream.lines) == 10000
+
+
+@given('an event budget of {burst:d} lines and {rate:d} a second')
+def make_budget(context: Any, burst: int, rate: int) -> None:
+    """Make a budget."""
+    context.budget = EventBudget(burst, rate)
+
+
+@when('{count:d} lines are asked for at once')
+def ask_lines(context: Any, count: int) -> None:
+    """Ask for lines at one moment."""
+    context.allowed = sum(context.budget.take(1, NOW) for _ in range(count))
+
+
+@then('{allowed:d} are allowed and {left:d} are counted as left out')
+def check_budget(context: Any, allowed: int, left: int) -> None:
+    """Check what the budget allowed."""
+    assert context.allowed == allowed, context.allowed
+    assert context.budget.pop_left_out(1) == left
+
+
+@given('a wave of one machine whose order has no answer')
+def start_wave(context: Any) -> None:
+    """Declare a wave and have its order sent."""
+    context.waves = make_waves(WorkModel(Random(1)))
+    context.waves.pass_time(1)
+
+
+@when("the machine's worker crashes and another one starts")
+def replace_worker(context: Any) -> None:
+    """Have the list show another worker."""
+    client = context.waves.client
+    client.machine = evolve(client.machine, worker=WorkerId('crashed'))
+
+
+@when('the platform takes the order and the machine comes back')
+def take_order(context: Any) -> None:
+    """Have the platform answer orders."""
+    context.waves.client.outcome = MachineOutcome.done
+
+
+@when('{seconds:d} seconds of waves pass')
+def pass_waves(context: Any, seconds: int) -> None:
+    """Let the keeper of waves work."""
+    context.waves.pass_time(seconds)
+
+
+@then('the wave is not complete')
+def check_incomplete(context: Any) -> None:
+    """Check that the wave goes on."""
+    assert not context.waves.table.waves[1].is_complete
+
+
+@then('the wave is complete')
+def check_complete(context: Any) -> None:
+    """Check that the wave is over."""
+    assert context.waves.table.waves[1].is_complete
+
+
+@given('a voter with {count:d} entries on its disk that comes to lead')
+def open_voter(context: Any, count: int) -> None:
+    """Open a sole voter whose log is not applied yet."""
+    own = VoterId('v/1')
+    storage = MemoryLogStorage()
+    storage.append(
+        [LogEntry(index, 1, EMPTY_BATCH) for index in range(1, count + 1)],
+    )
+    node = open_node(
+        'work',
+        own,
+        storage,
+        TableStateMachine((WorkerTable(),)),
+        (own,),
+        Timing(),
+        Random(1),
+        NOW,
+    )
+    context.group = VotingGroup('work', node, LocalTransport(own), lambda: NOW)
+    node.voter.tick(NOW)
+
+
+@when('its entries are committed but not applied')
+def commit_entries(context: Any) -> None:
+    """Let the voter count its own sync."""
+    context.group.node.voter.note_synced()
+
+
+@then('it does not serve yet')
+def check_not_serving(context: Any) -> None:
+    """Check that its state is not shown."""
+    role = context.group.node.voter.find_leader_role()
+    assert role.ok.can_read(NOW)
+    assert not context.group.can_serve()
+
+
+@when('they are applied')
+def apply_entries(context: Any) -> None:
+    """Apply what is committed."""
+    context.group.node.flush()
+
+
+@then('it serves')
+def check_serving(context: Any) -> None:
+    """Check that its state is shown."""
+    assert context.group.can_serve()
+
+
+@define(eq=False)
+class PlacingTransport(LocalTransport):
+    """Transport whose other end places whatever is forwarded."""
+
+    place: ForwardAnswer | None = None
+
+    def send(self, envelope: Envelope) -> None:
+        """Answer a forwarded payload with its place."""
+        if isinstance(envelope.message, ForwardRequest):
+            self.receivers['keys'](VoterId('v/1'), self.place)
+
+    def deliver_feed(self, feed: FeedAnswer) -> None:
+        """Deliver a feed of the leader."""
+        self.receivers['keys'](VoterId('v/1'), feed)
+
+
+async def _claim(learner: LearnerGroup, feed: FeedAnswer, index: int) -> Any:
+    learner.start()
+    learner.transport.deliver_feed(feed)
+    learner.transport.place = ForwardAnswer(1, index, 1)
+    outcome = await learner.propose_once(b'claim')
+    await learner.stop()
+    return outcome
+
+
+def _refuse_write(descriptor: int, line: bytes) -> int:
+    raise BlockingIOError
+
+
+def _plan(context: Any) -> Any:
+    return context.planner.plan(context.silence, context.joining, context.now)
+
+
+def _check_change(context: Any, action: str, voter: str) -> None:
+    change = _plan(context)
+    assert change is not None
+    assert type(change).__name__.lower().startswith(action), change
+    assert change.voter == voter, change
+
+
+def _make_machine(number: int, pool: PoolName) -> Machine:
+    return Machine(
+        MachineId(f'm{number}'),
+        pool,
+        MachineState.up,
+        ZONE,
+        'r1',
+        WorkerId(f'w{number}'),
+    )
+
+
+def _view(context: Any, waiting: int) -> PoolView:
+    demands = {
+        BUSY: PoolDemand(BUSY, False, waiting, waiting / 16000, 0, 32000, 0),
+        STANDBY: PoolDemand(STANDBY, True, 0, 0, 0, 0, 0),
+    }
+    return PoolView(
+        demands,
+        context.machines,
+        context.loads,
+        context.homes,
+        {},
+    )
+
+
+def _arrive(context: Any) -> None:
+    for number, move in enumerate(context.plan):
+        context.homes[move.machine] = move.home
+        machine = _make_machine(100 + number, move.pool)
+        context.machines[move.machine] = Machine(
+            move.machine,
+            move.pool,
+            MachineState.up,
+            ZONE,
+            'r1',
+            machine.worker,
+        )
+
+
+def _make_job(accepted_at: float) -> Job:
+    spec = JobSpec(JobId('1' * 16), '', (make_phase(2, 1000),))
+    return Job(spec, QUEUE, SERVICE, accepted_at)
+
+
+def _get_key(context: Any, job: Job) -> tuple[float, ...]:
+    return context.order.get_key(job, context.queue, NOW)
--- a/tests/features/steps/system_steps.py
+++ b/tests/features/steps/system_steps.py
@@ -16,7 +16,8 @@
 
 
 @given(
-    'a system whose processes start in the order {order} with {workers:d} workers'
+    'a system whose processes start in the order {order} with '
+    '{workers:d} workers',
 )
 def start_system(context: Any, order: str, workers: int) -> None:
     """Start a system."""
@@ -30,16 +31,16 @@
     """Put a manifest with one queue in force."""
     system: LoopbackSystem = context.system
     document = json_converter.unstructure(make_manifest())
+    request = ('entry-1', 'PUT', '/v1/manifest', document)
     system.wait_for(
-        lambda: (
-            system.ask('entry-1', 'PUT', '/v1/manifest', document)[0] == 200
-        ),
+        lambda: _is_accepted(system.ask(*request)),
         'manifest accepted',
     )
 
 
 @when(
-    'job {job:d} with {tasks:d} tasks of {seconds:g} seconds is submitted through {name}'
+    'job {job:d} with {tasks:d} tasks of {seconds:g} seconds is submitted '
+    'through {name}',
 )
 def submit(
     context: Any, job: int, tasks: int, seconds: float, name: str
@@ -64,7 +65,7 @@
         },
     }
     system.wait_for(
-        lambda: system.ask(name, 'POST', '/v1/jobs', document)[0] == 200,
+        lambda: _is_accepted(system.ask(name, 'POST', '/v1/jobs', document)),
         'job accepted',
     )
 
@@ -149,6 +150,10 @@
     assert str(code) in found.stderr, found
 
 
+def _is_accepted(answer: tuple[int, Any]) -> bool:
+    return answer[0] == 200
+
+
 def _run(context: Any, command: str, name: str):
     return run(
         [
--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -17,6 +17,9 @@
 
 READY_SECONDS = 20
 PAUSE_SECONDS = 0.1
+# Last byte of the loopback addresses.
+FIRST_CONTROL = 1
+FIRST_ENTRY = 10
 
 
 @define(eq=False)
@@ -127,16 +130,15 @@
             assert monotonic() < end, f'not in time: {what}'
             sleep(PAUSE_SECONDS)
 
-    def find_holder(self) -> str | None:
-        """Find the process that gives orders, by its log."""
-        latest: tuple[int, str] | None = None
-        for name in self.controls:
-            path = Path(self.folder.name) / f'{name}.log'
-            for line in path.read_text().splitlines():
-                if '"holder_changed"' in line and '"holds": true' in line:
-                    token = json.loads(line)['fencing_token']
-                    latest = max(latest or (0, ''), (token, name))
-        return latest[1] if latest else None
+    def find_holder(self) -> str:
+        """Find the process that gave orders last, by the logs."""
+        terms = {
+            json.loads(line)['fencing_token']: name
+            for name in self.controls
+            for line in self._read_log(name)
+            if '"holder_changed"' in line and '"holds": true' in line
+        }
+        return terms[max(terms)]
 
     def get_settings(self, name: str) -> dict[str, Any]:
         """Get the settings of a process."""
@@ -157,8 +159,13 @@
             settings['data_folder'] = str(folder)
         return settings
 
+    def _read_log(self, name: str) -> list[str]:
+        path = Path(self.folder.name) / f'{name}.log'
+        return path.read_text().splitlines()
+
 
 def get_address(name: str) -> str:
     """Get the loopback address of a process."""
     role, _, number = name.partition('-')
-    return f'127.0.0.{int(number) + (10 if role == "entry" else 1)}'
+    first = FIRST_ENTRY if role == 'entry' else FIRST_CONTROL
+    return f'127.0.0.{first + int(number)}'
