--- a/packages/callers/hornbeamstair_callers/endpoints/listing.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/listing.py
@@ -7,12 +7,12 @@
 from expression import Error, Ok, Result
 
 from hornbeamstair_callers.jobs.listing import (
+    HostsReply,
     JobRow,
     JobsReply,
+    ListHosts,
     ListJobs,
-    ListMachines,
     ListWorkers,
-    MachinesReply,
     WorkerRow,
     WorkersReply,
 )
@@ -22,7 +22,7 @@
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.requests import Reply, Request, RequestHandler
-from hornbeamstair_fleet.waves.messages import Machine
+from hornbeamstair_fleet.waves.messages import ListedHost
 from hornbeamstair_replicas.failures import NotLeaderFailure
 from hornbeamstair_upstreams.work.session import WorkerSession
 
@@ -35,18 +35,18 @@
 
     requests: ClassVar[tuple[type[Request], ...]] = (
         ListJobs,
-        ListMachines,
+        ListHosts,
         ListWorkers,
     )
     replies: ClassVar[tuple[type[Reply], ...]] = (
         JobsReply,
-        MachinesReply,
+        HostsReply,
         WorkersReply,
     )
 
     state: SchedulerState
     committer: RecordCommitter
-    get_machines: Callable[[], tuple[Machine, ...]]
+    get_hosts: Callable[[], tuple[ListedHost, ...]]
     get_moment: Callable[[], Moment]
 
     async def handle(self, request: Request) -> Result[Reply, Failure]:
@@ -57,8 +57,8 @@
         if isinstance(request, ListJobs):
             jobs = self.state.jobs.jobs.values()
             return Ok(JobsReply(tuple(map(_get_job_row, jobs))))
-        if isinstance(request, ListMachines):
-            return Ok(MachinesReply(self.get_machines()))
+        if isinstance(request, ListHosts):
+            return Ok(HostsReply(self.get_hosts()))
         now = self.get_moment().steady
         rows = [
             _get_worker_row(session, now)
--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -6,26 +6,26 @@
 
 from attrs import define, field
 
-from hornbeamstair_callers.endpoints.machine_list import MachineList
+from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.endpoints.moves import MoveKeeper
 from hornbeamstair_callers.jobs.evacuation import free_workers, get_loads
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.events import log_event
-from hornbeamstair_core.ids import MachineId, WorkerId
+from hornbeamstair_core.ids import HostId, WorkerId
 from hornbeamstair_core.moments import Moment
-from hornbeamstair_fleet.events import MachineOrderedEvent
+from hornbeamstair_fleet.events import HostOrderedEvent
 from hornbeamstair_fleet.waves.messages import (
-    Machine,
-    MachineOrder,
-    MachineOutcome,
-    MachineState,
+    HostOrder,
+    HostOutcome,
+    HostState,
+    ListedHost,
     MaintenanceBegun,
     MaintenanceDone,
 )
 from hornbeamstair_fleet.waves.planner import WavePlan, WavePlanner
 from hornbeamstair_fleet.waves.table import (
-    MachineStep,
+    HostStep,
     WaveProgress,
     WaveTable,
 )
@@ -33,23 +33,23 @@
 __all__ = ('MaintenanceKeeper',)
 
 _PASS_SECONDS: Final = 0.2
-# Each reading has its price; a machine is down for longer than this.
+# Each reading has its price; a host is down for longer than this.
 _LIST_SECONDS: Final = 1.2
 _REPEAT_SECONDS: Final = 1.5
 # Maintenance and the lag of the list together take less.
 _BACK_SECONDS: Final = 4.0
-# A list that misses a machine for a moment does not prove that it is gone.
+# A list that misses a host for a moment does not prove that it is gone.
 _ABSENT_SECONDS: Final = 6.0
 
 
 @define(eq=False)
 class MaintenanceKeeper:
-    """Orders of waves, one after the other for each machine."""
+    """Orders of waves, one after the other for each host."""
 
     holder: str
     table: WaveTable
     runner: WorkRunner
-    machines: MachineList
+    hosts: HostList
     get_moment: Callable[[], Moment]
     moves: MoveKeeper
     planner: WavePlanner = field(factory=WavePlanner)
@@ -64,15 +64,15 @@
         if self.keeping is not None:
             self.keeping.cancel()
 
-    def get_machines(self) -> tuple[Machine, ...]:
-        """Get the machines as the platform listed them last."""
-        return tuple(self.machines.machines.values())
+    def get_hosts(self) -> tuple[ListedHost, ...]:
+        """Get the hosts as the platform listed them last."""
+        return tuple(self.hosts.hosts.values())
 
     async def carry_on_all(self, scheduler: Scheduler) -> None:
         """Carry on all waves and moves."""
         waves = list(self.table.get_open())
         if waves:
-            has_list = await self.machines.refresh(_LIST_SECONDS)
+            has_list = await self.hosts.refresh(_LIST_SECONDS)
             if has_list and scheduler is self.runner.find_scheduler():
                 await self._carry_on(scheduler, waves)
         else:
@@ -100,51 +100,51 @@
             plans.append(
                 self.planner.plan(
                     progress,
-                    self.machines.machines,
+                    self.hosts.hosts,
                     loads,
                     now,
                 ),
             )
         self._free(scheduler, plans)
         for wave, plan in zip(waves, plans, strict=True):
-            for machine in plan.ordered:
-                await self._begin(scheduler, wave, machine)
+            for host in plan.ordered:
+                await self._begin(scheduler, wave, host)
 
     async def _settle(self, progress: WaveProgress) -> None:
-        """Find out from the list how far the machines are."""
-        for machine_id, step in list(progress.steps.items()):
-            is_open = step != MachineStep.over
-            if is_open and self.machines.is_newer_than_order(machine_id):
-                await self._settle_machine(progress, machine_id, step)
+        """Find out from the list how far the hosts are."""
+        for host_id, step in list(progress.steps.items()):
+            is_open = step != HostStep.over
+            if is_open and self.hosts.is_newer_than_order(host_id):
+                await self._settle_host(progress, host_id, step)
 
-    async def _settle_machine(
+    async def _settle_host(
         self,
         progress: WaveProgress,
-        machine_id: MachineId,
-        step: MachineStep,
+        host_id: HostId,
+        step: HostStep,
     ) -> None:
-        machine = self.machines.machines.get(machine_id)
-        if machine is None:
-            if self.machines.get_absence(machine_id) > _ABSENT_SECONDS:
-                # The machine was taken away.
-                await self._note(progress, machine_id, is_over=True)
-        elif step == MachineStep.ordered:
-            await self._find_out(progress, machine)
-        elif step == MachineStep.taken:
-            age = self.machines.get_age_of_order(machine_id)
-            if _is_back(progress, machine, is_late=age > _BACK_SECONDS):
-                await self._note(progress, machine_id, is_over=True)
+        host = self.hosts.hosts.get(host_id)
+        if host is None:
+            if self.hosts.get_absence(host_id) > _ABSENT_SECONDS:
+                # The host was taken away.
+                await self._note(progress, host_id, is_over=True)
+        elif step == HostStep.ordered:
+            await self._find_out(progress, host)
+        elif step == HostStep.taken:
+            age = self.hosts.get_age_of_order(host_id)
+            if _is_back(progress, host, is_late=age > _BACK_SECONDS):
+                await self._note(progress, host_id, is_over=True)
 
     async def _find_out(
         self,
         progress: WaveProgress,
-        machine: Machine,
+        host: ListedHost,
     ) -> None:
         """Find out about an order that had no clear answer."""
-        if machine.state == MachineState.maintenance:
-            await self._note(progress, machine.machine, is_over=False)
-        elif self.machines.get_age_of_order(machine.machine) > _REPEAT_SECONDS:
-            await self._order(progress, machine)
+        if host.state == HostState.maintenance:
+            await self._note(progress, host.host, is_over=False)
+        elif self.hosts.get_age_of_order(host.host) > _REPEAT_SECONDS:
+            await self._order(progress, host)
 
     def _free(self, scheduler: Scheduler, plans: list[WavePlan]) -> None:
         reserved: set[WorkerId] = set()
@@ -158,9 +158,9 @@
         self,
         scheduler: Scheduler,
         progress: WaveProgress,
-        machine: Machine,
+        host: ListedHost,
     ) -> None:
-        session = scheduler.sessions.get(machine.worker)
+        session = scheduler.sessions.get(host.worker)
         if session is not None and session.runs:
             # Something was placed since the plan was made.
             return
@@ -168,31 +168,31 @@
             return
         record = MaintenanceBegun(
             progress.wave.number,
-            machine.machine,
-            machine.worker,
+            host.host,
+            host.worker,
         )
         committed = await self.runner.commit((record,))
         if committed.is_ok():
-            await self._order(progress, machine)
+            await self._order(progress, host)
 
-    async def _order(self, progress: WaveProgress, machine: Machine) -> None:
+    async def _order(self, progress: WaveProgress, host: ListedHost) -> None:
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
             return
-        outcome = await self.machines.client.maintain(
-            MachineOrder(
-                machine.machine,
+        outcome = await self.hosts.client.maintain(
+            HostOrder(
+                host.host,
                 self.holder,
                 scheduler.fencing_token,
             ),
             progress.wave.number,
         )
         now = self.get_moment()
-        self.machines.note_order(machine.machine)
+        self.hosts.note_order(host.host)
         log_event(
-            MachineOrderedEvent(
-                machine.machine,
-                machine.worker,
+            HostOrderedEvent(
+                host.host,
+                host.worker,
                 'maintain',
                 outcome.value,
                 scheduler.fencing_token,
@@ -200,17 +200,17 @@
             ),
         )
         match outcome:
-            case MachineOutcome.done:
-                scheduler.note_left(machine.worker, now)
-                await self._note(progress, machine.machine, is_over=False)
-            case MachineOutcome.busy | MachineOutcome.refused:
-                await self._refuse(progress, machine)
-
-    async def _refuse(self, progress: WaveProgress, machine: Machine) -> None:
-        """Have a machine wait again that the platform would not take."""
+            case HostOutcome.done:
+                scheduler.note_left(host.worker, now)
+                await self._note(progress, host.host, is_over=False)
+            case HostOutcome.busy | HostOutcome.refused:
+                await self._refuse(progress, host)
+
+    async def _refuse(self, progress: WaveProgress, host: ListedHost) -> None:
+        """Have a host wait again that the platform would not take."""
         record = MaintenanceDone(
             progress.wave.number,
-            machine.machine,
+            host.host,
             is_taken=False,
             is_over=False,
         )
@@ -219,13 +219,13 @@
     async def _note(
         self,
         progress: WaveProgress,
-        machine: MachineId,
+        host: HostId,
         *,
         is_over: bool,
     ) -> None:
         record = MaintenanceDone(
             progress.wave.number,
-            machine,
+            host,
             is_taken=True,
             is_over=is_over,
         )
@@ -234,17 +234,17 @@
 
 def _is_back(
     progress: WaveProgress,
-    machine: Machine,
+    host: ListedHost,
     *,
     is_late: bool,
 ) -> bool:
-    """Tell whether a machine is up again with a new worker.
+    """Tell whether a host is up again with a new worker.
 
-    A machine that is switched off has no worker before or after. Only a
-    machine that the platform took down counts: a worker that crashes is
+    A host that is switched off has no worker before or after. Only a
+    host that the platform took down counts: a worker that crashes is
     replaced as well.
     """
-    if machine.state != MachineState.up:
+    if host.state != HostState.up:
         return False
-    before = progress.workers.get(machine.machine)
-    return machine.worker != before if before else is_late
+    before = progress.workers.get(host.host)
+    return host.worker != before if before else is_late
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -1,4 +1,4 @@
-"""Endpoint that moves machines between pools while this process leads."""
+"""Endpoint that moves hosts between pools while this process leads."""
 
 from asyncio import gather
 from collections.abc import Callable
@@ -6,43 +6,43 @@
 
 from attrs import define, field
 
-from hornbeamstair_callers.endpoints.machine_list import MachineList
+from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.jobs.demand import get_demands
 from hornbeamstair_callers.jobs.evacuation import get_loads
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.events import log_event
-from hornbeamstair_core.ids import MachineId, PoolName
+from hornbeamstair_core.ids import HostId, PoolName
 from hornbeamstair_core.moments import Moment
-from hornbeamstair_fleet.events import MachineOrderedEvent
+from hornbeamstair_fleet.events import HostOrderedEvent
 from hornbeamstair_fleet.moves.messages import Move, MoveBegun, MoveEnded
 from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
 from hornbeamstair_fleet.moves.table import MoveTable
 from hornbeamstair_fleet.waves.messages import (
-    MachineOrder,
-    MachineOutcome,
-    MachineState,
+    HostOrder,
+    HostOutcome,
+    HostState,
 )
-from hornbeamstair_fleet.waves.table import MachineStep, WaveTable
+from hornbeamstair_fleet.waves.table import HostStep, WaveTable
 
 __all__ = ('MoveKeeper',)
 
-# A list this old shows where the machines are that nobody moved since.
+# A list this old shows where the hosts are that nobody moved since.
 _LIST_SECONDS: Final = 3.0
-# While machines are on their way the list is read more often.
+# While hosts are on their way the list is read more often.
 _MOVING_LIST_SECONDS: Final = 1.2
 _REPEAT_SECONDS: Final = 1.5
 
 
 @define(eq=False)
 class MoveKeeper:
-    """Orders to move machines, one at a time for each machine."""
+    """Orders to move hosts, one at a time for each host."""
 
     holder: str
     table: MoveTable
     waves: WaveTable
     runner: WorkRunner
-    machines: MachineList
+    hosts: HostList
     get_moment: Callable[[], Moment]
     planner: MovePlanner = field(factory=MovePlanner)
 
@@ -58,13 +58,13 @@
             return
         is_moving = bool(self.table.begun)
         age = _MOVING_LIST_SECONDS if is_moving else _LIST_SECONDS
-        if not await self.machines.refresh(age):
+        if not await self.hosts.refresh(age):
             return
         for move in list(self.table.begun.values()):
             await self._settle(move)
         view = PoolView(
             demands,
-            self.machines.machines,
+            self.hosts.hosts,
             get_loads(scheduler),
             self.table.homes,
             self._get_bound(),
@@ -76,27 +76,27 @@
         ]
         await self._begin(planned)
 
-    def _get_lent(self) -> list[MachineId]:
-        """Get the machines that are not at home."""
-        listed = self.machines.machines
+    def _get_lent(self) -> list[HostId]:
+        """Get the hosts that are not at home."""
+        listed = self.hosts.hosts
         return [
-            machine
-            for machine, home in self.table.homes.items()
-            if machine not in listed or listed[machine].pool != home
+            host
+            for host, home in self.table.homes.items()
+            if host not in listed or listed[host].pool != home
         ]
 
-    def _get_bound(self) -> dict[MachineId, PoolName]:
-        bound = {move.machine: move.pool for move in self.table.begun.values()}
+    def _get_bound(self) -> dict[HostId, PoolName]:
+        bound = {move.host: move.pool for move in self.table.begun.values()}
         for progress in self.waves.get_open():
             bound.update(
-                (machine, PoolName(''))
-                for machine, step in progress.steps.items()
-                if step != MachineStep.over
+                (host, PoolName(''))
+                for host, step in progress.steps.items()
+                if step != HostStep.over
             )
         return bound
 
     def _reserve(self, scheduler: Scheduler, move: Move) -> bool:
-        """Keep new work off a machine; tell whether it may move."""
+        """Keep new work off a host; tell whether it may move."""
         session = scheduler.sessions.get(move.worker)
         if session is None:
             return True
@@ -116,12 +116,12 @@
         if scheduler is None:
             return
         token = scheduler.fencing_token
-        order = MachineOrder(move.machine, self.holder, token)
-        outcome = await self.machines.client.move(order, move.pool)
-        self.machines.note_order(move.machine)
+        order = HostOrder(move.host, self.holder, token)
+        outcome = await self.hosts.client.move(order, move.pool)
+        self.hosts.note_order(move.host)
         log_event(
-            MachineOrderedEvent(
-                move.machine,
+            HostOrderedEvent(
+                move.host,
                 move.worker,
                 f'move to {move.pool}',
                 outcome.value,
@@ -130,22 +130,22 @@
             ),
         )
         session = scheduler.sessions.get(move.worker)
-        if outcome == MachineOutcome.done:
+        if outcome == HostOutcome.done:
             scheduler.note_left(move.worker, self.get_moment())
-        elif outcome in {MachineOutcome.busy, MachineOutcome.refused}:
+        elif outcome in {HostOutcome.busy, HostOutcome.refused}:
             if session is not None:
                 session.is_moving = False
-            await self.runner.commit((MoveEnded(move.machine),))
+            await self.runner.commit((MoveEnded(move.host),))
 
     async def _settle(self, move: Move) -> None:
         """Find out from the list how far a move is."""
-        if not self.machines.is_newer_than_order(move.machine):
+        if not self.hosts.is_newer_than_order(move.host):
             return
-        machine = self.machines.machines.get(move.machine)
-        is_there = machine is not None and machine.pool == move.pool
-        if machine is None or (is_there and machine.state == MachineState.up):
-            await self.runner.commit((MoveEnded(move.machine),))
-        elif machine.pool != move.pool and machine.state == MachineState.up:
-            age = self.machines.get_age_of_order(move.machine)
+        host = self.hosts.hosts.get(move.host)
+        is_there = host is not None and host.pool == move.pool
+        if host is None or (is_there and host.state == HostState.up):
+            await self.runner.commit((MoveEnded(move.host),))
+        elif host.pool != move.pool and host.state == HostState.up:
+            age = self.hosts.get_age_of_order(move.host)
             if age > _REPEAT_SECONDS:
                 await self._order(move)
--- a/packages/callers/hornbeamstair_callers/front_ends/system.py
+++ b/packages/callers/hornbeamstair_callers/front_ends/system.py
@@ -1,4 +1,4 @@
-"""The product's own interface to jobs, workers, machines and the manifest."""
+"""The product's own interface to jobs, workers, hosts and the manifest."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any, ClassVar, Final, TypeVar
@@ -13,8 +13,8 @@
 from starlette.types import ASGIApp
 
 from hornbeamstair_callers.jobs.listing import (
+    ListHosts,
     ListJobs,
-    ListMachines,
     ListWorkers,
 )
 from hornbeamstair_callers.jobs.requests import (
@@ -71,7 +71,7 @@
                 self._route('/v1/workers', 'GET', _list_workers),
                 self._route('/v1/workers', 'POST', _announce),
                 self._route('/v1/workers/{worker}', 'DELETE', _withdraw),
-                self._route('/v1/machines', 'GET', _list_machines),
+                self._route('/v1/hosts', 'GET', _list_hosts),
                 self._route('/v1/manifest', 'GET', _read_manifest),
                 self._route('/v1/manifest', 'PUT', _put_manifest),
             ],
@@ -128,8 +128,8 @@
     return Ok(ListWorkers())
 
 
-async def _list_machines(request: Request) -> Result[LeaderRequest, Failure]:
-    return Ok(ListMachines())
+async def _list_hosts(request: Request) -> Result[LeaderRequest, Failure]:
+    return Ok(ListHosts())
 
 
 async def _submit(request: Request) -> Result[LeaderRequest, Failure]:
--- a/packages/callers/hornbeamstair_callers/jobs/evacuation.py
+++ b/packages/callers/hornbeamstair_callers/jobs/evacuation.py
@@ -6,7 +6,7 @@
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.moments import Moment
-from hornbeamstair_fleet.waves.planner import MachineLoad
+from hornbeamstair_fleet.waves.planner import HostLoad
 from hornbeamstair_upstreams.work.placement import Placement
 from hornbeamstair_upstreams.work.runs import Run, RunState
 from hornbeamstair_upstreams.work.session import WorkerSession
@@ -14,14 +14,14 @@
 __all__ = ('free_workers', 'get_loads')
 
 _WHOLE_PERCENT = 100
-# A lasting run has to be started elsewhere before its machine is free.
+# A lasting run has to be started elsewhere before its host is free.
 _LASTING_SECONDS = 8.0
 
 
-def get_loads(scheduler: Scheduler) -> dict[WorkerId, MachineLoad]:
+def get_loads(scheduler: Scheduler) -> dict[WorkerId, HostLoad]:
     """Get what runs on each worker."""
     return {
-        worker: MachineLoad(
+        worker: HostLoad(
             len(session.runs),
             max(map(_get_rest, session.runs.values()), default=0),
         )
--- a/packages/callers/hornbeamstair_callers/jobs/listing.py
+++ b/packages/callers/hornbeamstair_callers/jobs/listing.py
@@ -1,19 +1,19 @@
-"""Requests and rows by which operators see jobs, workers and machines."""
+"""Requests and rows by which operators see jobs, workers and hosts."""
 
 from typing import ClassVar
 
 from attrs import frozen
 
 from hornbeamstair_core.requests import Reply, Request
-from hornbeamstair_fleet.waves.messages import Machine
+from hornbeamstair_fleet.waves.messages import ListedHost
 
 __all__ = (
     'JobRow',
     'JobsReply',
     'ListJobs',
-    'ListMachines',
+    'ListHosts',
     'ListWorkers',
-    'MachinesReply',
+    'HostsReply',
     'WorkerRow',
     'WorkersReply',
 )
@@ -34,10 +34,10 @@
 
 
 @frozen
-class ListMachines(Request):
-    """List the machines as the platform told last."""
+class ListHosts(Request):
+    """List the hosts as the platform told last."""
 
-    kind: ClassVar[str] = 'list_machines'
+    kind: ClassVar[str] = 'list_hosts'
 
 
 @frozen
@@ -83,9 +83,9 @@
 
 
 @frozen
-class MachinesReply(Reply):
-    """Machines by name."""
+class HostsReply(Reply):
+    """Hosts by name."""
 
-    kind: ClassVar[str] = 'machines'
+    kind: ClassVar[str] = 'hosts'
 
-    machines: tuple[Machine, ...]
+    hosts: tuple[ListedHost, ...]
--- a/packages/core/hornbeamstair_core/ids.py
+++ b/packages/core/hornbeamstair_core/ids.py
@@ -7,7 +7,6 @@
     'CustomerId',
     'HostId',
     'JobId',
-    'MachineId',
     'PoolName',
     'ProcessId',
     'QueueName',
@@ -24,7 +23,6 @@
 CustomerId = NewType('CustomerId', str)
 HostId = NewType('HostId', str)
 JobId = NewType('JobId', str)
-MachineId = NewType('MachineId', str)
 PoolName = NewType('PoolName', str)
 ProcessId = NewType('ProcessId', str)
 QueueName = NewType('QueueName', str)
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -3,8 +3,8 @@
 from random import Random
 from typing import Final
 
+from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.endpoints.listing import ListingHandler
-from hornbeamstair_callers.endpoints.machine_list import MachineList
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceKeeper
 from hornbeamstair_callers.endpoints.moves import MoveKeeper
 from hornbeamstair_callers.jobs.runner import WorkRunner
@@ -23,7 +23,7 @@
     EntryProcess,
 )
 from hornbeamstair_daemon.system.settings import SystemSettings
-from hornbeamstair_fleet.machines import MachinesClient
+from hornbeamstair_fleet.hosts import HostsClient
 from hornbeamstair_fleet.moves.table import MoveTable
 from hornbeamstair_fleet.waves.service import WaveRequestHandler
 from hornbeamstair_fleet.waves.table import WaveTable
@@ -84,7 +84,7 @@
 def wire_control(
     settings: SystemSettings,
     sender: WorkerSender,
-    machines: MachinesClient | None,
+    hosts: HostsClient | None,
 ) -> ControlProcess:
     """Wire a process that may vote; ValueError without a data folder."""
     if settings.data_folder is None:
@@ -125,12 +125,12 @@
         metrics,
         get_moment,
     )
-    maintenance = _make_maintenance(settings, waves, moves, runner, machines)
+    maintenance = _make_maintenance(settings, waves, moves, runner, hosts)
     handlers = (
         ListingHandler(
             state,
             runner,
-            lambda: () if maintenance is None else maintenance.get_machines(),
+            lambda: () if maintenance is None else maintenance.get_hosts(),
             get_moment,
         ),
         JobRequestHandler(state, runner, get_moment),
@@ -162,18 +162,18 @@
     waves: WaveTable,
     moves: MoveTable,
     runner: WorkRunner,
-    client: MachinesClient | None,
+    client: HostsClient | None,
 ) -> MaintenanceKeeper | None:
     if client is None:
         return None
     holder = settings.label
-    machines = MachineList(client, get_steady_time)
-    mover = MoveKeeper(holder, moves, waves, runner, machines, get_moment)
+    hosts = HostList(client, get_steady_time)
+    mover = MoveKeeper(holder, moves, waves, runner, hosts, get_moment)
     return MaintenanceKeeper(
         holder,
         waves,
         runner,
-        machines,
+        hosts,
         get_moment,
         mover,
     )
--- a/packages/fleet/hornbeamstair_fleet/events.py
+++ b/packages/fleet/hornbeamstair_fleet/events.py
@@ -1,12 +1,12 @@
-"""Events of machines and waves."""
+"""Events of hosts and waves."""
 
 from attrs import frozen
 
 from hornbeamstair_core.events import Event, EventLevel, register_event
 
 __all__ = (
-    'MachineListEvent',
-    'MachineOrderedEvent',
+    'HostListEvent',
+    'HostOrderedEvent',
     'WaveDeclaredEvent',
 )
 
@@ -21,21 +21,21 @@
     summary = 'A maintenance wave was declared.'
 
     wave: int
-    machines: int
+    hosts: int
     max_down: int
     deadline_seconds: float
 
 
 @register_event
 @frozen
-class MachineOrderedEvent(Event):
-    """Order about a machine and what became of it."""
+class HostOrderedEvent(Event):
+    """Order about a host and what became of it."""
 
     number = 6002
-    name = 'machine_ordered'
-    summary = 'The platform was told to maintain or move a machine.'
+    name = 'host_ordered'
+    summary = 'The platform was told to maintain or move a host.'
 
-    machine: str
+    host: str
     worker: str
     order: str
     outcome: str
@@ -45,13 +45,13 @@
 
 @register_event
 @frozen
-class MachineListEvent(Event):
-    """Platform that began or ceased to list its machines."""
+class HostListEvent(Event):
+    """Platform that began or ceased to list its hosts."""
 
     number = 6003
-    name = 'machine_list'
-    summary = 'The list of machines can be had, or cannot be had any more.'
+    name = 'host_list'
+    summary = 'The list of hosts can be had, or cannot be had any more.'
     level = EventLevel.warning
 
     is_known: bool
-    machines: int
+    hosts: int
--- a/packages/fleet/hornbeamstair_fleet/moves/__init__.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/__init__.py
@@ -1,1 +1,1 @@
-"""Moves of machines between pools, as demand asks."""
+"""Moves of hosts between pools, as demand asks."""
--- a/packages/fleet/hornbeamstair_fleet/moves/messages.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/messages.py
@@ -1,10 +1,10 @@
-"""Moves of machines and their records."""
+"""Moves of hosts and their records."""
 
 from typing import ClassVar
 
 from attrs import frozen
 
-from hornbeamstair_core.ids import MachineId, PoolName, WorkerId
+from hornbeamstair_core.ids import HostId, PoolName, WorkerId
 from hornbeamstair_core.records import Record
 
 __all__ = ('Move', 'MoveBegun', 'MoveEnded', 'PoolDemand')
@@ -12,18 +12,18 @@
 
 @frozen
 class Move:
-    """Machine that goes to another pool, and where it was first."""
+    """ListedHost that goes to another pool, and where it was first."""
 
-    machine: MachineId
+    host: HostId
     home: PoolName
     pool: PoolName
-    # Worker of the machine before the move; empty if it was switched off.
+    # Worker of the host before the move; empty if it was switched off.
     worker: WorkerId
 
 
 @frozen
 class MoveBegun(Record):
-    """Machine that is about to be told to move."""
+    """ListedHost that is about to be told to move."""
 
     kind: ClassVar[str] = 'move_begun'
 
@@ -36,7 +36,7 @@
 
     kind: ClassVar[str] = 'move_ended'
 
-    machine: MachineId
+    host: HostId
 
 
 @frozen
--- a/packages/fleet/hornbeamstair_fleet/waves/__init__.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/__init__.py
@@ -1,1 +1,1 @@
-"""Maintenance waves: which machine goes down when."""
+"""Maintenance waves: which host goes down when."""
--- a/packages/fleet/hornbeamstair_fleet/waves/messages.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/messages.py
@@ -1,18 +1,18 @@
-"""Machines as the platform lists them, waves and their records."""
+"""Hosts as the platform lists them, waves and their records."""
 
 from enum import Enum
 from typing import ClassVar
 
 from attrs import frozen
 
-from hornbeamstair_core.ids import MachineId, PoolName, WorkerId, ZoneName
+from hornbeamstair_core.ids import HostId, PoolName, WorkerId, ZoneName
 from hornbeamstair_core.records import Record
 
 __all__ = (
-    'Machine',
-    'MachineOrder',
-    'MachineOutcome',
-    'MachineState',
+    'ListedHost',
+    'HostOrder',
+    'HostOutcome',
+    'HostState',
     'MaintenanceBegun',
     'MaintenanceDone',
     'Wave',
@@ -20,8 +20,8 @@
 )
 
 
-class MachineState(Enum):
-    """State of a machine as the platform lists it."""
+class HostState(Enum):
+    """State of a host as the platform lists it."""
 
     up = 'up'
     moving = 'moving'
@@ -30,35 +30,35 @@
 
 
 @frozen
-class Machine:
-    """Machine of a pool and the worker that runs on it."""
+class ListedHost:
+    """ListedHost of a pool and the worker that runs on it."""
 
-    machine: MachineId
+    host: HostId
     pool: PoolName
-    state: MachineState
+    state: HostState
     zone: ZoneName
     rack: str
     worker: WorkerId
 
 
 @frozen
-class MachineOrder:
-    """Order to the platform about one machine."""
+class HostOrder:
+    """Order to the platform about one host."""
 
-    machine: MachineId
+    host: HostId
     holder: str
     fencing_token: int
 
 
-class MachineOutcome(Enum):
-    """What became of an order about a machine."""
+class HostOutcome(Enum):
+    """What became of an order about a host."""
 
     done = 'done'
-    # A newer holder has given orders about the machine.
+    # A newer holder has given orders about the host.
     fenced = 'fenced'
-    # The machine is not up, or leaves.
+    # The host is not up, or leaves.
     busy = 'busy'
-    # No such machine, or not one of the wave or of such a pool.
+    # No such host, or not one of the wave or of such a pool.
     refused = 'refused'
     # Too many orders at a time: nothing was done.
     throttled = 'throttled'
@@ -68,10 +68,10 @@
 
 @frozen
 class Wave:
-    """Machines that are due for maintenance until a deadline."""
+    """Hosts that are due for maintenance until a deadline."""
 
     number: int
-    machines: tuple[MachineId, ...]
+    hosts: tuple[HostId, ...]
     # Wall-clock seconds.
     declared_at: float
     deadline: float
@@ -89,24 +89,24 @@
 
 @frozen
 class MaintenanceBegun(Record):
-    """Machine that is about to be told to go down."""
+    """ListedHost that is about to be told to go down."""
 
     kind: ClassVar[str] = 'maintenance_begun'
 
     wave: int
-    machine: MachineId
+    host: HostId
     worker: WorkerId
 
 
 @frozen
 class MaintenanceDone(Record):
-    """Machine whose maintenance began, is over, or cannot be had."""
+    """ListedHost whose maintenance began, is over, or cannot be had."""
 
     kind: ClassVar[str] = 'maintenance_done'
 
     wave: int
-    machine: MachineId
-    # The platform took the order; the machine is down from then on.
+    host: HostId
+    # The platform took the order; the host is down from then on.
     is_taken: bool
-    # The machine is up again, or is gone.
+    # The host is up again, or is gone.
     is_over: bool
--- a/packages/fleet/hornbeamstair_fleet/waves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/planner.py
@@ -1,4 +1,4 @@
-"""Decision which machine of a wave goes down next."""
+"""Decision which host of a wave goes down next."""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -6,22 +6,22 @@
 
 from attrs import define, frozen
 
-from hornbeamstair_core.ids import MachineId, PoolName, WorkerId
+from hornbeamstair_core.ids import HostId, PoolName, WorkerId
 from hornbeamstair_core.moments import Moment
-from hornbeamstair_fleet.waves.messages import Machine, MachineState
-from hornbeamstair_fleet.waves.table import MachineStep, WaveProgress
+from hornbeamstair_fleet.waves.messages import HostState, ListedHost
+from hornbeamstair_fleet.waves.table import HostStep, WaveProgress
 
-__all__ = ('MachineLoad', 'WavePlan', 'WavePlanner')
+__all__ = ('HostLoad', 'WavePlan', 'WavePlanner')
 
 # Share of a pool that may be kept free of work at a time.
 _POOL_SHARE: Final = 0.34
-# Time that a machine needs to get free of work and be maintained.
+# Time that a host needs to get free of work and be maintained.
 _ROUND_SECONDS: Final = 6.0
 
 
 @frozen
-class MachineLoad:
-    """What runs on a machine."""
+class HostLoad:
+    """What runs on a host."""
 
     runs: int
     # Seconds until its runs would end by themselves.
@@ -30,19 +30,19 @@
 
 @frozen
 class WavePlan:
-    """Machines to keep free, to free by force, and to order down."""
+    """Hosts to keep free, to free by force, and to order down."""
 
     reserved: frozenset[WorkerId]
     # Runs are to be stopped, since the deadline is near.
     urgent: frozenset[WorkerId]
-    ordered: tuple[Machine, ...]
+    ordered: tuple[ListedHost, ...]
 
 
 @define(eq=False)
 class WavePlanner:
     """Plan of one wave.
 
-    Machines that need not be freed go first. No more machines are kept
+    Hosts that need not be freed go first. No more hosts are kept
     free than may be down, and no more than a share of a pool, so that the
     pools can serve what comes meanwhile.
     """
@@ -50,24 +50,21 @@
     def plan(
         self,
         progress: WaveProgress,
-        machines: Mapping[MachineId, Machine],
-        loads: Mapping[WorkerId, MachineLoad],
+        hosts: Mapping[HostId, ListedHost],
+        loads: Mapping[WorkerId, HostLoad],
         now: Moment,
     ) -> WavePlan:
         """Plan the next step."""
         room = progress.wave.max_down - progress.count_down()
         waiting = [
-            machines[machine]
-            for machine in progress.get_machines(MachineStep.waiting)
-            if machine in machines
-            and machines[machine].state == MachineState.up
-        ]
-        chosen = self._choose(progress, machines, waiting, loads, room)
-        free = [
-            machine for machine in chosen if not _get_load(machine, loads).runs
+            hosts[host]
+            for host in progress.get_hosts(HostStep.waiting)
+            if host in hosts and hosts[host].state == HostState.up
         ]
+        chosen = self._choose(progress, hosts, waiting, loads, room)
+        free = [host for host in chosen if not _get_load(host, loads).runs]
         is_urgent = _is_urgent(progress, len(waiting), now)
-        workers = frozenset(machine.worker for machine in chosen)
+        workers = frozenset(host.worker for host in chosen)
         return WavePlan(
             reserved=workers,
             urgent=workers if is_urgent else frozenset(),
@@ -77,41 +74,41 @@
     def _choose(
         self,
         progress: WaveProgress,
-        machines: Mapping[MachineId, Machine],
-        waiting: Iterable[Machine],
-        loads: Mapping[WorkerId, MachineLoad],
+        hosts: Mapping[HostId, ListedHost],
+        waiting: Iterable[ListedHost],
+        loads: Mapping[WorkerId, HostLoad],
         room: int,
-    ) -> list[Machine]:
-        sizes = Counter(machine.pool for machine in machines.values())
+    ) -> list[ListedHost]:
+        sizes = Counter(host.pool for host in hosts.values())
         down = Counter(
-            machine.pool
-            for machine in machines.values()
-            if machine.state != MachineState.up
-            or progress.steps.get(machine.machine) in _DOWN
+            host.pool
+            for host in hosts.values()
+            if host.state != HostState.up
+            or progress.steps.get(host.host) in _DOWN
         )
-        chosen: list[Machine] = []
+        chosen: list[ListedHost] = []
         by_load = sorted(
             waiting,
             key=lambda found: _get_load(found, loads).rest_seconds,
         )
-        for machine in by_load:
+        for host in by_load:
             if len(chosen) >= room:
                 break
-            if down[machine.pool] < _get_limit(sizes, machine.pool):
-                down[machine.pool] += 1
-                chosen.append(machine)
+            if down[host.pool] < _get_limit(sizes, host.pool):
+                down[host.pool] += 1
+                chosen.append(host)
         return chosen
 
 
-_DOWN: Final = frozenset((MachineStep.ordered, MachineStep.taken))
-_IDLE: Final = MachineLoad(0, 0)
+_DOWN: Final = frozenset((HostStep.ordered, HostStep.taken))
+_IDLE: Final = HostLoad(0, 0)
 
 
 def _get_load(
-    machine: Machine,
-    loads: Mapping[WorkerId, MachineLoad],
-) -> MachineLoad:
-    return loads.get(machine.worker, _IDLE)
+    host: ListedHost,
+    loads: Mapping[WorkerId, HostLoad],
+) -> HostLoad:
+    return loads.get(host.worker, _IDLE)
 
 
 def _get_limit(sizes: Mapping[PoolName, int], pool: PoolName) -> int:
--- a/packages/fleet/hornbeamstair_fleet/waves/requests.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/requests.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from hornbeamstair_core.ids import MachineId
+from hornbeamstair_core.ids import HostId
 from hornbeamstair_core.requests import Reply, Request
 
 __all__ = ('DeclareWave', 'ShowWave', 'WaveReply')
@@ -12,12 +12,12 @@
 
 @frozen
 class DeclareWave(Request):
-    """Have machines maintained within some seconds."""
+    """Have hosts maintained within some seconds."""
 
     kind: ClassVar[str] = 'declare_wave'
 
     number: int
-    machines: tuple[MachineId, ...]
+    hosts: tuple[HostId, ...]
     deadline_seconds: float
     max_down: int
 
--- a/packages/fleet/hornbeamstair_fleet/waves/service.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/service.py
@@ -57,7 +57,7 @@
         now = self.get_moment().wall
         wave = Wave(
             request.number,
-            request.machines,
+            request.hosts,
             now,
             now + request.deadline_seconds,
             request.max_down,
@@ -68,7 +68,7 @@
         log_event(
             WaveDeclaredEvent(
                 wave.number,
-                len(wave.machines),
+                len(wave.hosts),
                 wave.max_down,
                 request.deadline_seconds,
             ),
--- a/packages/fleet/hornbeamstair_fleet/waves/table.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/table.py
@@ -1,4 +1,4 @@
-"""Replicated table of the waves and how far each machine is."""
+"""Replicated table of the waves and how far each host is."""
 
 from collections.abc import Iterator
 from enum import Enum
@@ -6,7 +6,7 @@
 
 from attrs import define, field, frozen
 
-from hornbeamstair_core.ids import MachineId, WorkerId
+from hornbeamstair_core.ids import HostId, WorkerId
 from hornbeamstair_core.records import Record, RecordTable
 from hornbeamstair_fleet.waves.messages import (
     MaintenanceBegun,
@@ -15,47 +15,45 @@
     WaveDeclared,
 )
 
-__all__ = ('MachineStep', 'WaveProgress', 'WaveTable', 'WaveTableState')
+__all__ = ('HostStep', 'WaveProgress', 'WaveTable', 'WaveTableState')
 
 _NO_WORKER = WorkerId('')
 
 
-class MachineStep(Enum):
-    """How far a machine of a wave is."""
+class HostStep(Enum):
+    """How far a host of a wave is."""
 
     waiting = 'waiting'
     # The order may have been carried out.
     ordered = 'ordered'
     # The platform took the order.
     taken = 'taken'
-    # The machine is up again, or is gone.
+    # The host is up again, or is gone.
     over = 'over'
 
 
 @define(eq=False)
 class WaveProgress:
-    """Wave and how far its machines are."""
+    """Wave and how far its hosts are."""
 
     wave: Wave
-    steps: dict[MachineId, MachineStep]
-    # Worker of a machine before its maintenance.
-    workers: dict[MachineId, WorkerId] = field(factory=dict)
+    steps: dict[HostId, HostStep]
+    # Worker of a host before its maintenance.
+    workers: dict[HostId, WorkerId] = field(factory=dict)
 
     @property
     def is_complete(self) -> bool:
-        """Tell whether every machine had its maintenance."""
-        return all(step == MachineStep.over for step in self.steps.values())
+        """Tell whether every host had its maintenance."""
+        return all(step == HostStep.over for step in self.steps.values())
 
     def count_down(self) -> int:
-        """Count the machines that may be down for the wave."""
-        down = {MachineStep.ordered, MachineStep.taken}
+        """Count the hosts that may be down for the wave."""
+        down = {HostStep.ordered, HostStep.taken}
         return sum(1 for step in self.steps.values() if step in down)
 
-    def get_machines(self, step: MachineStep) -> list[MachineId]:
-        """Get the machines that are so far."""
-        return [
-            machine for machine, found in self.steps.items() if found == step
-        ]
+    def get_hosts(self, step: HostStep) -> list[HostId]:
+        """Get the hosts that are so far."""
+        return [host for host, found in self.steps.items() if found == step]
 
 
 @frozen
@@ -84,11 +82,11 @@
         match record:
             case WaveDeclared(wave):
                 if wave.number not in self.waves:
-                    steps = dict.fromkeys(wave.machines, MachineStep.waiting)
+                    steps = dict.fromkeys(wave.hosts, HostStep.waiting)
                     self.waves[wave.number] = WaveProgress(wave, steps)
-            case MaintenanceBegun(wave, machine, worker):
-                self.waves[wave].steps[machine] = MachineStep.ordered
-                self.waves[wave].workers[machine] = worker
+            case MaintenanceBegun(wave, host, worker):
+                self.waves[wave].steps[host] = HostStep.ordered
+                self.waves[wave].workers[host] = worker
             case MaintenanceDone():
                 self._take_done(record)
         return None
@@ -112,10 +110,10 @@
 
     def _take_done(self, record: MaintenanceDone) -> None:
         if record.is_over:
-            step = MachineStep.over
+            step = HostStep.over
         elif record.is_taken:
-            step = MachineStep.taken
+            step = HostStep.taken
         else:
-            # The platform refused: the machine waits again.
-            step = MachineStep.waiting
-        self.waves[record.wave].steps[record.machine] = step
+            # The platform refused: the host waits again.
+            step = HostStep.waiting
+        self.waves[record.wave].steps[record.host] = step
--- a/packages/operators/hornbeamstair_operators/command_line/system.py
+++ b/packages/operators/hornbeamstair_operators/command_line/system.py
@@ -1,4 +1,4 @@
-"""Commands on jobs, workers, machines and the manifest."""
+"""Commands on jobs, workers, hosts and the manifest."""
 
 from pathlib import Path
 from typing import Annotated, Any, Final
@@ -8,7 +8,7 @@
 
 from hornbeamstair_operators.command_line.session import Session
 
-__all__ = ('job_app', 'machine_app', 'manifest_app', 'worker_app')
+__all__ = ('job_app', 'host_app', 'manifest_app', 'worker_app')
 
 _JOB_COLUMNS: Final = (
     'job',
@@ -26,11 +26,11 @@
     'runs',
     'free_cpu',
 )
-_MACHINE_COLUMNS: Final = ('machine', 'pool', 'state', 'zone', 'worker')
+_MACHINE_COLUMNS: Final = ('host', 'pool', 'state', 'zone', 'worker')
 
 job_app = Typer(rich_markup_mode=None, help='Submit, show and cancel jobs.')
 worker_app = Typer(rich_markup_mode=None, help='List workers.')
-machine_app = Typer(rich_markup_mode=None, help='List machines.')
+host_app = Typer(rich_markup_mode=None, help='List hosts.')
 manifest_app = Typer(rich_markup_mode=None, help='Put queues in force.')
 
 _HostOption = Annotated[str, Option(help='Host of the queue.')]
@@ -87,10 +87,10 @@
     _print_rows(context, '/v1/workers', 'workers', _WORKER_COLUMNS)
 
 
-@machine_app.command('list')
-def list_machines(context: Context) -> None:
-    """List the machines as the platform told last."""
-    _print_rows(context, '/v1/machines', 'machines', _MACHINE_COLUMNS)
+@host_app.command('list')
+def list_hosts(context: Context) -> None:
+    """List the hosts as the platform told last."""
+    _print_rows(context, '/v1/hosts', 'hosts', _MACHINE_COLUMNS)
 
 
 @manifest_app.command('apply')
--- a/packages/tools/hornbeamstair_tools/check_imports.py
+++ b/packages/tools/hornbeamstair_tools/check_imports.py
@@ -11,6 +11,8 @@
 
 _ROOT: Final = Path('packages')
 _PREFIX: Final = 'hornbeamstair_'
+# The adapter, which nothing under packages/ may import.
+_ADAPTER: Final = 'hornbeamstair_platform'
 
 # Packages that each package may import besides itself.
 _ALLOWED: Final = MappingProxyType(
@@ -74,6 +76,9 @@
         folder = _ROOT / package / f'{_PREFIX}{package}'
         for path in sorted(folder.rglob('*.py')):
             yield from _find_module_problems(package, folder, path)
+    for module in sorted(_ROOT.rglob('*.py')):
+        if _ADAPTER in map(_get_top, _get_imports(module)):
+            yield f'{module}: imports the adapter'
 
 
 def _find_module_problems(
@@ -89,6 +94,10 @@
             yield f'{path}: imports {imported}: {reason}'
 
 
+def _get_top(imported: str) -> str:
+    return imported.partition('.')[0]
+
+
 def _get_imports(path: Path) -> Iterable[str]:
     for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
         if isinstance(node, ast.Import):
@@ -102,7 +111,7 @@
     package: str,
     allowed: frozenset[str],
 ) -> str:
-    top = imported.partition('.')[0]
+    top = _get_top(imported)
     if not top.startswith(_PREFIX):
         return ''
     target = top.removeprefix(_PREFIX)
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -4,9 +4,16 @@
 from traceback import print_exception
 from typing import Any
 
+from absl import logging
+
 from tests.support.world import World
 
 
+def before_all(context: Any) -> None:
+    """Keep the events of modelled failures out of the suite's output."""
+    logging.set_verbosity(logging.FATAL)
+
+
 def before_scenario(context: Any, scenario: Any) -> None:
     """Give each scenario a world of its own."""
     context.world = World()
--- a/tests/features/planning.feature
+++ b/tests/features/planning.feature
@@ -1,4 +1,4 @@
-Feature: Plans for voters, machines and the order of jobs
+Feature: Plans for voters, hosts and the order of jobs
 
   Scenario: A lost voter is replaced by a spare, one change at a time
     Given voters a, b and c of which c has been silent for 6 seconds
@@ -26,25 +26,25 @@
     When d has been joining for 5 seconds
     Then the plan is to abandon d
 
-  Scenario: Spare machines go where work waits and return when idle
-    Given a standby pool with 4 machines and a busy pool with 2
-    When the busy pool lacks the processor of 3 machines
-    Then 3 machines move to the busy pool
+  Scenario: Spare hosts go where work waits and return when idle
+    Given a standby pool with 4 hosts and a busy pool with 2
+    When the busy pool lacks the processor of 3 hosts
+    Then 3 hosts move to the busy pool
     When they have arrived and nothing waits for 5 seconds
-    Then 3 machines move to the standby pool
+    Then 3 hosts move to the standby pool
 
-  Scenario: A machine that runs something does not move
-    Given a standby pool with 4 machines and a busy pool with 2
-    When the busy pool lacks the processor of 3 machines
-    Then 3 machines move to the busy pool
+  Scenario: A host that runs something does not move
+    Given a standby pool with 4 hosts and a busy pool with 2
+    When the busy pool lacks the processor of 3 hosts
+    Then 3 hosts move to the busy pool
     When they have arrived and run something
-    Then 0 machines move to the standby pool
+    Then 0 hosts move to the standby pool
 
   Scenario: A wave keeps to its limit and to the room of each pool
-    Given a wave of 6 machines of one pool of 9 with at most 4 down
-    Then 3 machines are ordered down at once
+    Given a wave of 6 hosts of one pool of 9 with at most 4 down
+    Then 3 hosts are ordered down at once
     When 3 of them are down
-    Then 0 machines are ordered down at once
+    Then 0 hosts are ordered down at once
 
   Scenario: A burst that asks for more than the pool holds
     Given the order of jobs by what they can still reach
@@ -67,11 +67,11 @@
     Then 10 are allowed and 90 are counted as left out
 
   Scenario: A worker that crashes does not count as maintained
-    Given a wave of one machine whose order has no answer
-    When the machine's worker crashes and another one starts
+    Given a wave of one host whose order has no answer
+    When the host's worker crashes and another one starts
     And 12 seconds of waves pass
     Then the wave is not complete
-    When the platform takes the order and the machine comes back
+    When the platform takes the order and the host comes back
     And 12 seconds of waves pass
     Then the wave is complete
 
--- a/tests/features/steps/planning_steps.py
+++ b/tests/features/steps/planning_steps.py
@@ -11,8 +11,8 @@
 from hornbeamstair_callers.jobs.order import ObjectiveOrder
 from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.ids import (
+    HostId,
     JobId,
-    MachineId,
     PoolName,
     ProcessId,
     WorkerId,
@@ -23,13 +23,13 @@
 from hornbeamstair_fleet.moves.messages import PoolDemand
 from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
 from hornbeamstair_fleet.waves.messages import (
-    Machine,
-    MachineOutcome,
-    MachineState,
+    HostOutcome,
+    HostState,
+    ListedHost,
     Wave,
 )
-from hornbeamstair_fleet.waves.planner import MachineLoad, WavePlanner
-from hornbeamstair_fleet.waves.table import MachineStep, WaveProgress
+from hornbeamstair_fleet.waves.planner import HostLoad, WavePlanner
+from hornbeamstair_fleet.waves.table import HostStep, WaveProgress
 from hornbeamstair_replicas.failures import NotCommittedFailure
 from hornbeamstair_replicas.groups.learning import LearnerGroup
 from hornbeamstair_replicas.groups.node import open_node
@@ -128,24 +128,24 @@
     assert _plan(context) is None
 
 
-@given('a standby pool with {spares:d} machines and a busy pool with {busy:d}')
+@given('a standby pool with {spares:d} hosts and a busy pool with {busy:d}')
 def make_pools(context: Any, spares: int, busy: int) -> None:
     """Describe two pools."""
     pools = [STANDBY] * spares + [BUSY] * busy
-    context.machines = {
-        MachineId(f'm{number}'): _make_machine(number, pool)
+    context.hosts = {
+        HostId(f'm{number}'): _make_host(number, pool)
         for number, pool in enumerate(pools)
     }
     context.homes = {}
     context.loads = {
-        machine.worker: MachineLoad(1, 1)
-        for machine in context.machines.values()
-        if machine.pool == BUSY
+        host.worker: HostLoad(1, 1)
+        for host in context.hosts.values()
+        if host.pool == BUSY
     }
     context.moves = MovePlanner()
 
 
-@when('the busy pool lacks the processor of {count:d} machines')
+@when('the busy pool lacks the processor of {count:d} hosts')
 def make_demand(context: Any, count: int) -> None:
     """Plan with work that waits."""
     context.plan = context.moves.plan(_view(context, count * 16000), NOW)
@@ -153,7 +153,7 @@
 
 @when('they have arrived and nothing waits for {seconds:d} seconds')
 def arrive_idle(context: Any, seconds: int) -> None:
-    """Let the moved machines be idle."""
+    """Let the moved hosts be idle."""
     _arrive(context)
     context.moves.plan(_view(context, 0), NOW + 1)
     context.plan = context.moves.plan(_view(context, 0), NOW + 1 + seconds)
@@ -161,15 +161,15 @@
 
 @when('they have arrived and run something')
 def arrive_busy(context: Any) -> None:
-    """Let the moved machines run something."""
+    """Let the moved hosts run something."""
     _arrive(context)
-    for machine in context.machines.values():
-        context.loads[machine.worker] = MachineLoad(2, 1)
+    for host in context.hosts.values():
+        context.loads[host.worker] = HostLoad(2, 1)
     context.moves.plan(_view(context, 0), NOW + 1)
     context.plan = context.moves.plan(_view(context, 0), NOW + 9)
 
 
-@then('{count:d} machines move to the {name} pool')
+@then('{count:d} hosts move to the {name} pool')
 def check_moves(context: Any, count: int, name: str) -> None:
     """Check the planned moves."""
     targets = [move.pool for move in context.plan]
@@ -177,34 +177,33 @@
 
 
 @given(
-    'a wave of {due:d} machines of one pool of {size:d} with at most '
+    'a wave of {due:d} hosts of one pool of {size:d} with at most '
     '{limit:d} down',
 )
 def make_wave(context: Any, due: int, size: int, limit: int) -> None:
     """Describe a wave."""
-    context.machines = {
-        MachineId(f'm{number}'): _make_machine(number, BUSY)
-        for number in range(size)
+    context.hosts = {
+        HostId(f'm{number}'): _make_host(number, BUSY) for number in range(size)
     }
-    machines = tuple(list(context.machines)[:due])
-    wave = Wave(1, machines, NOW, NOW + 60, limit)
-    steps = dict.fromkeys(machines, MachineStep.waiting)
+    hosts = tuple(list(context.hosts)[:due])
+    wave = Wave(1, hosts, NOW, NOW + 60, limit)
+    steps = dict.fromkeys(hosts, HostStep.waiting)
     context.progress = WaveProgress(wave, steps)
 
 
 @when('{count:d} of them are down')
 def take_down(context: Any, count: int) -> None:
-    """Take some machines down."""
-    for machine in list(context.progress.steps)[:count]:
-        context.progress.steps[machine] = MachineStep.taken
+    """Take some hosts down."""
+    for host in list(context.progress.steps)[:count]:
+        context.progress.steps[host] = HostStep.taken
 
 
-@then('{count:d} machines are ordered down at once')
+@then('{count:d} hosts are ordered down at once')
 def check_ordered(context: Any, count: int) -> None:
-    """Check how many machines are ordered down."""
+    """Check how many hosts are ordered down."""
     plan = WavePlanner().plan(
         context.progress,
-        context.machines,
+        context.hosts,
         {},
         Moment(NOW, NOW),
     )
@@ -304,24 +303,24 @@
     assert context.budget.pop_left_out(1) == left
 
 
-@given('a wave of one machine whose order has no answer')
+@given('a wave of one host whose order has no answer')
 def start_wave(context: Any) -> None:
     """Declare a wave and have its order sent."""
     context.waves = make_waves(WorkModel(Random(1)))
     context.waves.pass_time(1)
 
 
-@when("the machine's worker crashes and another one starts")
+@when("the host's worker crashes and another one starts")
 def replace_worker(context: Any) -> None:
     """Have the list show another worker."""
     client = context.waves.client
-    client.machine = evolve(client.machine, worker=WorkerId('crashed'))
+    client.host = evolve(client.host, worker=WorkerId('crashed'))
 
 
-@when('the platform takes the order and the machine comes back')
+@when('the platform takes the order and the host comes back')
 def take_order(context: Any) -> None:
     """Have the platform answer orders."""
-    context.waves.client.outcome = MachineOutcome.done
+    context.waves.client.outcome = HostOutcome.done
 
 
 @when('{seconds:d} seconds of waves pass')
@@ -430,11 +429,11 @@
     assert change.voter == voter, change
 
 
-def _make_machine(number: int, pool: PoolName) -> Machine:
-    return Machine(
-        MachineId(f'm{number}'),
+def _make_host(number: int, pool: PoolName) -> ListedHost:
+    return ListedHost(
+        HostId(f'm{number}'),
         pool,
-        MachineState.up,
+        HostState.up,
         ZONE,
         'r1',
         WorkerId(f'w{number}'),
@@ -448,7 +447,7 @@
     }
     return PoolView(
         demands,
-        context.machines,
+        context.hosts,
         context.loads,
         context.homes,
         {},
@@ -457,15 +456,15 @@
 
 def _arrive(context: Any) -> None:
     for number, move in enumerate(context.plan):
-        context.homes[move.machine] = move.home
-        machine = _make_machine(100 + number, move.pool)
-        context.machines[move.machine] = Machine(
-            move.machine,
+        context.homes[move.host] = move.home
+        host = _make_host(100 + number, move.pool)
+        context.hosts[move.host] = ListedHost(
+            move.host,
             move.pool,
-            MachineState.up,
+            HostState.up,
             ZONE,
             'r1',
-            machine.worker,
+            host.worker,
         )
 
 
--- a/tests/support/waves.py
+++ b/tests/support/waves.py
@@ -1,4 +1,4 @@
-"""A platform of one machine, and waves carried out against it."""
+"""A platform of one host, and waves carried out against it."""
 
 from asyncio import run
 from collections.abc import Sequence
@@ -7,18 +7,18 @@
 from attrs import define, evolve, field
 from expression import Ok, Result
 
-from hornbeamstair_callers.endpoints.machine_list import MachineList
+from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceKeeper
 from hornbeamstair_callers.jobs.scheduler import Scheduler
-from hornbeamstair_core.ids import MachineId, PoolName, WorkerId, ZoneName
+from hornbeamstair_core.ids import HostId, PoolName, WorkerId, ZoneName
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
-from hornbeamstair_fleet.machines import MachinesClient
+from hornbeamstair_fleet.hosts import HostsClient
 from hornbeamstair_fleet.waves.messages import (
-    Machine,
-    MachineOrder,
-    MachineOutcome,
-    MachineState,
+    HostOrder,
+    HostOutcome,
+    HostState,
+    ListedHost,
     Wave,
     WaveDeclared,
 )
@@ -29,35 +29,35 @@
 
 
 @define(eq=False)
-class OneMachine(MachinesClient):
-    """Platform with one machine."""
+class OneHost(HostsClient):
+    """Platform with one host."""
 
     name: ClassVar[str] = 'one'
 
-    machine: Machine
-    outcome: MachineOutcome = MachineOutcome.unknown
+    host: ListedHost
+    outcome: HostOutcome = HostOutcome.unknown
 
-    async def list_machines(self) -> tuple[Machine, ...]:
-        """List the machine."""
-        return (self.machine,)
+    async def list_hosts(self) -> tuple[ListedHost, ...]:
+        """List the host."""
+        return (self.host,)
 
     async def maintain(
         self,
-        order: MachineOrder,
+        order: HostOrder,
         wave: int,
-    ) -> MachineOutcome:
+    ) -> HostOutcome:
         """Answer as told; a taken order replaces the worker."""
-        if self.outcome == MachineOutcome.done:
-            self.machine = evolve(self.machine, worker=WorkerId('after'))
+        if self.outcome == HostOutcome.done:
+            self.host = evolve(self.host, worker=WorkerId('after'))
         return self.outcome
 
     async def move(
         self,
-        order: MachineOrder,
+        order: HostOrder,
         pool: PoolName,
-    ) -> MachineOutcome:
+    ) -> HostOutcome:
         """Refuse any move."""
-        return MachineOutcome.refused
+        return HostOutcome.refused
 
 
 @define(eq=False)
@@ -75,27 +75,27 @@
     scheduler: Scheduler
     now: float = 100
     table: WaveTable = field(factory=WaveTable)
-    client: OneMachine = field(init=False)
+    client: OneHost = field(init=False)
     keeper: MaintenanceKeeper = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Declare a wave of the one machine."""
-        machine = Machine(
-            MachineId('m'),
+        """Declare a wave of the one host."""
+        host = ListedHost(
+            HostId('m'),
             PoolName('p'),
-            MachineState.up,
+            HostState.up,
             ZoneName('z'),
             'r1',
             WorkerId('before'),
         )
-        self.client = OneMachine(machine)
-        wave = Wave(1, (machine.machine,), self.now, self.now + 60, 1)
+        self.client = OneHost(host)
+        wave = Wave(1, (host.host,), self.now, self.now + 60, 1)
         self.table.apply(WaveDeclared(wave))
         self.keeper = MaintenanceKeeper(
             'holder',
             self.table,
             self,
-            MachineList(self.client, lambda: self.now),
+            HostList(self.client, lambda: self.now),
             lambda: Moment(self.now, self.now),
             NoMoves(),
         )
@@ -118,5 +118,5 @@
 
 
 def make_waves(model: WorkModel) -> WavesOfOne:
-    """Make a wave of one machine."""
+    """Make a wave of one host."""
     return WavesOfOne(model.scheduler)
