--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 	$(RUN) -m hornbeamstair_tools.demo
 
 test: install
-	$(RUN) -m compileall -q packages
-	$(RUN) -m hornbeamstair_tools.run_tests
+	$(RUN) -m compileall -q packages platform
+	PYTHONPATH=platform $(RUN) -m hornbeamstair_tools.run_tests
 
 check: install
 	$(VENV)/bin/ruff format --check packages platform tests
