--- a/packages/callers/hornbeamstair_callers/jobs/failures.py
+++ b/packages/callers/hornbeamstair_callers/jobs/failures.py
@@ -4,7 +4,7 @@
 
 from hornbeamstair_core.failures import Failure, register_failure
 
-__all__ = ('JobUnknownFailure', 'QueueUnknownFailure', 'QueueFullFailure')
+__all__ = ('JobUnknownFailure', 'QueueUnknownFailure')
 
 
 @register_failure
@@ -33,17 +33,3 @@
     http_status = 410
 
     job: str
-
-
-@register_failure
-@frozen
-class QueueFullFailure(Failure):
-    """Job that was not accepted since it would come too late."""
-
-    number = 2103
-    name = 'queue_full'
-    summary = 'The job was not accepted: it could not run in time.'
-    http_status = 429
-
-    queue: str
-    retry_seconds: float
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -13,6 +13,7 @@
 )
 from hornbeamstair_callers.jobs.ends import EndRecorder
 from hornbeamstair_callers.jobs.events import (
+    JobEndedEvent,
     WorkerBelievedEvent,
     WorkerQuarantinedEvent,
 )
@@ -58,6 +59,7 @@
 # Callers may ask for the state of a job for so long after its end.
 _STATUS_SECONDS: Final = 180.0
 _FORGET_SECONDS: Final = 5.0
+_MILLISECONDS: Final = 1000
 
 
 @frozen
@@ -83,6 +85,8 @@
     sessions: dict[WorkerId, WorkerSession] = field(factory=dict)
     effects: list[Effect] = field(factory=list)
     forgot_at: float = 0
+    # Jobs whose end is in the log of events.
+    logged_ends: set[JobId] = field(factory=set)
     arrivals: ArrivalRates = field(factory=ArrivalRates)
     waiting: WaitingJobs = field(init=False)
     starts: StartPlanner = field(init=False)
@@ -128,14 +132,17 @@
                 self._order_start(record, now)
                 # The task may be listed as ready since before its record.
                 self.waiting.mark((parse_task_id(record.task).key.job,))
-            case RunEnded(task):
+            case RunEnded(task, at=at):
                 self.waiting.in_flight.discard(task)
-                self.waiting.mark((parse_task_id(task).key.job,))
+                job_id = parse_task_id(task).key.job
+                self.waiting.mark((job_id,))
+                self._log_end(job_id, at)
             case JobAccepted():
                 self.waiting.mark((record.spec.job,))
                 self.arrivals.note(record)
-            case JobCancelled(job) | JobFailed(job):
+            case JobCancelled(job, at) | JobFailed(job, at):
                 self._stop_job(job)
+                self._log_end(job, at)
 
     def note_announced(self, announced: Announced, now: Moment) -> bool:
         """Take an announcement; tell whether it has to be recorded."""
@@ -318,6 +325,14 @@
                 CommitBatch(records, session, session.seen_number),
             )
 
+    def _log_end(self, job_id: JobId, at: float) -> None:
+        job = self.state.jobs.jobs.get(job_id)
+        if job is None or job.is_open or job_id in self.logged_ends:
+            return
+        self.logged_ends.add(job_id)
+        age_ms = round((at - job.accepted_at) * _MILLISECONDS)
+        log_event(JobEndedEvent(job_id, job.state.value, age_ms))
+
     def _stop_job(self, job_id: JobId) -> None:
         self.waiting.mark((job_id,))
         prefix = f'{job_id}.'
@@ -339,6 +354,7 @@
             if _is_forgettable(job, now)
         )
         if old:
+            self.logged_ends.difference_update(old)
             self.effects.append(CommitBatch((JobsForgotten(old),)))
 
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/health.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/health.py
@@ -54,10 +54,6 @@
         """Note that an order had no answer."""
         self._rest(now, _SILENT_SECONDS)
 
-    def note_stalled(self, now: float) -> None:
-        """Note that a run on the worker stands still."""
-        self._quarantine(now)
-
     def quarantine_if_bad(self, now: float) -> bool:
         """Begin a quarantine once the failures tell a bad worker."""
         is_bad = self.failures >= _MAX_FAILURES
--- a/packages/upstreams/hornbeamstair_upstreams/work/looks.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/looks.py
@@ -17,7 +17,6 @@
 
 # A worker returns so many ends at a time.
 _ENDS_AT_A_TIME: Final = 500
-_MILLISECONDS: Final = 1000
 
 
 def take_look(
@@ -77,11 +76,7 @@
         if run is None or run.run != report.run:
             continue
         run.checkpoint = report.checkpoint or run.checkpoint
-        if report.percent > run.percent or not run.percent_at:
-            run.percent_at = now
         run.percent = report.percent
-        run.reading = report.reading
-        run.slow_since = _get_slow_since(run, now)
         session.settle(run, RunState.running, now)
 
 
@@ -118,10 +113,3 @@
     # A run that is being stopped still takes room, though no look lists it.
     wait = stopping if run.is_stop_wanted else 0
     return run.settled_at + wait < sent_at
-
-
-def _get_slow_since(run: Run, now: float) -> float | None:
-    target = run.needs.target_seconds * _MILLISECONDS
-    if not target or run.reading <= target:
-        return None
-    return now if run.slow_since is None else run.slow_since
--- a/packages/upstreams/hornbeamstair_upstreams/work/placement.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -33,14 +33,6 @@
         near = self._get_near(fitting, needs, group)
         return max(near, key=_get_preference)
 
-    def can_ever_fit(self, needs: TaskNeeds) -> bool:
-        """Tell whether some worker would fit the task if it were empty."""
-        return any(
-            session.announced.room.fits(get_taken_room(needs))
-            and _has_label(session, needs)
-            for session in self.sessions
-        )
-
     def _get_near(
         self,
         fitting: list[WorkerSession],
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Final
 
-from attrs import define, field
+from attrs import define
 
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_upstreams.work.messages import RunEnd, TaskNeeds
@@ -48,17 +48,8 @@
     # A look that began later and does not list the run proves its end.
     settled_at: float | None = None
     percent: float = 0
-    percent_at: float = 0
-    reading: float = 0
-    # Since when the run stays over its response time.
-    slow_since: float | None = None
     ordered_at: float = 0
-    is_stop_wanted: bool = field(default=False)
-
-    @property
-    def is_at_work(self) -> bool:
-        """Tell whether the run is known to do its work."""
-        return self.state == RunState.running and self.percent >= 1
+    is_stop_wanted: bool = False
 
 
 @define(eq=False)
