Measure an order to a worker; end tools' processes with the tool; split voting.py

Queues that need advice are refused with code 2103. bench_state ends its daemons however it ends and says what it does (changed, not run yet).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin/python
 PACKAGES := core replicas fleet upstreams operators callers daemon tools
 
-.PHONY: install demo test check format reference lock bench bench-state capacity
+.PHONY: install demo test check format reference lock bench bench-jobs bench-state capacity
 
 install: $(VENV)/.installed
 
@@ -38,6 +38,9 @@
 bench: install
 	$(RUN) -m hornbeamstair_tools.bench_path
 
+bench-jobs: install
+	$(RUN) -m hornbeamstair_tools.bench_jobs
+
 bench-state: install
 	$(RUN) -m hornbeamstair_tools.bench_state
 
--- a/packages/callers/hornbeamstair_callers/jobs/failures.py
+++ b/packages/callers/hornbeamstair_callers/jobs/failures.py
@@ -4,7 +4,11 @@
 
 from hornbeamstair_core.failures import Failure, register_failure
 
-__all__ = ('JobUnknownFailure', 'QueueUnknownFailure')
+__all__ = (
+    'AdviceUnsupportedFailure',
+    'JobUnknownFailure',
+    'QueueUnknownFailure',
+)
 
 
 @register_failure
@@ -33,3 +37,16 @@
     http_status = 410
 
     job: str
+
+
+@register_failure
+@frozen
+class AdviceUnsupportedFailure(Failure):
+    """Job of a queue whose tasks need advice before they start."""
+
+    number = 2103
+    name = 'advice_unsupported'
+    summary = 'The queue needs advice on workers, which is not supported.'
+    http_status = 503
+
+    queue: str
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -9,6 +9,7 @@
 
 from hornbeamstair_callers.jobs.events import JobAcceptedEvent
 from hornbeamstair_callers.jobs.failures import (
+    AdviceUnsupportedFailure,
     JobUnknownFailure,
     QueueUnknownFailure,
 )
@@ -87,6 +88,8 @@
         queue = self._find_queue(request.place)
         if queue.is_error():
             return Error(queue.error)
+        if queue.ok.advice is not None:
+            return Error(AdviceUnsupportedFailure(queue.ok.queue))
         job_id = request.spec.job
         if job_id in self.state.jobs.jobs:
             return Ok(DoneReply())
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import Final
 
-from attrs import define, field, frozen
+from attrs import define, field
 from expression import Error, Ok, Result
 
 from hornbeamstair_core.events import log_event
@@ -21,6 +21,13 @@
     StorageFailure,
 )
 from hornbeamstair_replicas.groups.base import GroupStatus, ReplicaGroup
+from hornbeamstair_replicas.groups.forwarding import (
+    Answer,
+    ForwardedProposals,
+    Proposal,
+    WaitingProposer,
+    set_answer,
+)
 from hornbeamstair_replicas.groups.node import AppliedEntry, LogNode
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import (
@@ -41,24 +48,6 @@
 _COMMIT_SECONDS: Final = 2.0
 _KEPT_ANSWERS: Final = 1024
 
-Answer = Result[object, Failure]
-
-
-@frozen
-class _Proposal:
-    """Payload that waits to be proposed or forwarded."""
-
-    payload: bytes
-    answer: 'Future[Answer]'
-
-
-@frozen
-class _Waiting:
-    """Proposer that waits for an entry of a term."""
-
-    term: int
-    answer: 'Future[Answer]'
-
 
 @define(eq=False)
 class VotingGroup(ReplicaGroup):
@@ -72,14 +61,16 @@
     node: LogNode
     transport: PeerTransport
     get_time: Callable[[], float]
-    proposals: list[_Proposal] = field(factory=list, init=False)
-    waiting: dict[int, '_Waiting'] = field(factory=dict, init=False)
-    forwarded: dict[int, 'Future[Answer]'] = field(factory=dict, init=False)
+    proposals: list[Proposal] = field(factory=list, init=False)
+    waiting: dict[int, WaitingProposer] = field(factory=dict, init=False)
+    forwarded: ForwardedProposals = field(
+        factory=ForwardedProposals,
+        init=False,
+    )
     answers: OrderedDict[int, AppliedEntry] = field(
         factory=OrderedDict,
         init=False,
     )
-    last_number: int = field(default=0, init=False)
     leader: VoterId = field(default=VoterId(''), init=False)
     has_heard_leader: bool = field(default=False, init=False)
     failure: Failure | None = field(default=None, init=False)
@@ -101,7 +92,7 @@
         if self.failure is not None:
             return Error(self.failure)
         answer: Future[Answer] = get_running_loop().create_future()
-        self.proposals.append(_Proposal(payload, answer))
+        self.proposals.append(Proposal(payload, answer))
         self._schedule()
         try:
             async with timeout(seconds):
@@ -207,25 +198,16 @@
             return
         term = self.node.voter.state.term
         for index, proposal in zip(indexes.ok, proposals, strict=True):
-            self.waiting[index] = _Waiting(term, proposal.answer)
+            self.waiting[index] = WaitingProposer(term, proposal.answer)
 
-    def _forward(self, proposals: list[_Proposal]) -> None:
+    def _forward(self, proposals: list[Proposal]) -> None:
         leader = self.node.voter.state.leader
-        self.forwarded = {
-            number: answer
-            for number, answer in self.forwarded.items()
-            if not answer.done()
-        }
         for proposal in proposals:
             if leader in {'', self.node.voter.state.voter}:
-                _set_answer(proposal.answer, Error(NotLeaderFailure(leader)))
+                set_answer(proposal.answer, Error(NotLeaderFailure(leader)))
                 continue
-            self.last_number += 1
-            self.forwarded[self.last_number] = proposal.answer
-            self._send(
-                leader,
-                ForwardRequest(self.last_number, proposal.payload),
-            )
+            number = self.forwarded.add(proposal.answer)
+            self._send(leader, ForwardRequest(number, proposal.payload))
 
     def _propose_for(self, sender: VoterId, request: ForwardRequest) -> None:
         indexes = self.node.voter.propose((request.payload,), self.get_time())
@@ -238,17 +220,17 @@
         place = ForwardAnswer(request.number, index, term)
         send = partial(self._send, sender)
         answer.add_done_callback(partial(_send_place, send, place))
-        self.waiting[index] = _Waiting(term, answer)
+        self.waiting[index] = WaitingProposer(term, answer)
         self._schedule()
 
     def _take_place(self, message: ForwardAnswer) -> None:
-        answer = self.forwarded.pop(message.number, None)
+        answer = self.forwarded.pop(message.number)
         if answer is None:
             return
         if not message.index:
-            _set_answer(answer, Error(NotLeaderFailure('')))
+            set_answer(answer, Error(NotLeaderFailure('')))
             return
-        self.waiting[message.index] = _Waiting(message.term, answer)
+        self.waiting[message.index] = WaitingProposer(message.term, answer)
         applied = self.answers.get(message.index)
         if applied is not None:
             self._answer(applied)
@@ -276,10 +258,10 @@
         if waiting is None:
             return
         if waiting.term == applied.term:
-            _set_answer(waiting.answer, Ok(applied.answer))
+            set_answer(waiting.answer, Ok(applied.answer))
         else:
             failure = NotCommittedFailure('another leader took over')
-            _set_answer(waiting.answer, Error(failure))
+            set_answer(waiting.answer, Error(failure))
 
     def _note_leader(self) -> None:
         state = self.node.voter.state
@@ -304,7 +286,7 @@
         failure = StorageFailure(reason)
         self.failure = failure
         for waiting in self.waiting.values():
-            _set_answer(waiting.answer, Error(failure))
+            set_answer(waiting.answer, Error(failure))
         self.waiting.clear()
 
 
@@ -316,8 +298,3 @@
     """Tell a sender its place; without one the sender gives up by itself."""
     if done.result().is_ok():
         send(place)
-
-
-def _set_answer(answer: 'Future[Answer]', outcome: Answer) -> None:
-    if not answer.done():
-        answer.set_result(outcome)
--- a/packages/tools/hornbeamstair_tools/bench_state.py
+++ b/packages/tools/hornbeamstair_tools/bench_state.py
@@ -1,7 +1,8 @@
 """Bench of the replicated state with real processes and on disk."""
 
 import json
-from asyncio import gather, run, sleep
+import sys
+from asyncio import gather, run, sleep, timeout
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import perf_counter
@@ -25,6 +26,8 @@
 _IDLE_SECONDS: Final = 10.0
 _CHANGES: Final = 30
 _POLL_SECONDS: Final = 0.02
+# One deployment takes about 20 s; three of them stay under three minutes.
+_LIMIT_SECONDS: Final = 55.0
 _HEADERS: Final = {'authorization': f'Bearer {TOKEN}'}
 _HEAD: Final = (
     '| processes | in force everywhere, median s | longest s | '
@@ -36,7 +39,15 @@
 
 async def _measure(folder: Path, count: int) -> str:
     deployment = Deployment(folder, _get_plans(count))
-    await deployment.start()
+    try:
+        async with timeout(_LIMIT_SECONDS):
+            await deployment.start()
+            return await _measure_running(deployment, count)
+    finally:
+        await deployment.kill()
+
+
+async def _measure_running(deployment: Deployment, count: int) -> str:
     await sleep(2)
     async with HTTPClient() as client:
         leader = await _find_leader(client, deployment)
@@ -51,7 +62,6 @@
             for number in range(_CHANGES)
         ]
         changed = leader.get_usage()
-    await deployment.kill()
     times.sort()
     shares = [
         100 * (late.cpu_seconds - early.cpu_seconds) / _IDLE_SECONDS
@@ -138,6 +148,7 @@
             print(row)
         print(_HEAD)
         for count in _SIZES:
+            print(f'measuring {count} processes', file=sys.stderr, flush=True)
             print(run(_measure(root / str(count), count)), flush=True)
 
 
--- a/packages/tools/hornbeamstair_tools/processes.py
+++ b/packages/tools/hornbeamstair_tools/processes.py
@@ -4,6 +4,7 @@
 from asyncio import sleep
 from asyncio.subprocess import PIPE, Process, create_subprocess_exec
 from contextlib import suppress
+from ctypes import CDLL
 from itertools import cycle, islice
 from os import getpid
 from pathlib import Path
@@ -22,6 +23,7 @@
     'CommandAnswer',
     'DaemonProcess',
     'TOKEN',
+    'die_with_parent',
     'get_free_port',
     'run_command',
 )
@@ -32,6 +34,8 @@
 _STRIDE: Final = 97
 _READY_SECONDS: Final = 0.05
 _READY_TRIES: Final = 200
+# From prctl(2).
+_SET_PARENT_DEATH_SIGNAL: Final = 1
 
 # Processes that run at once start far apart.
 _ports: Final = islice(cycle(_PORTS), getpid() * _STRIDE % len(_PORTS), None)
@@ -46,6 +50,15 @@
             return port
 
 
+def die_with_parent() -> None:
+    """Have this process end with the one that started it.
+
+    Called between fork and exec, so that a tool that is killed leaves no
+    process behind.
+    """
+    CDLL(None).prctl(_SET_PARENT_DEATH_SIGNAL, SIGKILL)
+
+
 @frozen
 class CommandAnswer:
     """Exit code and output of a command."""
@@ -117,6 +130,7 @@
                 str(path),
                 *(['--bootstrap'] if self.bootstrap else []),
                 stderr=log,
+                preexec_fn=die_with_parent,
             )
         self.bootstrap = False
         await self._wait_ready()
