--- a/packages/callers/hornbeamstair_callers/jobs/failures.py
+++ b/packages/callers/hornbeamstair_callers/jobs/failures.py
@@ -4,7 +4,11 @@
 
 from hornbeamstair_core.failures import Failure, register_failure
 
-__all__ = ('JobUnknownFailure', 'QueueUnknownFailure', 'QueueFullFailure')
+__all__ = (
+    'AdviceUnsupportedFailure',
+    'JobUnknownFailure',
+    'QueueUnknownFailure',
+)
 
 
 @register_failure
@@ -37,13 +41,12 @@
 
 @register_failure
 @frozen
-class QueueFullFailure(Failure):
-    """Job that was not accepted since it would come too late."""
+class AdviceUnsupportedFailure(Failure):
+    """Job of a queue whose tasks need advice before they start."""
 
     number = 2103
-    name = 'queue_full'
-    summary = 'The job was not accepted: it could not run in time.'
-    http_status = 429
+    name = 'advice_unsupported'
+    summary = 'The queue needs advice on workers, which is not supported.'
+    http_status = 503
 
     queue: str
-    retry_seconds: float
