--- a/tests/features/planning.feature
+++ b/tests/features/planning.feature
@@ -81,3 +81,8 @@
     Then it does not serve yet
     When they are applied
     Then it serves
+
+  Scenario: A queue that needs advice on workers is refused and says so
+    Given a manifest whose queue needs advice
+    When a job is submitted to its queue
+    Then the job is refused with code 2103 and has not run
--- a/tests/features/steps/planning_steps.py
+++ b/tests/features/steps/planning_steps.py
@@ -9,6 +9,8 @@
 
 from hornbeamstair_callers.jobs.messages import JobSpec
 from hornbeamstair_callers.jobs.order import ObjectiveOrder
+from hornbeamstair_callers.jobs.requests import QueuePlace, SubmitJob
+from hornbeamstair_callers.jobs.service import JobRequestHandler
 from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.ids import (
     HostId,
@@ -30,6 +32,10 @@
 )
 from hornbeamstair_fleet.waves.planner import HostLoad, WavePlanner
 from hornbeamstair_fleet.waves.table import HostStep, WaveProgress
+from hornbeamstair_operators.manifest.messages import (
+    AdviceTerms,
+    ManifestPut,
+)
 from hornbeamstair_replicas.failures import NotCommittedFailure
 from hornbeamstair_replicas.groups.learning import LearnerGroup
 from hornbeamstair_replicas.groups.node import open_node
@@ -389,6 +395,38 @@
     assert context.group.can_serve()
 
 
+@given('a manifest whose queue needs advice')
+def put_advice(context: Any) -> None:
+    """Put a manifest in force whose queue has terms of advice."""
+    manifest = make_manifest()
+    queue = evolve(manifest.queues[0], advice=AdviceTerms(1, 1, 1))
+    context.work = WorkModel(Random(1))
+    table = context.work.tables.manifest
+    table.apply(ManifestPut(evolve(manifest, version=2, queues=(queue,))))
+
+
+@when('a job is submitted to its queue')
+def submit_advised(context: Any) -> None:
+    """Submit a job to the handler of requests."""
+    handler = JobRequestHandler(
+        context.work.tables,
+        None,
+        context.work.get_moment,
+    )
+    place = QueuePlace('host', f'/stops/{"1" * 16}')
+    request = SubmitJob(place, _make_job(NOW).spec, 1)
+    context.outcome = run(handler.handle(request))
+
+
+@then('the job is refused with code {code:d} and has not run')
+def check_advised(context: Any, code: int) -> None:
+    """Check the refusal."""
+    failure = context.outcome.error
+    assert failure.number == code, failure
+    assert not failure.may_have_run
+    assert not context.work.tables.jobs.jobs
+
+
 @define(eq=False)
 class PlacingTransport(LocalTransport):
     """Transport whose other end places whatever is forwarded."""
