--- a/packages/tools/hornbeamstair_tools/demo.py
+++ b/packages/tools/hornbeamstair_tools/demo.py
@@ -10,6 +10,7 @@
 from yaml import safe_dump
 
 from hornbeamstair_tools.caller import call
+from hornbeamstair_tools.demo_system import show_system
 from hornbeamstair_tools.processes import CommandAnswer, DaemonProcess
 from hornbeamstair_tools.stand_in_upstream import StandInUpstream
 
@@ -117,6 +118,7 @@
     """Run the demonstration in a temporary folder."""
     with TemporaryDirectory() as folder:
         run(show_path(Path(folder)))
+    show_system()
 
 
 if __name__ == '__main__':
--- a/tests/support/system.py
+++ b/packages/tools/hornbeamstair_tools/loopback_system.py
@@ -30,10 +30,10 @@
     identity of a process is its address. All end with the scenario.
     """
 
-    folder: TemporaryDirectory = field(factory=TemporaryDirectory)
+    folder: TemporaryDirectory[str] = field(factory=TemporaryDirectory)
     port: int = field(factory=get_free_port)
     api_port: int = field(factory=get_free_port)
-    processes: dict[str, Popen] = field(factory=dict)
+    processes: dict[str, Popen[bytes]] = field(factory=dict)
 
     @property
     def journal(self) -> Path:
--- a/tests/features/steps/system_steps.py
+++ b/tests/features/steps/system_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from hornbeamstair_core.codec import json_converter
-from tests.support.system import LoopbackSystem
+from hornbeamstair_tools.loopback_system import LoopbackSystem
 from tests.support.work_model import make_manifest
 
 PLACE = {'host': 'host', 'path': '/stops/'}
