Name the command machine, as the docs and the issue do

Cause, found on the last read: the rename to host also renamed the command, so that 'machine list' of docs/PLATFORM.md did not exist; no test calls it. Checked: format, linter and the command's help; the suite was not run again.

--- a/packages/operators/hornbeamstair_operators/command_line/main.py
+++ b/packages/operators/hornbeamstair_operators/command_line/main.py
@@ -34,7 +34,7 @@
 app.add_typer(voter_app, name='voter')
 app.add_typer(job_app, name='job')
 app.add_typer(worker_app, name='worker')
-app.add_typer(host_app, name='host')
+app.add_typer(host_app, name='machine')
 app.add_typer(manifest_app, name='manifest')
 app.command('processes')(list_processes)
 
--- a/packages/operators/hornbeamstair_operators/command_line/system.py
+++ b/packages/operators/hornbeamstair_operators/command_line/system.py
@@ -26,7 +26,7 @@
     'runs',
     'free_cpu',
 )
-_MACHINE_COLUMNS: Final = ('host', 'pool', 'state', 'zone', 'worker')
+_HOST_COLUMNS: Final = ('host', 'pool', 'state', 'zone', 'worker')
 
 job_app = Typer(rich_markup_mode=None, help='Submit, show and cancel jobs.')
 worker_app = Typer(rich_markup_mode=None, help='List workers.')
@@ -90,7 +90,7 @@
 @host_app.command('list')
 def list_hosts(context: Context) -> None:
     """List the hosts as the platform told last."""
-    _print_rows(context, '/v1/hosts', 'hosts', _MACHINE_COLUMNS)
+    _print_rows(context, '/v1/hosts', 'hosts', _HOST_COLUMNS)
 
 
 @manifest_app.command('apply')
