--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -34,6 +34,7 @@
 from hornbeamstair_core.ids import JobId, ServiceName, TaskId, WorkerId
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
+from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_operators.manifest.table import ManifestTable
 from hornbeamstair_upstreams.work.leases import LeaseTerms, WorkerLease
 from hornbeamstair_upstreams.work.looks import take_look
@@ -58,7 +59,6 @@
 # Callers may ask for the state of a job for so long after its end.
 _STATUS_SECONDS: Final = 180.0
 _FORGET_SECONDS: Final = 5.0
-_MILLISECONDS: Final = 1000
 
 
 @frozen
@@ -351,7 +351,7 @@
         if job is None or job.is_open or job_id in self.logged_ends:
             return
         self.logged_ends.add(job_id)
-        age_ms = round((at - job.accepted_at) * _MILLISECONDS)
+        age_ms = to_milliseconds(at - job.accepted_at)
         log_event(JobEndedEvent(job_id, job.state.value, age_ms))
 
     def _stop_job(self, job_id: JobId) -> None:
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -35,6 +35,7 @@
     Request,
     RequestHandler,
 )
+from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_operators.failures import NoManifestFailure
 from hornbeamstair_operators.manifest.messages import Queue
 from hornbeamstair_replicas.failures import NotLeaderFailure
@@ -111,7 +112,7 @@
                 queue.ok.service,
                 sum(phase.count for phase in request.spec.phases),
                 self.state.manifest.version,
-                round(seconds * 1000),
+                to_milliseconds(seconds),
             ),
         )
         return Ok(DoneReply())
--- a/packages/core/hornbeamstair_core/metrics.py
+++ b/packages/core/hornbeamstair_core/metrics.py
@@ -21,6 +21,8 @@
     gauges: Gauge = field(init=False)
     orders: Histogram = field(init=False)
     leader_calls: Histogram = field(init=False)
+    log_writes: Histogram = field(init=False)
+    loop_late: Histogram = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the metrics in the registry."""
@@ -60,6 +62,17 @@
             ['request', 'outcome'],
             registry=self.registry,
         )
+        self.log_writes = Histogram(
+            'hornbeamstair_log_write_seconds',
+            'Time that the loop waited for the disk of the log, by write.',
+            ['write'],
+            registry=self.registry,
+        )
+        self.loop_late = Histogram(
+            'hornbeamstair_loop_late_seconds',
+            'Time by which the loop was late for a timer.',
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             'hornbeamstair_state',
             'Sizes of the state in memory.',
--- a/packages/core/hornbeamstair_core/units.py
+++ b/packages/core/hornbeamstair_core/units.py
@@ -2,7 +2,15 @@
 
 from typing import Final
 
-__all__ = ('DAY', 'HOUR', 'KIB', 'MIB', 'MILLISECOND', 'MINUTE')
+__all__ = (
+    'DAY',
+    'HOUR',
+    'KIB',
+    'MIB',
+    'MILLISECOND',
+    'MINUTE',
+    'to_milliseconds',
+)
 
 MILLISECOND: Final = 0.001
 MINUTE: Final = 60.0
@@ -11,3 +19,8 @@
 
 KIB: Final = 1024
 MIB: Final = 1024 * 1024
+
+
+def to_milliseconds(seconds: float) -> int:
+    """Round a time span to whole milliseconds."""
+    return round(seconds / MILLISECOND)
--- a/packages/daemon/hornbeamstair_daemon/system/process.py
+++ b/packages/daemon/hornbeamstair_daemon/system/process.py
@@ -11,6 +11,7 @@
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_core.clock import get_steady_time
 from hornbeamstair_core.front_end import FrontEnd
+from hornbeamstair_core.loop_watch import LoopWatch
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_daemon.system.settings import SystemSettings
 from hornbeamstair_replicas.calls.endpoints.channel import LeaderChannel
@@ -43,9 +44,15 @@
     client: LeaderClient
     front_ends: list[FrontEnd] = field(factory=list, init=False)
     is_stopping: bool = field(default=False, init=False)
+    watch: LoopWatch = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Join the watch on the loop to the metrics."""
+        self.watch = LoopWatch(self.metrics, get_steady_time)
 
     async def start(self) -> None:
         """Start to serve."""
+        self.watch.start()
         await self.transport.start()
         self.channel.start()
         await self.start_role()
@@ -59,6 +66,7 @@
         for front_end in self.front_ends:
             await front_end.stop()
         await self.transport.stop()
+        self.watch.stop()
 
     @abstractmethod
     async def start_role(self) -> None:
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -41,6 +41,7 @@
 from hornbeamstair_replicas.membership.groups import MembershipKeeper
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.storage.file import FileLogStorage
+from hornbeamstair_replicas.storage.measured import MeasuredStorage
 from hornbeamstair_replicas.tables.codec import TableStateMachine
 from hornbeamstair_replicas.transport.resolvers import (
     AddressedPeersResolver,
@@ -106,7 +107,12 @@
     node = open_node(
         _GROUP,
         identity.voter,
-        FileLogStorage(settings.data_folder / _GROUP),
+        MeasuredStorage(
+            _GROUP,
+            FileLogStorage(settings.data_folder / _GROUP),
+            metrics,
+            get_steady_time,
+        ),
         machine,
         identity.founders,
         Timing(),
--- a/packages/replicas/hornbeamstair_replicas/events.py
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -6,6 +6,7 @@
 
 __all__ = (
     'LeaderChangedEvent',
+    'LogLoadEvent',
     'LogOpenedEvent',
     'PeerRefusedEvent',
     'SnapshotWrittenEvent',
@@ -69,6 +70,8 @@
     group: str
     index: int
     size_bytes: int
+    # Time that the loop spent on encoding and writing it.
+    spent_ms: int
 
 
 @register_event
@@ -110,3 +113,23 @@
     change: str
     voter: str
     refusal: str
+    voters: int
+    # Voters that are taken for lost, and processes that could take a place.
+    lost: str
+    spares: str
+
+
+@register_event
+@frozen
+class LogLoadEvent(Event):
+    """Entries and syncs of a log in about a second."""
+
+    number = 5008
+    name = 'log_load'
+    summary = 'Entries and syncs of the log, and the time that syncs took.'
+
+    group: str
+    entries: int
+    syncs: int
+    sync_ms: int
+    span_ms: int
--- a/packages/replicas/hornbeamstair_replicas/groups/node.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/node.py
@@ -6,8 +6,10 @@
 
 from attrs import define, field, frozen
 
+from hornbeamstair_core.clock import get_steady_time
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.invariants import check_invariant
+from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_replicas.events import LogOpenedEvent, SnapshotWrittenEvent
 from hornbeamstair_replicas.messages import (
     EntryKind,
@@ -128,11 +130,17 @@
         covered = self.applied_index - self.voter.state.log.snapshot.index
         if covered < self.snapshot_entries:
             return
+        began = get_steady_time()
         state = self.state_machine.get_snapshot()
         snapshot = self.voter.compact(self.applied_index, state)
         self.storage.write_snapshot(snapshot)
         log_event(
-            SnapshotWrittenEvent(self.group, snapshot.index, len(state)),
+            SnapshotWrittenEvent(
+                self.group,
+                snapshot.index,
+                len(state),
+                to_milliseconds(get_steady_time() - began),
+            ),
         )
 
 
--- a/packages/replicas/hornbeamstair_replicas/membership/groups.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/groups.py
@@ -96,6 +96,9 @@
                 type(change).__name__,
                 change.voter,
                 outcome.error.describe() if outcome.is_error() else '',
+                len(silence),
+                ' '.join(self.planner.get_lost(silence)),
+                ' '.join(self.planner.get_spares(silence, now)),
             ),
         )
         self.group.find_leading_role()
--- a/packages/replicas/hornbeamstair_replicas/membership/planner.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/planner.py
@@ -83,8 +83,8 @@
         if joining is not None:
             is_late = now - self.joining_since > _JOIN_SECONDS
             return AbandonJoining(joining) if is_late else None
-        lost = self._get_lost(silence)
-        spares = self._get_spares(silence, now)
+        lost = self.get_lost(silence)
+        spares = self.get_spares(silence, now)
         wanted = _FEW_VOTERS
         if len(silence) - len(lost) + len(spares) >= _MANY_VOTERS:
             wanted = _MANY_VOTERS
@@ -96,7 +96,8 @@
             return RemoveVoter(lost[0])
         return None
 
-    def _get_lost(self, silence: Mapping[VoterId, float]) -> list[VoterId]:
+    def get_lost(self, silence: Mapping[VoterId, float]) -> list[VoterId]:
+        """Get the voters taken for lost, the longest silent first."""
         newest = {
             get_process(voter): voter
             for voter in sorted(self.heard, key=self._get_heard)
@@ -109,11 +110,12 @@
         ]
         return sorted(lost, key=lambda voter: -silence[voter])
 
-    def _get_spares(
+    def get_spares(
         self,
         silence: Mapping[VoterId, float],
         now: float,
     ) -> list[VoterId]:
+        """Get the processes that could become voters."""
         return sorted(
             voter
             for voter, heard_at in self.heard.items()
--- /dev/null
+++ b/packages/replicas/hornbeamstair_replicas/storage/measured.py
@@ -0,0 +1,92 @@
+"""Log storage that tells how long its disk takes."""
+
+from collections.abc import Callable, Sequence
+from typing import Final
+
+from attrs import define, field
+
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.units import to_milliseconds
+from hornbeamstair_replicas.events import LogLoadEvent
+from hornbeamstair_replicas.messages import (
+    LogEntry,
+    LogTail,
+    Snapshot,
+    VoteRecord,
+)
+from hornbeamstair_replicas.storage.base import LogStorage
+
+__all__ = ('MeasuredStorage',)
+
+# One line a second tells how busy the disk is; more would cost the loop.
+_REPORT_SECONDS: Final = 1.0
+
+
+@define(eq=False)
+class MeasuredStorage(LogStorage):
+    """Storage that counts and times the syncs of another one."""
+
+    group: str
+    storage: LogStorage
+    metrics: Metrics
+    get_time: Callable[[], float]
+    reported_at: float = field(default=0, init=False)
+    entries: int = field(default=0, init=False)
+    syncs: int = field(default=0, init=False)
+    sync_seconds: float = field(default=0, init=False)
+
+    def load(self) -> LogTail:
+        """Read what is stored; LogCorruptedError if it is damaged."""
+        return self.storage.load()
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Write entries after the last; StorageError if refused."""
+        self.entries += len(entries)
+        self.storage.append(entries)
+
+    def truncate(self, first_index: int) -> None:
+        """Remove the entries from an index on."""
+        self.storage.truncate(first_index)
+
+    def write_vote(self, vote: VoteRecord) -> None:
+        """Write the term and vote."""
+        self.storage.write_vote(vote)
+
+    def write_snapshot(self, snapshot: Snapshot) -> None:
+        """Write and sync a snapshot and remove the entries it covers."""
+        began = self.get_time()
+        self.storage.write_snapshot(snapshot)
+        self.metrics.log_writes.labels('snapshot').observe(
+            self.get_time() - began,
+        )
+
+    def sync(self) -> None:
+        """Make all writes last; StorageError if the disk refuses."""
+        began = self.get_time()
+        self.storage.sync()
+        now = self.get_time()
+        self.syncs += 1
+        self.sync_seconds += now - began
+        self.metrics.log_writes.labels('sync').observe(now - began)
+        if now - self.reported_at >= _REPORT_SECONDS:
+            self._report(now)
+
+    def close(self) -> None:
+        """Release the files."""
+        self.storage.close()
+
+    def _report(self, now: float) -> None:
+        log_event(
+            LogLoadEvent(
+                self.group,
+                self.entries,
+                self.syncs,
+                to_milliseconds(self.sync_seconds),
+                to_milliseconds((now - self.reported_at)),
+            ),
+        )
+        self.reported_at = now
+        self.entries = 0
+        self.syncs = 0
+        self.sync_seconds = 0
--- /dev/null
+++ b/tests/features/steps/load_steps.py
@@ -0,0 +1,70 @@
+"""Steps on what tells how busy a process is."""
+
+from typing import Any
+from unittest.mock import patch
+
+from attrs import define
+from behave import given, then
+
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_replicas.events import LogLoadEvent
+from hornbeamstair_replicas.messages import LogEntry
+from hornbeamstair_replicas.storage.measured import MeasuredStorage
+from hornbeamstair_replicas.storage.memory import MemoryLogStorage
+
+_LOG_EVENT = 'hornbeamstair_replicas.storage.measured.log_event'
+
+
+@define
+class _SlowStorage(MemoryLogStorage):
+    """Storage that moves a clock with each sync."""
+
+    now: float = 0
+    sync_seconds: float = 0
+
+    def sync(self) -> None:
+        """Take the time of a sync."""
+        MemoryLogStorage.sync(self)
+        self.now += self.sync_seconds
+
+    def get_time(self) -> float:
+        """Get the time of the clock."""
+        return self.now
+
+
+@given(
+    'a stored log of {count:d} entries on a disk that takes {span:d} ms a sync',
+)
+def store_slowly(context: Any, count: int, span: int) -> None:
+    """Store entries, each synced, and a second later nothing more."""
+    slow = _SlowStorage(sync_seconds=span / 1000)
+    context.metrics = Metrics()
+    measured = MeasuredStorage('work', slow, context.metrics, slow.get_time)
+    measured.load()
+    with patch(_LOG_EVENT) as log:
+        for index in range(1, count + 1):
+            measured.append([LogEntry(index, 1, b'payload')])
+            if index == count:
+                slow.now += 1 - slow.now
+            measured.sync()
+    context.events = [call.args[0] for call in log.call_args_list]
+
+
+@then(
+    'the load of the log names {entries:d} entries, {syncs:d} syncs '
+    'and {span:d} ms',
+)
+def check_load(context: Any, entries: int, syncs: int, span: int) -> None:
+    """Find one event with these figures."""
+    assert len(context.events) == 1
+    event = context.events[0]
+    assert isinstance(event, LogLoadEvent)
+    assert (event.entries, event.syncs, event.sync_ms) == (entries, syncs, span)
+
+
+@then('the metrics count {count:d} writes of kind {kind}')
+def check_metrics(context: Any, count: int, kind: str) -> None:
+    """Find the count of the histogram."""
+    exposition = context.metrics.get_exposition().decode()
+    name = 'hornbeamstair_log_write_seconds_count'
+    assert f'{name}{{write="{kind}"}} {float(count)}' in exposition
--- a/tests/features/storage.feature
+++ b/tests/features/storage.feature
@@ -49,3 +49,8 @@
     Given a file storage with 3 synced entries of 100 bytes
     When 2 more entries of 100 bytes are left without a sync by a kill
     Then the next start syncs the file before it counts 5 entries
+
+  Scenario: The time that a slow disk takes shows in the log and the metrics
+    Given a stored log of 20 entries on a disk that takes 7 ms a sync
+    Then the load of the log names 20 entries, 20 syncs and 140 ms
+    And the metrics count 20 writes of kind sync
