Tell what a late or unanswered request to the leader waited for

What was seen: an entry process logs request_refused with code 5001 or 5003 for a request without an answer in time, but not for how long it waited, whether a leader was known, whether the request was sent, or whether the connection was lost; a request that was answered late leaves no line at all.

Change: each attempt of a call adds its time, with the pause before it, to what it waited for (CallTrail). The client logs leader_call_late with the job, worker or path, outcome, age and these times if a request took 0.5 s or had no sure answer. Transports tell whether they have a connection to a process.

--- a/packages/callers/hornbeamstair_callers/jobs/requests.py
+++ b/packages/callers/hornbeamstair_callers/jobs/requests.py
@@ -38,6 +38,10 @@
     # Seconds that the caller goes on waiting.
     wait_seconds: float
 
+    def get_subject(self) -> str:
+        """Get the job."""
+        return self.spec.job
+
 
 @frozen
 class ShowJob(Request):
@@ -48,6 +52,10 @@
     place: QueuePlace
     job: JobId
 
+    def get_subject(self) -> str:
+        """Get the job."""
+        return self.job
+
 
 @frozen
 class CancelJob(Request):
@@ -58,6 +66,10 @@
     place: QueuePlace
     job: JobId
 
+    def get_subject(self) -> str:
+        """Get the job."""
+        return self.job
+
 
 @frozen
 class CountPending(Request):
@@ -67,6 +79,10 @@
 
     place: QueuePlace
 
+    def get_subject(self) -> str:
+        """Get the path of the queue."""
+        return self.place.path
+
 
 @frozen
 class JobReply(Reply):
--- a/packages/core/hornbeamstair_core/requests.py
+++ b/packages/core/hornbeamstair_core/requests.py
@@ -17,6 +17,10 @@
 
     kind: ClassVar[str]
 
+    def get_subject(self) -> str:
+        """Get the identifier of what it is about, for the log."""
+        return ''
+
 
 @frozen
 class Reply(ABC):
--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/channel.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/channel.py
@@ -12,6 +12,7 @@
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_replicas.calls.messages import LeaderAnswer, LeaderCall
 from hornbeamstair_replicas.calls.targets import LeaderTargets
+from hornbeamstair_replicas.calls.trail import CallStep, CallTrail
 from hornbeamstair_replicas.failures import (
     NotCommittedFailure,
     NotLeaderFailure,
@@ -82,6 +83,7 @@
         self,
         payload: bytes,
         seconds: float,
+        trail: CallTrail | None = None,
     ) -> Result[bytes, Failure]:
         """Ask the leader; NotLeaderFailure proves that nothing was done.
 
@@ -89,10 +91,11 @@
         caller can still try elsewhere.
         """
         began = self.get_time()
+        trail = trail or CallTrail(began)
         end = began + seconds
         has_reached = False
         while True:
-            answer = await self._attempt(payload, end)
+            answer = await self._attempt(payload, end, trail)
             if answer is not None and answer.is_leader:
                 return Ok(answer.payload)
             has_reached = has_reached or answer is None
@@ -117,18 +120,40 @@
         self,
         payload: bytes,
         end: float,
+        trail: CallTrail,
     ) -> LeaderAnswer | None:
         if self.service is not None and self.service.leads():
-            return self._get_answer(0, await self.service.answer(payload))
+            own = self._get_answer(0, await self.service.answer(payload))
+            trail.note(CallStep.own, own.leader, self.get_time())
+            return own
         target = self._choose()
         if not target:
+            trail.note(CallStep.no_leader, target, self.get_time())
             return self._get_refusal(0)
         silence = self.get_time() - self.heard_at
         if payload and silence > _CONTACT_SECONDS:
             probed = await self._exchange(target, b'', end)
             if probed is None or not probed.is_leader:
+                self._note(trail, target, probed, CallStep.unreached)
                 return self._get_refusal(0)
-        return await self._exchange(target, payload, end)
+        answer = await self._exchange(target, payload, end)
+        self._note(trail, target, answer, CallStep.unanswered)
+        return answer
+
+    def _note(
+        self,
+        trail: CallTrail,
+        target: VoterId,
+        answer: LeaderAnswer | None,
+        otherwise: CallStep,
+    ) -> None:
+        step = otherwise
+        if answer is not None:
+            leads = answer.is_leader
+            step = CallStep.answered if leads else CallStep.not_leading
+        elif not self.transport.is_connected(target):
+            step = CallStep.unconnected
+        trail.note(step, target, self.get_time())
 
     async def _exchange(
         self,
--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
@@ -7,14 +7,18 @@
 from attrs import define
 from expression import Error, Result
 
+from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_core.requests import Reply, Request, RequestHandler
+from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_replicas.calls.codec import RequestCodec
 from hornbeamstair_replicas.calls.endpoints.channel import (
     LeaderChannel,
     LeaderService,
 )
+from hornbeamstair_replicas.calls.trail import CallTrail
+from hornbeamstair_replicas.events import LeaderCallLateEvent
 from hornbeamstair_replicas.failures import (
     NotCommittedFailure,
     NotLeaderFailure,
@@ -26,6 +30,8 @@
 __all__ = ('LeaderClient', 'RequestService')
 
 _RETRY_SECONDS: Final = 0.1
+# Some times what a commit takes; the least of the callers' targets is 0.6 s.
+_LATE_SECONDS: Final = 0.5
 _PASSING: Final = (NotCommittedFailure, NotLeaderFailure, StorageFailure)
 
 
@@ -46,10 +52,11 @@
         """Have a request handled within some seconds."""
         began = self.get_time()
         payload = self.codec.write_request(request)
+        trail = CallTrail(began)
         may_have_run = False
         while True:
             left = began + seconds - self.get_time()
-            answer = await self.channel.ask(payload, left)
+            answer = await self.channel.ask(payload, left, trail)
             outcome = answer.bind(self.codec.read_outcome)
             if not _is_passing(outcome) or self._is_over(began, left):
                 break
@@ -57,11 +64,43 @@
             await sleep(_RETRY_SECONDS)
         if may_have_run and _is_passing(outcome):
             outcome = Error(NotCommittedFailure('the leader changed'))
+        self._tell(request, outcome, trail, self.get_time() - began)
+        return outcome
+
+    def _tell(
+        self,
+        request: Request,
+        outcome: Result[Reply, Failure],
+        trail: CallTrail,
+        seconds: float,
+    ) -> None:
         name = 'done' if outcome.is_ok() else outcome.error.name
-        self.metrics.leader_calls.labels(request.kind, name).observe(
-            self.get_time() - began,
+        self.metrics.leader_calls.labels(request.kind, name).observe(seconds)
+        if seconds >= _LATE_SECONDS or _is_passing(outcome):
+            log_event(self._make_event(request, name, trail, seconds))
+
+    def _make_event(
+        self,
+        request: Request,
+        outcome: str,
+        trail: CallTrail,
+        seconds: float,
+    ) -> LeaderCallLateEvent:
+        silent = self.get_time() - self.channel.heard_at
+        waited = {
+            f'{step.value}_ms': to_milliseconds(spent)
+            for step, spent in trail.seconds.items()
+        }
+        return LeaderCallLateEvent(
+            request.kind,
+            request.get_subject(),
+            outcome,
+            to_milliseconds(seconds),
+            trail.attempts,
+            trail.last_target,
+            to_milliseconds(silent),
+            waited,
         )
-        return outcome
 
     def _is_over(self, began: float, left: float) -> bool:
         if left < _RETRY_SECONDS:
--- a/packages/replicas/hornbeamstair_replicas/events.py
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -1,10 +1,13 @@
 """Events of the replicated log."""
 
+from collections.abc import Mapping
+
 from attrs import frozen
 
 from hornbeamstair_core.events import Event, EventLevel, register_event
 
 __all__ = (
+    'LeaderCallLateEvent',
     'LeaderChangedEvent',
     'LogLoadEvent',
     'LogOpenedEvent',
@@ -133,3 +136,26 @@
     syncs: int
     sync_ms: int
     span_ms: int
+
+
+@register_event
+@frozen
+class LeaderCallLateEvent(Event):
+    """Request that the leader answered late, or not at all."""
+
+    number = 5009
+    name = 'leader_call_late'
+    summary = (
+        'A request to the leader took long or had no sure answer, and why.'
+    )
+
+    request: str
+    subject: str
+    outcome: str
+    age_ms: int
+    attempts: int
+    last_target: str
+    # Since any answer of a leader.
+    silent_ms: int
+    # Time of the attempts by what became of them.
+    waited: Mapping[str, int]
--- a/packages/replicas/hornbeamstair_replicas/transport/base.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/base.py
@@ -36,6 +36,10 @@
     def send(self, envelope: Envelope) -> None:
         """Send a message, or drop it if it cannot be sent soon."""
 
+    @abstractmethod
+    def is_connected(self, receiver: VoterId) -> bool:
+        """Tell whether there is a connection to another process."""
+
     def get_any_own(self) -> VoterId:
         """Get the address of this process in any incarnation."""
         return get_address(get_process(self.own))
@@ -66,3 +70,7 @@
 
     def send(self, envelope: Envelope) -> None:
         """Drop the message: there is no other process."""
+
+    def is_connected(self, receiver: VoterId) -> bool:
+        """Tell that there is no other process."""
+        return False
--- a/packages/replicas/hornbeamstair_replicas/transport/websocket.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/websocket.py
@@ -18,6 +18,7 @@
 from hornbeamstair_core.units import MIB
 from hornbeamstair_replicas.codec import read_envelope, write_envelope
 from hornbeamstair_replicas.events import PeerRefusedEvent
+from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.transport.base import PeerTransport
 from hornbeamstair_replicas.transport.handshake import Handshake, make_nonce
@@ -59,6 +60,7 @@
     ready: Event = field(factory=Event)
     sending: 'Task[None] | None' = None
     is_permanent: bool = True
+    is_connected: bool = False
     used_at: float = 0
 
 
@@ -114,6 +116,11 @@
         link.queue.append(write_envelope(envelope))
         link.ready.set()
 
+    def is_connected(self, receiver: VoterId) -> bool:
+        """Tell whether there is a connection to another process."""
+        link = self.links.get(get_process(receiver))
+        return link is not None and link.is_connected
+
     def _find_link(self, process: ProcessId) -> _Link | None:
         link = self.links.get(process)
         if link is not None or process == get_process(self.own):
@@ -149,6 +156,7 @@
                     await self._send_all(connection, link)
             except (OSError, WebSocketException):
                 self.metrics.count_retry('peer_reconnect')
+            link.is_connected = False
             # What waited for a lost connection is out of date.
             link.queue.clear()
             await sleep(_REOPEN_SECONDS)
@@ -161,6 +169,7 @@
         if not await self._prove_client(connection):
             self._refuse(link.address.process)
             return
+        link.is_connected = True
         while not _is_idle(link):
             with suppress(TimeoutError):
                 async with timeout(_IDLE_SECONDS):
--- a/packages/upstreams/hornbeamstair_upstreams/work/requests.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/requests.py
@@ -19,6 +19,10 @@
 
     announced: Announced
 
+    def get_subject(self) -> str:
+        """Get the worker."""
+        return self.announced.worker
+
 
 @frozen
 class WithdrawWorker(Request):
@@ -27,3 +31,7 @@
     kind: ClassVar[str] = 'withdraw_worker'
 
     worker: WorkerId
+
+    def get_subject(self) -> str:
+        """Get the worker."""
+        return self.worker
--- a/tests/features/leader_calls.feature
+++ b/tests/features/leader_calls.feature
@@ -24,3 +24,23 @@
     Given a channel whose leader was heard a moment ago and is slow to act
     When a call is made that may take 3 seconds
     Then it is answered
+
+  Scenario Outline: A request without a timely answer tells what it waited for
+    Given a log that is kept
+    And a channel whose leader was heard <heard> ago and <manner>
+    When a job is asked for within 3 seconds
+    Then the log tells that the request was <outcome> after it was <step>
+
+    Examples:
+      | heard     | manner          | outcome       | step        |
+      | a moment  | answers nothing | not_committed | unanswered  |
+      | 5 seconds | answers nothing | not_leader    | unreached   |
+      | a moment  | is cut off      | not_committed | unconnected |
+      | a moment  | is not known    | not_leader    | no_leader   |
+      | a moment  | is slow to act  | done          | answered    |
+
+  Scenario: A request that is answered at once is not logged as late
+    Given a log that is kept
+    And a channel whose leader was heard a moment ago and answers all
+    When a job is asked for within 3 seconds
+    Then the log tells of no late request
--- a/tests/features/steps/trace_steps.py
+++ b/tests/features/steps/trace_steps.py
@@ -9,16 +9,15 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
-from absl import logging
 from behave import given, then, when
 from typer.testing import CliRunner
 
 from hornbeamstair_callers.jobs.events import JobAcceptedEvent
-from hornbeamstair_core.events import StreamHandler, log_event
+from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import JobId
 from hornbeamstair_core.log_stream import NonBlockingStream
-from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_operators.command_line.main import app
+from tests.support.logs import keep_log, start_log
 from tests.support.work_model import WorkModel, make_phase
 
 JOB = '00000000000000aa'
@@ -108,16 +107,13 @@
         fail_share=0,
         refuse_share=0,
     )
-    context.written = []
-    stream = NonBlockingStream(1, lambda _, line: _take(context, line))
-    handler = _start_log(context, stream)
-    handler.addFilter(lambda record: _stamp(record, context.work.now))
+    keep_log(context).addFilter(lambda record: _stamp(record, context.work.now))
 
 
 @given('a log with a budget whose reader takes nothing')
 def start_stalled(context: Any) -> None:
     """Start a log that keeps a few lines."""
-    _start_log(context, NonBlockingStream(1, _refuse_write, 1024))
+    start_log(context, NonBlockingStream(1, _refuse_write, 1024))
 
 
 @when(
@@ -251,28 +247,10 @@
     return str(path)
 
 
-def _start_log(context: Any, stream: NonBlockingStream) -> StreamHandler:
-    context.metrics = Metrics()
-    handler = StreamHandler('control-1', stream, context.metrics)
-    context.handler = handler
-    verbosity = logging.get_verbosity()
-    logger = logging.get_absl_logger()
-    logger.addHandler(handler)
-    context.add_cleanup(logging.set_verbosity, verbosity)
-    context.add_cleanup(logger.removeHandler, handler)
-    logging.set_verbosity(logging.INFO)
-    return handler
-
-
 def _stamp(record: std_logging.LogRecord, now: float) -> bool:
     record.created = now
     return True
 
 
-def _take(context: Any, line: bytes) -> int:
-    context.written.append(line)
-    return len(line)
-
-
 def _refuse_write(descriptor: int, line: bytes) -> int:
     raise BlockingIOError
--- /dev/null
+++ b/tests/support/logs.py
@@ -0,0 +1,43 @@
+"""Logs that a scenario writes and reads."""
+
+import json
+from typing import Any
+
+from absl import logging
+
+from hornbeamstair_core.events import StreamHandler
+from hornbeamstair_core.log_stream import NonBlockingStream
+from hornbeamstair_core.metrics import Metrics
+
+
+def start_log(context: Any, stream: NonBlockingStream) -> StreamHandler:
+    """Write the events of a scenario to a stream."""
+    context.metrics = Metrics()
+    handler = StreamHandler('control-1', stream, context.metrics)
+    context.handler = handler
+    verbosity = logging.get_verbosity()
+    logger = logging.get_absl_logger()
+    logger.addHandler(handler)
+    context.add_cleanup(logging.set_verbosity, verbosity)
+    context.add_cleanup(logger.removeHandler, handler)
+    logging.set_verbosity(logging.INFO)
+    return handler
+
+
+def keep_log(context: Any) -> StreamHandler:
+    """Keep the lines that a scenario writes."""
+    context.written = []
+    return start_log(
+        context,
+        NonBlockingStream(1, lambda _, line: _take(context, line)),
+    )
+
+
+def read_log(context: Any) -> list[dict[str, Any]]:
+    """Read the lines that were kept."""
+    return [json.loads(line) for line in context.written]
+
+
+def _take(context: Any, line: bytes) -> int:
+    context.written.append(line)
+    return len(line)
