Tell once a second which tasks wait, beside the room of their workers

Change: the holder writes work_waiting once a second, one entry for each service with tasks whose turn came 0.1 s ago or earlier: jobs, tasks, longest wait, workers, usable workers, free room and the largest free room of one worker. The trace of a job shows the entries of its service.

The new scenarios fail on the code before: no such line.

--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -14,6 +14,7 @@
     'RequestRefusedEvent',
     'RunsEndedEvent',
     'RunsPlacedEvent',
+    'WorkWaitingEvent',
     'WorkerBelievedEvent',
     'WorkerQuarantinedEvent',
 )
@@ -133,3 +134,15 @@
     subject: str
     code: int
     reason: str
+
+
+@register_event
+@frozen
+class WorkWaitingEvent(Event):
+    """Tasks that wait for room, by service."""
+
+    number = 2009
+    name = 'work_waiting'
+    summary = 'Tasks wait; the services, their workers and free room.'
+
+    services: tuple[Mapping[str, Any], ...]
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -30,6 +30,7 @@
 from hornbeamstair_callers.jobs.starts import StartPlanner
 from hornbeamstair_callers.jobs.table import Job, JobTable
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
+from hornbeamstair_callers.jobs.waiting_log import WaitingLog
 from hornbeamstair_core.effects import Effect
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import JobId, ServiceName, TaskId, WorkerId
@@ -89,6 +90,7 @@
     logged_ends: set[JobId] = field(factory=set)
     run_log: RunLog = field(init=False)
     waiting: WaitingJobs = field(init=False)
+    waiting_log: WaitingLog = field(init=False)
     starts: StartPlanner = field(init=False)
     ends: EndRecorder = field(init=False)
 
@@ -100,6 +102,7 @@
             state.manifest,
             ObjectiveOrder(),
         )
+        self.waiting_log = WaitingLog(self.waiting)
         self.run_log = RunLog(self.fencing_token)
         self.starts = StartPlanner(self.waiting, self.run_log)
         self.ends = EndRecorder(
@@ -234,6 +237,7 @@
             self._forget_jobs(now)
         self.waiting.mark_due()
         self.place(now)
+        self.waiting_log.tell_due(self.sessions.values(), now)
 
     def place(self, now: Moment) -> None:
         """Start what is ready as far as there is room."""
--- a/packages/operators/hornbeamstair_operators/traces.py
+++ b/packages/operators/hornbeamstair_operators/traces.py
@@ -25,7 +25,9 @@
         'worker_quarantined',
     )
 )
-_CONTEXT_EVENTS: Final = _SYSTEM_EVENTS | _WORKER_EVENTS
+# Events of a service that explain why its jobs waited.
+_SERVICE_EVENTS: Final = frozenset(('work_waiting',))
+_CONTEXT_EVENTS: Final = _SYSTEM_EVENTS | _WORKER_EVENTS | _SERVICE_EVENTS
 # About 100 MB; logs have some such lines a second.
 _MAX_CONTEXT: Final = 200_000
 # A job has some lines for each run of each task.
@@ -103,19 +105,29 @@
             return []
         begin = min(line.at for line in self.own) - _MARGIN_SECONDS
         end = max(line.at for line in self.own) + _MARGIN_SECONDS
+        meanwhile = [line for line in self.context if begin <= line.at <= end]
         workers = {worker for line in self.own for worker in line.get_workers()}
         related = [
             line
-            for line in self.context
-            if begin <= line.at <= end
-            and (
-                line.event in _SYSTEM_EVENTS
-                or not workers.isdisjoint(line.get_workers())
-            )
+            for line in meanwhile
+            if line.event in _SYSTEM_EVENTS
+            or not workers.isdisjoint(line.get_workers())
         ]
+        services = {line.fields.get('service') for line in self.own}
+        for service in services:
+            related.extend(_get_parts_of_service(meanwhile, service))
         return sorted([*self.own, *related], key=_get_time)
 
 
+def _get_parts_of_service(
+    lines: list[LogLine],
+    service: Any,
+) -> Iterator[LogLine]:
+    for line in lines:
+        if isinstance(service, str) and line.event in _SERVICE_EVENTS:
+            yield from line.get_parts(service)
+
+
 def _get_time(line: LogLine) -> float:
     return line.at
 
--- a/tests/features/steps/trace_steps.py
+++ b/tests/features/steps/trace_steps.py
@@ -17,7 +17,7 @@
 from hornbeamstair_core.ids import JobId
 from hornbeamstair_core.log_stream import NonBlockingStream
 from hornbeamstair_operators.command_line.main import app
-from tests.support.logs import keep_log, start_log
+from tests.support.logs import keep_log, read_log, start_log
 from tests.support.work_model import WorkModel, make_phase
 
 JOB = '00000000000000aa'
@@ -39,7 +39,10 @@
     (4.1, 'job_ended', {'job': JOB}),
 )
 LISTING_LINES = (
-    (3.0, 'job_accepted', {'job': JOB}),
+    (3.0, 'job_accepted', {'job': JOB, 'service': 's1'}),
+    (3.05, 'work_waiting', {'services': [{'service': 's1'}]}),
+    # A service that runs nothing of the job.
+    (3.06, 'work_waiting', {'services': [{'service': 's2'}]}),
     (
         3.3,
         'runs_placed',
@@ -151,6 +154,39 @@
         log_event(JobAcceptedEvent(f'{number:016x}', 'q', 's', 1, 1, 1))
 
 
+@when('a job of {tasks:d} tasks has waited there for {seconds:d} seconds')
+def have_wait(context: Any, tasks: int, seconds: int) -> None:
+    """Accept a job that needs more room than there is."""
+    context.work.run(1)
+    phase = make_phase(tasks, 1000, lasts=True)
+    context.work.accept(JobId(JOB), (phase,))
+    context.work.run(seconds)
+
+
+@then('its log tells {count:d} times of {tasks:d} tasks and of 1 worker')
+def check_waiting(context: Any, count: int, tasks: int) -> None:
+    """Check what the lines tell of the service."""
+    told = [
+        service
+        for line in read_log(context)
+        if line['event'] == 'work_waiting'
+        for service in line['services']
+    ]
+    assert len(told) == count, told
+    for found in told:
+        assert found['tasks'] == tasks, found
+        assert found['workers'] == found['usable'] == 1, found
+    assert told[-1]['oldest_ms'] >= (count - 1) * 1000, told
+
+
+@then('its log does not tell of waiting tasks')
+def check_no_waiting(context: Any) -> None:
+    """Check that only what waits is told."""
+    events = {line['event'] for line in read_log(context)}
+    assert 'runs_placed' in events, events
+    assert 'work_waiting' not in events, events
+
+
 @then('no line of its log is left out')
 def check_left_out(context: Any) -> None:
     """Check the metric and the lines."""
--- a/tests/features/trace.feature
+++ b/tests/features/trace.feature
@@ -26,6 +26,7 @@
     Then the story has these events in order
       | event           |
       | job_accepted    |
+      | work_waiting    |
       | runs_placed     |
       | runs_placed     |
       | worker_believed |
@@ -39,6 +40,16 @@
     Then no line of its log is left out
     And the traces of these jobs tell each start and each end
 
+  Scenario: Tasks that wait are told beside the room of their workers
+    Given the log of a modelled holder of 1 workers
+    When a job of 3 tasks has waited there for 4 seconds
+    Then its log tells 3 times of 2 tasks and of 1 worker
+
+  Scenario: Tasks that find room at once do not count as waiting
+    Given the log of a modelled holder of 4 workers
+    When a job of 3 tasks has waited there for 3 seconds
+    Then its log does not tell of waiting tasks
+
   Scenario: Left-out lines show in the metrics before another line comes
     Given a log with a budget whose reader takes nothing
     When 1000 jobs are accepted at once
