Order a start again that fell into a lapse of the leader's lease

Cause: the lease is 0.45 s and lapses without a change of the leader when the loop or a quorum is late. A start whose record was committed just then was dropped before it was sent, on the assumption that another process leads next. Where the same term went on, the run stayed 'ordered': it is neither ordered again, as it has no lost answer, nor missed by a look, as it was never settled, nor does it lapse, as looks renew the lease. Its task and its room were taken until the next holder.

Change: an order that was not sent leaves its run as due to be ordered again, under the same number, so that a start that was sent after all stays one.

--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -204,7 +204,8 @@
         effect: SendStart,
     ) -> None:
         if not self.leads():
-            # The next holder finds the run missing and starts another.
+            # The lease may be renewed in this term.
+            effect.session.note_unsent(effect.order)
             return
         answer = await self._measure('start', self.sender.start(effect.order))
         now = self.get_moment()
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -255,6 +255,14 @@
                 ended.extend(self._take_refusal(run, now))
         return ended
 
+    def note_unsent(self, order: StartOrder) -> None:
+        """Note that an order to start was not sent; it is due again."""
+        run = self.runs.get(order.task)
+        if run is None or run.run != order.run:
+            return
+        if run.state == RunState.ordered:
+            run.state = RunState.unanswered
+
     def get_unanswered(self, now: float) -> list[Run]:
         """Get the runs whose start is due to be ordered again."""
         if not self.is_synced or not self.is_reached(now) or self.is_fenced:
--- /dev/null
+++ b/tests/support/holder.py
@@ -0,0 +1,180 @@
+"""Holder with a log of its own and a worker that does as it is told."""
+
+from asyncio import sleep
+from random import Random
+from time import monotonic
+
+from attrs import define, field
+
+from hornbeamstair_callers.jobs.messages import JobSpec
+from hornbeamstair_callers.jobs.records import JobAccepted
+from hornbeamstair_callers.jobs.runner import WorkRunner
+from hornbeamstair_callers.jobs.scheduler import SchedulerState
+from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_core.clock import get_moment, get_steady_time
+from hornbeamstair_core.ids import JobId, TaskId, WorkerId
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_core.records import Record
+from hornbeamstair_operators.manifest.messages import ManifestPut
+from hornbeamstair_operators.manifest.table import ManifestTable
+from hornbeamstair_replicas.groups.node import open_node
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.storage.memory import MemoryLogStorage
+from hornbeamstair_replicas.tables.codec import TableStateMachine
+from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.voting.timing import Timing
+from hornbeamstair_upstreams.work.leases import get_lease_terms
+from hornbeamstair_upstreams.work.messages import (
+    HoldAnswer,
+    HoldOrder,
+    OrderAnswer,
+    OrderOutcome,
+    RunReport,
+    StartOrder,
+    StopOrder,
+    WorkerSeen,
+)
+from hornbeamstair_upstreams.work.sender import WorkerSender
+from hornbeamstair_upstreams.work.table import WorkerTable
+from tests.support.work_model import (
+    LONGEST_LEASE,
+    QUEUE,
+    SERVICE,
+    STOP_SECONDS,
+    make_announced,
+    make_manifest,
+    make_phase,
+)
+
+OWN = VoterId('v/1')
+JOB = JobId('0000000000000001')
+TASK = TaskId('0000000000000001.0.0.0')
+# A look that waits for an end comes back without one after so long.
+LOOK_SECONDS = 0.02
+
+
+@define(eq=False)
+class ObedientSender(WorkerSender):
+    """Sender to a worker that starts and lists whatever it is told."""
+
+    name = 'obedient'
+
+    runs: dict[TaskId, int] = field(factory=dict)
+    starts: list[StartOrder] = field(factory=list)
+
+    async def hold(self, order: HoldOrder) -> HoldAnswer:
+        """List the runs."""
+        await sleep(LOOK_SECONDS)
+        running = tuple(
+            RunReport(task, run, '', 0, 0) for task, run in self.runs.items()
+        )
+        return HoldAnswer(OrderOutcome.done, monotonic(), 1, running)
+
+    async def start(self, order: StartOrder) -> OrderAnswer:
+        """Start a run."""
+        self.starts.append(order)
+        self.runs[order.task] = order.run
+        return OrderAnswer(OrderOutcome.done, monotonic(), 1)
+
+    async def stop(self, order: StopOrder) -> OrderAnswer:
+        """Stop a run."""
+        self.runs.pop(order.task, None)
+        return OrderAnswer(OrderOutcome.done, monotonic(), 1)
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+@define(eq=False)
+class Holder:
+    """Runner that leads alone, with its tables and its worker."""
+
+    sender: ObedientSender = field(factory=ObedientSender)
+    state: SchedulerState = field(init=False)
+    group: VotingGroup = field(init=False)
+    runner: WorkRunner = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Open an empty log."""
+        self.state = SchedulerState(JobTable(), ManifestTable(), WorkerTable())
+        machine = TableStateMachine(
+            (self.state.jobs, self.state.manifest, self.state.workers),
+        )
+        node = open_node(
+            'work',
+            OWN,
+            MemoryLogStorage(),
+            machine,
+            (OWN,),
+            Timing(),
+            Random(1),
+            get_steady_time(),
+        )
+        self.group = VotingGroup(
+            'work',
+            node,
+            LocalTransport(OWN),
+            get_steady_time,
+        )
+        self.runner = WorkRunner(
+            self.group,
+            machine,
+            self.state,
+            self.sender,
+            get_lease_terms(LONGEST_LEASE, STOP_SECONDS),
+            Metrics(),
+            get_moment,
+            tuple,
+        )
+
+    async def start(self) -> None:
+        """Lead, with a manifest and a worker that answers."""
+        self.group.start()
+        self.runner.start()
+        while self.runner.find_scheduler() is None:
+            await sleep(0)
+        await self.runner.commit((ManifestPut(make_manifest()),))
+        announced = make_announced(WorkerId('w0'), 1)
+        scheduler = self.runner.find_scheduler()
+        assert scheduler is not None
+        scheduler.note_announced(announced, get_moment())
+        await self.runner.commit((WorkerSeen(announced),))
+        moment = get_moment
+        while not scheduler.get_usable(SERVICE, moment()):
+            await sleep(LOOK_SECONDS)
+
+    async def stop(self) -> None:
+        """End the runner and its log."""
+        await self.runner.stop()
+        await self.group.stop()
+
+    def set_lease(self, *, has_lease: bool) -> None:
+        """Have the lease of the leader lapse, or renew it."""
+        self.group.node.voter.find_leader_role().ok.has_lease = has_lease
+
+    def find_job(self) -> Job | None:
+        """Find the job of the scenario."""
+        return self.state.jobs.jobs.get(JOB)
+
+    async def wait_for_record(self) -> None:
+        """Wait until the start of the task is in the log."""
+        while True:
+            job = self.find_job()
+            if job is not None and job.get_task(TASK).worker:
+                return
+            await sleep(0)
+
+    async def wait_for_run(self, seconds: float) -> bool:
+        """Wait until the worker has the task; tell whether it has."""
+        end = monotonic() + seconds
+        while TASK not in self.sender.runs and monotonic() < end:
+            await sleep(LOOK_SECONDS)
+        return TASK in self.sender.runs
+
+
+def make_accepted(now: Moment) -> Record:
+    """Make the record of a job of one task."""
+    spec = JobSpec(JOB, 'text', (make_phase(1, 1000),))
+    return JobAccepted(spec, QUEUE, SERVICE, now.wall)
