Have the holder learn of records from the log, not from who proposed them

Cause: the scheduler was told of a record by the coroutine that had proposed it. Nobody told it where that coroutine gave up after 2 s (its record is in the log and is applied later), where it was cancelled, or where the record had been forwarded by a process that had just lost the leadership. The caller is told 200, or asks again and is told 200 since the job is in the table; the job waits until the next holder reads the table.

Evidence: two scenarios failed on the code before: 'A job that another process forwards to the log is started' and 'A job is started though its proposer gave up before it was recorded' (the worker did not run the task in 2 s).

Change: the table of jobs tells a listener of each record that it applied, and the runner passes it to the scheduler of the term. The model of work.feature tells its holder the same way, so that it hears of each record once, in the order of the log.

--- a/packages/callers/hornbeamstair_callers/jobs/records.py
+++ b/packages/callers/hornbeamstair_callers/jobs/records.py
@@ -1,5 +1,6 @@
-"""Records by which jobs change."""
+"""Records by which jobs change, and what learns of them."""
 
+from abc import ABC, abstractmethod
 from typing import ClassVar
 
 from attrs import frozen
@@ -20,6 +21,7 @@
     'JobCancelled',
     'JobFailed',
     'JobsForgotten',
+    'RecordListener',
     'RunEnded',
     'RunStarted',
 )
@@ -90,3 +92,11 @@
     end: RunEnd
     checkpoint: str
     at: float
+
+
+class RecordListener(ABC):
+    """Part that learns of each applied record, whoever proposed it."""
+
+    @abstractmethod
+    def note_applied(self, record: Record) -> None:
+        """Take a record that a table has just applied."""
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -59,6 +59,7 @@
     tasks: 'set[Task[None]]' = field(factory=set, init=False)
     last_commit: 'Task[None] | None' = field(default=None, init=False)
     is_gathering: bool = field(default=False, init=False)
+    has_applied: bool = field(default=False, init=False)
     is_stopping: bool = field(default=False, init=False)
 
     def start(self) -> None:
@@ -86,17 +87,22 @@
         records: Sequence[Record],
     ) -> Result[None, Failure]:
         """Commit records; they are applied when it returns."""
-        scheduler = self.scheduler
         payload = self.machine.codec.write(records)
         outcome = await self.group.propose_once(payload)
         if outcome.is_error():
             return Error(outcome.error)
-        if scheduler is not None and scheduler is self.scheduler:
-            for record in records:
-                scheduler.note_record(record, self.get_moment())
-            self._gather()
         return Ok(None)
 
+    def note_applied(self, record: Record) -> None:
+        """Have the scheduler go on, also if the proposer has given up."""
+        if self.scheduler is None:
+            return
+        self.scheduler.note_record(record, self.get_moment())
+        self._gather()
+        if not self.has_applied:
+            self.has_applied = True
+            get_running_loop().call_soon(self._carry_out_applied)
+
     async def _keep_ticking(self) -> None:
         while True:
             self._follow_role()
@@ -119,6 +125,7 @@
     def _take_over(self, term: int) -> None:
         now = self.get_moment()
         self.scheduler = Scheduler(self.state, term, self.terms)
+        self.state.jobs.listener = self
         self.scheduler.start(now, self.get_held())
         self._log_change(self.scheduler, holds=True)
 
@@ -127,6 +134,7 @@
         if scheduler is None:
             return
         self.scheduler = None
+        self.state.jobs.listener = None
         self.last_commit = None
         for task in (*self.tasks, *self.looks.values()):
             task.cancel()
@@ -157,6 +165,11 @@
             scheduler.place(self.get_moment())
             self._carry_out(scheduler)
 
+    def _carry_out_applied(self) -> None:
+        self.has_applied = False
+        if self.scheduler is not None:
+            self._carry_out(self.scheduler)
+
     def _carry_out(self, scheduler: Scheduler) -> None:
         for effect in scheduler.take_effects():
             self._begin(self._get_work(scheduler, effect))
@@ -194,9 +207,7 @@
         payload = self.machine.codec.write(batch.records)
         outcome = await self.group.propose_once(payload, _COMMIT_SECONDS)
         if outcome.is_ok() and scheduler is self.scheduler:
-            scheduler.note_committed(batch, self.get_moment())
-            self._gather()
-            self._carry_out(scheduler)
+            scheduler.note_committed(batch)
 
     async def _send_start(
         self,
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -135,15 +135,13 @@
         self.effects = []
         return effects
 
-    def note_committed(self, batch: CommitBatch, now: Moment) -> None:
-        """Go on after records were committed and applied."""
-        for record in batch.records:
-            self.note_record(record, now)
+    def note_committed(self, batch: CommitBatch) -> None:
+        """Have a worker forget ends after their records were applied."""
         if batch.session is not None:
             batch.session.cursor = max(batch.session.cursor, batch.cursor)
 
     def note_record(self, record: Record, now: Moment) -> None:
-        """Go on after a record was committed and applied."""
+        """Go on after a record was applied, whoever proposed it."""
         match record:
             case RunStarted():
                 self._order_start(record, now)
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -13,7 +13,11 @@
     JobUnknownFailure,
     QueueUnknownFailure,
 )
-from hornbeamstair_callers.jobs.records import JobAccepted, JobCancelled
+from hornbeamstair_callers.jobs.records import (
+    JobAccepted,
+    JobCancelled,
+    RecordListener,
+)
 from hornbeamstair_callers.jobs.requests import (
     CancelJob,
     CountPending,
@@ -48,8 +52,8 @@
 __all__ = ('JobRequestHandler', 'RecordCommitter', 'WorkerRequestHandler')
 
 
-class RecordCommitter(Committer):
-    """Way to commit records and to reach the scheduler of this term."""
+class RecordCommitter(Committer, RecordListener):
+    """Way to commit records, to go on after them and to the scheduler."""
 
     @abstractmethod
     def find_scheduler(self) -> Scheduler | None:
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -19,6 +19,7 @@
     JobCancelled,
     JobFailed,
     JobsForgotten,
+    RecordListener,
     RunEnded,
     RunStarted,
 )
@@ -126,23 +127,14 @@
     jobs: dict[JobId, Job] = field(factory=dict)
     # Jobs of each queue of which nothing was started.
     pending: 'Counter[QueueName]' = field(factory=Counter)
+    listener: RecordListener | None = None
 
     def apply(self, record: Record) -> object:
         """Apply a record; tell whether it changed anything."""
-        match record:
-            case JobAccepted():
-                return self._accept(record)
-            case JobCancelled(job, at):
-                return self._end(job, JobState.cancelled, at)
-            case JobFailed(job, at):
-                return self._end(job, JobState.failed, at)
-            case JobsForgotten(jobs):
-                return self._forget(jobs)
-            case RunStarted():
-                return self._start(record)
-            case RunEnded():
-                return self._end_run(record)
-        return False
+        changed = self._apply(record)
+        if self.listener is not None:
+            self.listener.note_applied(record)
+        return changed
 
     def get_open(self) -> Iterator[Job]:
         """Get the jobs of which tasks may still start."""
@@ -160,6 +152,22 @@
             job.queue for job in found if job.state == JobState.queued
         )
 
+    def _apply(self, record: Record) -> bool:
+        match record:
+            case JobAccepted():
+                return self._accept(record)
+            case JobCancelled(job, at):
+                return self._end(job, JobState.cancelled, at)
+            case JobFailed(job, at):
+                return self._end(job, JobState.failed, at)
+            case JobsForgotten(jobs):
+                return self._forget(jobs)
+            case RunStarted():
+                return self._start(record)
+            case RunEnded():
+                return self._end_run(record)
+        return False
+
     def _accept(self, record: JobAccepted) -> bool:
         job = record.spec.job
         if job in self.jobs:
--- a/tests/features/holder.feature
+++ b/tests/features/holder.feature
@@ -5,3 +5,13 @@
     When the lease of the leader lapses as the start of a task is recorded
     And the lease is renewed 0.5 seconds later
     Then the worker runs the task within 2 seconds
+
+  Scenario: A job that another process forwards to the log is started
+    Given a holder with a worker
+    When another process forwards a job to its log
+    Then the worker runs the task within 2 seconds
+
+  Scenario: A job is started though its proposer gave up before it was recorded
+    Given a holder with a worker
+    When a job is recorded after its proposer gave up
+    Then the worker runs the task within 2 seconds
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -1,6 +1,6 @@
 """Steps with a holder, its log and a worker."""
 
-from asyncio import Runner, sleep
+from asyncio import Runner, create_task, sleep
 from typing import Any
 
 from behave import given, then, when
@@ -30,6 +30,18 @@
     context.holder.set_lease(has_lease=True)
 
 
+@when('another process forwards a job to its log')
+def forward_job(context: Any) -> None:
+    """Have a job come into the log that nobody here proposed."""
+    context.loop.run(context.holder.forward((make_accepted(get_moment()),)))
+
+
+@when('a job is recorded after its proposer gave up')
+def give_up(context: Any) -> None:
+    """Cancel the commit of a job between its proposal and its record."""
+    context.loop.run(_give_up(context.holder))
+
+
 @then('the worker runs the task within {seconds:d} seconds')
 def check_run(context: Any, seconds: int) -> None:
     """Check that the worker got the order."""
@@ -43,6 +55,16 @@
     return holder
 
 
+async def _give_up(holder: Holder) -> None:
+    commit = holder.runner.commit((make_accepted(get_moment()),))
+    proposing = create_task(commit)
+    await sleep(0)
+    proposing.cancel()
+    while holder.find_job() is None:
+        await sleep(0)
+    assert proposing.cancelled()
+
+
 async def _let_lapse(holder: Holder) -> None:
     await holder.runner.commit((make_accepted(get_moment()),))
     await holder.wait_for_record()
--- a/tests/support/holder.py
+++ b/tests/support/holder.py
@@ -21,6 +21,7 @@
 from hornbeamstair_replicas.groups.node import open_node
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.peer_messages import ForwardRequest
 from hornbeamstair_replicas.storage.memory import MemoryLogStorage
 from hornbeamstair_replicas.tables.codec import TableStateMachine
 from hornbeamstair_replicas.transport.base import LocalTransport
@@ -154,6 +155,14 @@
         """Have the lease of the leader lapse, or renew it."""
         self.group.node.voter.find_leader_role().ok.has_lease = has_lease
 
+    async def forward(self, records: tuple[Record, ...]) -> None:
+        """Take records that another process forwards."""
+        payload = self.runner.machine.codec.write(records)
+        self.group.transport.receivers[self.group.group](
+            VoterId('v2/1'),
+            ForwardRequest(1, payload),
+        )
+
     def find_job(self) -> Job | None:
         """Find the job of the scenario."""
         return self.state.jobs.jobs.get(JOB)
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -12,7 +12,11 @@
     SendStop,
 )
 from hornbeamstair_callers.jobs.messages import JobSpec, Phase
-from hornbeamstair_callers.jobs.records import JobAccepted, JobCancelled
+from hornbeamstair_callers.jobs.records import (
+    JobAccepted,
+    JobCancelled,
+    RecordListener,
+)
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_core.ids import (
@@ -218,6 +222,17 @@
             self.end(stopped, RunEnd.lost)
 
 
+@define(eq=False)
+class ModelListener(RecordListener):
+    """Passes applied records to the present holder."""
+
+    model: 'WorkModel'
+
+    def note_applied(self, record: Record) -> None:
+        """Tell the holder."""
+        self.model.scheduler.note_record(record, self.model.get_moment())
+
+
 @define(eq=False)
 class WorkModel:
     """Holder, workers and faults on one clock; the oracle checks each start.
@@ -274,6 +289,7 @@
                 rate=self.rng.uniform(0.98, 1),
             )
         self.take_over()
+        self.tables.jobs.listener = ModelListener(self)
 
     # Input
 
@@ -286,16 +302,12 @@
         spec = JobSpec(job, 'text', phases)
         for number, phase in enumerate(phases):
             self.phases[f'{job}.{number}'] = phase
-        record = JobAccepted(spec, QUEUE, SERVICE, self.now)
-        self.apply((record,))
-        self.scheduler.note_record(record, self.get_moment())
+        self.apply((JobAccepted(spec, QUEUE, SERVICE, self.now),))
 
     def cancel(self, job: JobId) -> None:
         """Cancel a job."""
-        record = JobCancelled(job, self.now)
-        self.apply((record,))
         self.cancelled.add(job)
-        self.scheduler.note_record(record, self.get_moment())
+        self.apply((JobCancelled(job, self.now),))
 
     def take_over(self, held: tuple[WorkerId, ...] = ()) -> None:
         """Have a new holder take over; the former one is gone at once."""
@@ -482,7 +494,7 @@
             _, scheduler, batch = self.commits.pop(0)
             self.apply(batch.records)
             if scheduler is self.scheduler:
-                scheduler.note_committed(batch, self.get_moment())
+                scheduler.note_committed(batch)
                 # The planner of moves asks at any time.
                 get_demands(self.scheduler, self.get_moment())
 
