Order no start that the log refused, and model what forwarded records do

What callers saw: a task that runs twice at the same time (nothing in a play shows it; found by reading and with the model).

Cause: the holder ordered a start once its record was applied, without asking whether the table had taken it. Where a start of the same run by an earlier holder, forwarded to the new leader, had come just before, the table refused the second; both were then settled as if they counted.

Change: a start is ordered only if its run is the present one of its task.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -316,13 +316,18 @@
         self.waiting.in_flight.discard(record.task)
         session = self.sessions.get(record.worker)
         run = None if session is None else session.runs.get(record.task)
+        job = self._find_job(record.task)
+        if job is None or not job.has_run(record):
+            # The job has ended, or an earlier holder's start came first.
+            if session is not None and run is not None:
+                _drop_recorded(session, run, record)
+            return
         if session is None or run is None or run.run != record.run:
             # The worker's life ended while the start was recorded.
             self._commit_lost(record, now)
             return
-        job = self._find_job(record.task)
         order = None
-        if job is not None and job.is_open and not run.is_stop_wanted:
+        if job.is_open and not run.is_stop_wanted:
             order = session.make_start(run, job.spec.text, now.steady)
         if order is None:
             session.remove_run(run.task)
@@ -401,6 +406,15 @@
     )
 
 
+def _drop_recorded(
+    session: WorkerSession,
+    run: Run,
+    record: RunStarted,
+) -> None:
+    if run.run == record.run and run.state == RunState.recorded:
+        session.remove_run(run.task)
+
+
 def _log_silence(session: WorkerSession, *, was_silent: bool) -> None:
     if session.is_silent != was_silent:
         belief = 'silent' if session.is_silent else 'answering'
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -79,6 +79,15 @@
         """Get a task, also one that never started."""
         return self.tasks.get(task) or Task()
 
+    def has_run(self, started: RunStarted) -> bool:
+        """Tell whether a recorded run is the present one of its task."""
+        task = self.get_task(started.task)
+        return (task.run, task.worker, task.incarnation) == (
+            started.run,
+            started.worker,
+            started.incarnation,
+        )
+
     def count_done(self, occurrence: int, phase: int) -> int:
         """Count the tasks of a phase that are done."""
         return self.done.get(f'{occurrence}.{phase}', 0)
--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -4,11 +4,13 @@
 from random import Random
 from typing import Any
 
+from attrs import evolve
 from behave import given, then, when
 from hypothesis.stateful import run_state_machine_as_test
 
 from hornbeamstair_callers.jobs.evacuation import free_workers
 from hornbeamstair_callers.jobs.messages import JobState
+from hornbeamstair_callers.jobs.records import RunStarted
 from hornbeamstair_core.ids import JobId, TaskId
 from hornbeamstair_upstreams.work.session import WorkerSession
 from tests.support.random_work import WorkMachine, get_work_settings
@@ -108,6 +110,17 @@
     context.work.accept(JobId('1' * 16), (phase,))
 
 
+@when('a start of an earlier holder is recorded just before that of its task')
+def record_former_start(context: Any) -> None:
+    """Have the log hold two starts of one run, on two workers."""
+    work = context.work
+    while not _find_starts(work):
+        work.step()
+    started = _find_starts(work)[0]
+    former = next(name for name in work.workers if name != started.worker)
+    work.apply((evolve(started, worker=former),))
+
+
 @when('the worker of its first task is cut off')
 def cut_first(context: Any) -> None:
     """Cut the worker off that runs the first task."""
@@ -295,6 +308,15 @@
     )
 
 
+def _find_starts(work: WorkModel) -> list[RunStarted]:
+    return [
+        record
+        for _, _, batch in work.commits
+        for record in batch.records
+        if isinstance(record, RunStarted)
+    ]
+
+
 def _find_worker(context: Any, task: str) -> Any:
     found = [
         worker
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -115,6 +115,13 @@
     And a worker is born again and an answer of its former life arrives
     Then its clock is not taken for that of the new life
 
+  Scenario: A start that the log refuses is not ordered
+    Given a work model with seed 17, 3 workers and no faults
+    When a job of 1 phases with 1 tasks each is accepted
+    And a start of an earlier holder is recorded just before that of its task
+    And 20 seconds pass
+    Then the job is completed after 1 starts
+
   Scenario: Random faults in any order
     Given the work machine with 40 examples
     Then no promise is broken
--- a/tests/support/random_work.py
+++ b/tests/support/random_work.py
@@ -7,9 +7,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from hornbeamstair_callers.jobs.messages import JobState
-from hornbeamstair_core.ids import JobId, WorkerId
+from hornbeamstair_core.ids import JobId
 from hornbeamstair_upstreams.work.runs import RunState
-from tests.support.work_model import WorkModel, make_phase
+from tests.support.work_model import WorkModel, make_phase, replace_worker
 
 _workers = st.integers(0, 2)
 
@@ -63,12 +63,18 @@
     @rule(worker=_workers)
     def free(self, worker: int) -> None:
         """Have all that runs on a worker stopped."""
-        session = self.model.scheduler.sessions.get(WorkerId(f'w{worker}'))
+        name = self._get_worker(worker).worker
+        session = self.model.scheduler.sessions.get(name)
         if session is not None:
             for run in session.runs.values():
                 if run.state == RunState.running:
                     session.want_stop(run)
 
+    @rule(worker=_workers)
+    def replace(self, worker: int) -> None:
+        """Have another worker take the place of one that crashed."""
+        replace_worker(self.model, self._get_worker(worker).worker)
+
     @rule()
     def change_holder(self) -> None:
         """Have another process lead."""
@@ -104,7 +110,7 @@
         assert not left, f'{left} are stuck'
 
     def _get_worker(self, number: int):
-        return self.model.workers[f'w{number}']
+        return list(self.model.workers.values())[number]
 
 
 def get_work_settings(examples: int) -> settings:
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -61,6 +61,7 @@
 COMMIT_SECONDS = 0.05
 STOP_SECONDS = 0.2
 KEPT_SHARE = 0.5
+FORWARDED_SHARE = 0.5
 LONGEST_LEASE = 6.0
 SERVICE = ServiceName('grinding')
 QUEUE = QueueName('stops')
@@ -267,6 +268,7 @@
     done: set[TaskId] = field(factory=set)
     cancelled: set[JobId] = field(factory=set)
     starts: int = 0
+    replaced: int = 0
     phases: dict[str, Phase] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -311,13 +313,16 @@
 
     def take_over(self, held: tuple[WorkerId, ...] = ()) -> None:
         """Have a new holder take over; the former one is gone at once."""
-        kept = [
-            batch for batch in self.commits if self.rng.random() < KEPT_SHARE
-        ]
-        # What was in the log when the leader changed may still count.
-        for _, _, batch in kept:
-            self.apply(batch.records)
-        self.commits.clear()
+        under_way = self.commits
+        self.commits = []
+        # What was in the log when the leader changed may still count. The
+        # rest is lost, or forwarded to the new leader.
+        for found in under_way:
+            if self.rng.random() < KEPT_SHARE:
+                self.apply(found[2].records)
+            elif self.rng.random() < FORWARDED_SHARE:
+                self.commits.append((self.now + COMMIT_SECONDS, *found[1:]))
+        self.machine.restore(self.machine.get_snapshot())
         self.term += 1
         self.scheduler = Scheduler(
             self.tables,
@@ -417,21 +422,17 @@
                 continue
             announced = make_announced(worker.worker, worker.born)
             if self.scheduler.note_announced(announced, self.get_moment()):
-                self.apply((WorkerSeen(announced),))
+                due = self.now + COMMIT_SECONDS
+                batch = CommitBatch((WorkerSeen(announced),))
+                self.commits.append((due, self.scheduler, batch))
 
     def _look(self) -> None:
         for name, session in list(self.scheduler.sessions.items()):
-            worker = self.workers[name]
             due = self.looked_at.get(name, 0) + self.rng.choice((0, 0.3))
             if self.now < due or session.seen_number > session.cursor:
                 continue
             self.looked_at[name] = self.now
-            order = session.get_hold(self.now)
-            answer = HoldAnswer(OrderOutcome.unknown)
-            if not worker.is_cut:
-                answer = worker.hold(order, self.now)
-                if self.rng.random() < self.lost_share:
-                    answer = HoldAnswer(OrderOutcome.unknown)
+            answer = look_at(self, session.get_hold(self.now))
             sent_at = self.now - STEP / 2
             moment = self.get_moment()
             self.scheduler.note_hold(session, answer, sent_at, moment)
@@ -448,32 +449,22 @@
                     self._stop(session, order)
 
     def _start(self, session: WorkerSession, order: StartOrder) -> None:
-        worker = self.workers[order.worker]
-        answer = OrderAnswer(OrderOutcome.unknown)
-        if self.rng.random() < self.late_share:
-            delay = self.rng.uniform(2, 12)
-            self.late.append((self.now + delay, worker.born, order))
-        elif worker.is_cut:
-            answer = OrderAnswer(OrderOutcome.unknown)
-        elif self.rng.random() < self.refuse_share:
-            answer = OrderAnswer(OrderOutcome.refused)
-        else:
-            answer = worker.start(order, self.now)
-            if self.rng.random() < self.lost_share:
-                answer = OrderAnswer(OrderOutcome.unknown)
+        outcome = find_outcome(self, order)
+        if outcome is None and self.rng.random() < self.refuse_share:
+            outcome = OrderOutcome.refused
+        answer = OrderAnswer(outcome or OrderOutcome.unknown)
+        if outcome is None:
+            started = self.workers[order.worker].start(order, self.now)
+            answer = lose_some(self, started)
         moment = self.get_moment()
         self.scheduler.note_start(session, order, answer, moment)
 
     def _stop(self, session: WorkerSession, order: StopOrder) -> None:
-        worker = self.workers[order.worker]
-        answer = OrderAnswer(OrderOutcome.unknown)
-        if self.rng.random() < self.late_share:
-            delay = self.rng.uniform(2, 12)
-            self.late.append((self.now + delay, worker.born, order))
-        elif not worker.is_cut:
-            answer = worker.stop(order, self.now)
-            if self.rng.random() < self.lost_share:
-                answer = OrderAnswer(OrderOutcome.unknown)
+        outcome = find_outcome(self, order)
+        answer = OrderAnswer(outcome or OrderOutcome.unknown)
+        if outcome is None:
+            stopped = self.workers[order.worker].stop(order, self.now)
+            answer = lose_some(self, stopped)
         moment = self.get_moment()
         self.scheduler.note_stop(session, order, answer, moment)
 
@@ -481,8 +472,8 @@
         due = [found for found in self.late if found[0] <= self.now]
         self.late = [found for found in self.late if found[0] > self.now]
         for _, born, order in due:
-            worker = self.workers[order.worker]
-            if worker.born != born:
+            worker = self.workers.get(order.worker)
+            if worker is None or worker.born != born:
                 continue
             if isinstance(order, StopOrder):
                 worker.stop(order, self.now)
@@ -499,6 +490,50 @@
                 get_demands(self.scheduler, self.get_moment())
 
 
+def look_at(model: WorkModel, order: HoldOrder) -> HoldAnswer:
+    """Look at a worker; some answers are lost."""
+    worker = model.workers.get(order.worker)
+    if worker is None:
+        return HoldAnswer(OrderOutcome.other_life)
+    if worker.is_cut:
+        return HoldAnswer(OrderOutcome.unknown)
+    answer = worker.hold(order, model.now)
+    if model.rng.random() < model.lost_share:
+        return HoldAnswer(OrderOutcome.unknown)
+    return answer
+
+
+def find_outcome(
+    model: WorkModel,
+    order: StartOrder | StopOrder,
+) -> OrderOutcome | None:
+    """Find what becomes of an order that its worker does not get at once."""
+    worker = model.workers.get(order.worker)
+    if worker is None:
+        return OrderOutcome.other_life
+    if model.rng.random() < model.late_share:
+        delay = model.rng.uniform(2, 12)
+        model.late.append((model.now + delay, worker.born, order))
+        return OrderOutcome.unknown
+    return OrderOutcome.unknown if worker.is_cut else None
+
+
+def lose_some(model: WorkModel, answer: OrderAnswer) -> OrderAnswer:
+    """Lose a share of the answers."""
+    if model.rng.random() < model.lost_share:
+        return OrderAnswer(OrderOutcome.unknown)
+    return answer
+
+
+def replace_worker(model: WorkModel, worker: WorkerId) -> None:
+    """Have another worker take the address of one that crashed."""
+    found = model.workers.pop(worker)
+    found.crash(model.now)
+    model.replaced += 1
+    found.worker = WorkerId(f'w{model.worker_count + model.replaced}')
+    model.workers[found.worker] = found
+
+
 def get_percent(model: WorkModel, run: ModelRun) -> float:
     """Get the progress that a run reports."""
     return 100 if model.get_phase(run.task).needs.lasts else 50
