Order the hosts of a wave and note what became of them in one go

Callers saw: SHORT on both grown sites. Waves were not done in time, and hosts came to a busy pool seconds after its burst began.

Cause: a wave ordered one host after the other, with two commits and a call to the platform each, and noted each host that was back with a commit of its own. Moves are planned in the same pass, after the waves, so that they waited for the whole of it, and their demand was not sampled meanwhile. The time of a pass grows with the size of the site.

Change: a pass takes one commit for what the list shows, one for the orders to give and one for their outcomes, whatever the size of the wave; orders are on their way together, as those of moves were. Moves that are over share a commit. A host counts as down from the commit before its order, as before.

The test failed before: 'AssertionError: 1' for the orders that were on their way at a time (12 wanted).

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -1,7 +1,8 @@
 """Endpoint that carries out maintenance waves while this process leads."""
 
-from asyncio import Task, create_task, sleep
-from collections.abc import Callable
+from asyncio import Task, create_task, gather, sleep
+from collections.abc import Callable, Sequence
+from types import MappingProxyType
 from typing import Final
 
 from attrs import define, field
@@ -14,6 +15,7 @@
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import HostId, WorkerId
 from hornbeamstair_core.moments import Moment
+from hornbeamstair_core.records import Record
 from hornbeamstair_fleet.events import HostOrderedEvent
 from hornbeamstair_fleet.waves.messages import (
     HostOrder,
@@ -44,7 +46,11 @@
 
 @define(eq=False)
 class MaintenanceKeeper:
-    """Orders of waves, one after the other for each host."""
+    """Orders of waves, one at a time for each host.
+
+    Records and orders of one pass go out together: a host after the other
+    would take the whole time of a large wave.
+    """
 
     holder: str
     table: WaveTable
@@ -108,46 +114,65 @@
             )
         self._free(scheduler, plans)
         for wave, plan in zip(waves, plans, strict=True):
-            for host in plan.ordered:
-                await self._begin(scheduler, wave, host)
+            await self._begin(scheduler, wave, plan.ordered)
 
     async def _settle(self, progress: WaveProgress) -> None:
         """Find out from the list how far the hosts are."""
-        for host_id, step in list(progress.steps.items()):
-            is_open = step != HostStep.over
-            if is_open and self.hosts.is_newer_than_order(host_id):
-                await self._settle_host(progress, host_id, step)
+        listed = [
+            (host_id, step)
+            for host_id, step in progress.steps.items()
+            if step != HostStep.over and self.hosts.is_newer_than_order(host_id)
+        ]
+        found = [
+            (host_id, step, self._find_step(progress, host_id, step))
+            for host_id, step in listed
+        ]
+        await self._commit(
+            [
+                _make_done(progress, host_id, later)
+                for host_id, step, later in found
+                if later != step
+            ],
+        )
+        await self._repeat(progress)
 
-    async def _settle_host(
+    def _find_step(
         self,
         progress: WaveProgress,
         host_id: HostId,
         step: HostStep,
-    ) -> None:
+    ) -> HostStep:
+        """Find out from the list how far a host is."""
         host = self.hosts.hosts.get(host_id)
         if host is None:
-            if self.hosts.get_absence(host_id) > _ABSENT_SECONDS:
-                # The host was taken away.
-                await self._note(progress, host_id, is_over=True)
-        elif step == HostStep.ordered:
-            await self._find_out(progress, host)
-        elif step == HostStep.taken:
+            # The host was taken away.
+            is_gone = self.hosts.get_absence(host_id) > _ABSENT_SECONDS
+            return HostStep.over if is_gone else step
+        if step == HostStep.ordered and host.state == HostState.maintenance:
+            return HostStep.taken
+        if step == HostStep.taken:
             age = self.hosts.get_age_of_order(host_id)
             if _is_back(progress, host, is_late=age > _BACK_SECONDS):
-                await self._note(progress, host_id, is_over=True)
+                return HostStep.over
+        return step
 
-    async def _find_out(
-        self,
-        progress: WaveProgress,
-        host: ListedHost,
-    ) -> None:
-        """Find out about an order that had no clear answer."""
-        if host.state == HostState.maintenance:
-            await self._note(progress, host.host, is_over=False)
-        elif self.hosts.get_age_of_order(host.host) > _REPEAT_SECONDS:
-            scheduler = self.runner.find_scheduler()
-            if scheduler is not None and not scheduler.has_runs(host.worker):
-                await self._order(progress, host)
+    async def _repeat(self, progress: WaveProgress) -> None:
+        """Give the orders again that had no clear answer."""
+        scheduler = self.runner.find_scheduler()
+        if scheduler is None:
+            return
+        unsure = [
+            self.hosts.hosts[host_id]
+            for host_id in progress.get_hosts(HostStep.ordered)
+            if host_id in self.hosts.hosts
+        ]
+        due = [
+            host
+            for host in unsure
+            if self.hosts.get_age_of_order(host.host) > _REPEAT_SECONDS
+            and not scheduler.has_runs(host.worker)
+        ]
+        await self._order(progress, due)
 
     def _free(self, scheduler: Scheduler, plans: list[WavePlan]) -> None:
         # An order in progress may yet be carried out.
@@ -162,26 +187,45 @@
         self,
         scheduler: Scheduler,
         progress: WaveProgress,
-        host: ListedHost,
+        planned: Sequence[ListedHost],
     ) -> None:
-        if scheduler.has_runs(host.worker):
-            # Something was placed since the plan was made.
-            return
-        if progress.count_down() >= progress.wave.max_down:
-            return
-        record = MaintenanceBegun(
-            progress.wave.number,
-            host.host,
-            host.worker,
+        # Something may have been placed since the plan was made.
+        free = [host for host in planned if not scheduler.has_runs(host.worker)]
+        room = progress.wave.max_down - progress.count_down()
+        begun = free[: max(room, 0)]
+        wave = progress.wave.number
+        is_committed = await self._commit(
+            [MaintenanceBegun(wave, host.host, host.worker) for host in begun],
         )
-        committed = await self.runner.commit((record,))
-        if committed.is_ok():
-            await self._order(progress, host)
+        if is_committed:
+            await self._order(progress, begun)
 
-    async def _order(self, progress: WaveProgress, host: ListedHost) -> None:
+    async def _order(
+        self,
+        progress: WaveProgress,
+        hosts: Sequence[ListedHost],
+    ) -> None:
+        """Give orders about hosts and record what became of them."""
+        outcomes = await gather(
+            *(self._order_host(progress, host) for host in hosts),
+        )
+        await self._commit(
+            [
+                _make_done(progress, host.host, step)
+                for host, step in zip(hosts, outcomes, strict=True)
+                if step != HostStep.ordered
+            ],
+        )
+
+    async def _order_host(
+        self,
+        progress: WaveProgress,
+        host: ListedHost,
+    ) -> HostStep:
+        """Give an order about a host; tell how far the host is then."""
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
-            return
+            return HostStep.ordered
         outcome = await self.hosts.client.maintain(
             HostOrder(
                 host.host,
@@ -202,37 +246,40 @@
                 progress.count_down(),
             ),
         )
-        match outcome:
-            case HostOutcome.done:
-                scheduler.note_left(host.worker, now)
-                await self._note(progress, host.host, is_over=False)
-            case HostOutcome.busy | HostOutcome.refused:
-                await self._refuse(progress, host)
-
-    async def _refuse(self, progress: WaveProgress, host: ListedHost) -> None:
-        """Have a host wait again that the platform would not take."""
-        record = MaintenanceDone(
-            progress.wave.number,
-            host.host,
-            is_taken=False,
-            is_over=False,
-        )
-        await self.runner.commit((record,))
+        if outcome == HostOutcome.done:
+            scheduler.note_left(host.worker, now)
+        return _STEPS.get(outcome, HostStep.ordered)
 
-    async def _note(
-        self,
-        progress: WaveProgress,
-        host: HostId,
-        *,
-        is_over: bool,
-    ) -> None:
-        record = MaintenanceDone(
-            progress.wave.number,
-            host,
-            is_taken=True,
-            is_over=is_over,
-        )
-        await self.runner.commit((record,))
+    async def _commit(self, records: Sequence[Record]) -> bool:
+        """Commit records, if any; tell whether it was done."""
+        if not records:
+            return False
+        committed = await self.runner.commit(tuple(records))
+        return committed.is_ok()
+
+
+# How far a host is after an order; after any other outcome it is not known.
+_STEPS: Final = MappingProxyType(
+    {
+        HostOutcome.done: HostStep.taken,
+        HostOutcome.busy: HostStep.waiting,
+        HostOutcome.refused: HostStep.waiting,
+    },
+)
+
+
+def _make_done(
+    progress: WaveProgress,
+    host: HostId,
+    step: HostStep,
+) -> MaintenanceDone:
+    is_over = step == HostStep.over
+    return MaintenanceDone(
+        progress.wave.number,
+        host,
+        is_taken=is_over or step == HostStep.taken,
+        is_over=is_over,
+    )
 
 
 def _is_back(
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -52,8 +52,7 @@
         age = _MOVING_LIST_SECONDS if is_moving else _LIST_SECONDS
         if not await self.hosts.refresh(age):
             return
-        for move in list(self.table.begun.values()):
-            await self._settle(scheduler, move)
+        await self._settle(scheduler)
         now = self.get_moment()
         view = PoolView(
             get_demands(scheduler, now),
@@ -128,18 +127,29 @@
                 self.planner.note_refused(move.host, move.pool)
             await self.runner.commit((MoveEnded(move.host),))
 
-    async def _settle(self, scheduler: Scheduler, move: Move) -> None:
-        """Find out from the list how far a move is."""
-        if not self.hosts.is_newer_than_order(move.host):
-            return
+    async def _settle(self, scheduler: Scheduler) -> None:
+        """Find out from the list how far the moves are."""
+        listed = [
+            move
+            for move in self.table.begun.values()
+            if self.hosts.is_newer_than_order(move.host)
+        ]
+        ended = [MoveEnded(move.host) for move in listed if self._is_over(move)]
+        if ended:
+            await self.runner.commit(tuple(ended))
+        lost = [move for move in listed if self._is_to_repeat(scheduler, move)]
+        await gather(*map(self._order, lost))
+
+    def _is_over(self, move: Move) -> bool:
         host = self.hosts.hosts.get(move.host)
-        is_there = host is not None and host.pool == move.pool
-        if host is None or (is_there and host.state == HostState.up):
-            await self.runner.commit((MoveEnded(move.host),))
-        elif host.pool != move.pool and host.state == HostState.up:
-            await self._repeat(scheduler, move)
+        if host is None:
+            return True
+        return host.pool == move.pool and host.state == HostState.up
 
-    async def _repeat(self, scheduler: Scheduler, move: Move) -> None:
-        age = self.hosts.get_age_of_order(move.host)
-        if age > _REPEAT_SECONDS and not scheduler.has_runs(move.worker):
-            await self._order(move)
+    def _is_to_repeat(self, scheduler: Scheduler, move: Move) -> bool:
+        host = self.hosts.hosts.get(move.host)
+        if host is None or host.pool == move.pool:
+            return False
+        if host.state != HostState.up or scheduler.has_runs(move.worker):
+            return False
+        return self.hosts.get_age_of_order(move.host) > _REPEAT_SECONDS
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -116,3 +116,10 @@
     When the platform takes the order and the host comes back
     And 12 seconds of waves pass
     Then the wave is complete
+
+  Scenario: The hosts of a wave do not wait for each other's orders
+    Given a wave of 12 idle hosts of other pools each
+    When 3 seconds of waves pass
+    Then the wave is complete
+    And 12 orders were on their way at a time
+    And 3 commits carried the wave out
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -29,7 +29,7 @@
     WavePlanner,
 )
 from hornbeamstair_fleet.waves.table import HostStep, WaveProgress
-from tests.support.waves import make_waves
+from tests.support.waves import make_large_wave, make_waves
 from tests.support.work_model import (
     WorkModel,
     make_phase,
@@ -281,6 +281,24 @@
     context.waves.pass_time(1)
 
 
+@given('a wave of {count:d} idle hosts of other pools each')
+def start_large_wave(context: Any, count: int) -> None:
+    """Declare a wave whose hosts may all go down at a time."""
+    context.waves = make_large_wave(WorkModel(Random(1)), count)
+
+
+@then('{count:d} orders were on their way at a time')
+def check_orders(context: Any, count: int) -> None:
+    """Check how many orders the platform had before its first answer."""
+    assert context.waves.client.most == count, context.waves.client.most
+
+
+@then('{count:d} commits carried the wave out')
+def check_commits(context: Any, count: int) -> None:
+    """Check how many commits the wave waited for."""
+    assert context.waves.commits == count, context.waves.commits
+
+
 @when("the host's worker crashes and another one starts")
 def replace_worker(context: Any) -> None:
     """Have the list show another worker."""
--- a/tests/support/waves.py
+++ b/tests/support/waves.py
@@ -1,6 +1,6 @@
-"""A platform of one host, and waves carried out against it."""
+"""Platforms of few hosts, and waves carried out against them."""
 
-from asyncio import run
+from asyncio import run, sleep
 from collections.abc import Sequence
 from typing import Any, ClassVar
 
@@ -60,6 +60,45 @@
         return HostOutcome.refused
 
 
+@define(eq=False)
+class ManyHosts(HostsClient):
+    """Platform that takes each order and counts those on their way."""
+
+    name: ClassVar[str] = 'many'
+
+    hosts: dict[HostId, ListedHost]
+    on_the_way: int = 0
+    # The most orders that were on their way at a time.
+    most: int = 0
+
+    async def list_hosts(self) -> tuple[ListedHost, ...]:
+        """List the hosts."""
+        return tuple(self.hosts.values())
+
+    async def maintain(
+        self,
+        order: HostOrder,
+        wave: int,
+    ) -> HostOutcome:
+        """Take an order a moment later; the worker is another one then."""
+        self.on_the_way += 1
+        self.most = max(self.most, self.on_the_way)
+        await sleep(0)
+        self.on_the_way -= 1
+        host = self.hosts[order.host]
+        worker = WorkerId(f'{host.worker}-after')
+        self.hosts[order.host] = evolve(host, worker=worker)
+        return HostOutcome.done
+
+    async def move(
+        self,
+        order: HostOrder,
+        pool: PoolName,
+    ) -> HostOutcome:
+        """Refuse any move."""
+        return HostOutcome.refused
+
+
 @define(eq=False)
 class NoMoves:
     """Moves that are never planned."""
@@ -77,27 +116,21 @@
 
 
 @define(eq=False)
-class WavesOfOne:
+class ModelWaves:
     """Keeper of waves on a passed clock; it is its own runner."""
 
     scheduler: Scheduler
+    client: HostsClient
+    hosts: tuple[HostId, ...]
     now: float = 100
     table: WaveTable = field(factory=WaveTable)
-    client: OneHost = field(init=False)
+    commits: int = 0
     keeper: MaintenanceKeeper = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Declare a wave of the one host."""
-        host = ListedHost(
-            HostId('m'),
-            PoolName('p'),
-            HostState.up,
-            ZoneName('z'),
-            'r1',
-            WorkerId('before'),
-        )
-        self.client = OneHost(host)
-        wave = Wave(1, (host.host,), self.now, self.now + 60, 1)
+        """Declare a wave of the hosts, all of which may be down."""
+        limit = len(self.hosts)
+        wave = Wave(1, self.hosts, self.now, self.now + 60, limit)
         self.table.apply(WaveDeclared(wave))
         self.keeper = MaintenanceKeeper(
             'holder',
@@ -110,6 +143,7 @@
 
     async def commit(self, records: Sequence[Record]) -> Result[None, Any]:
         """Apply records at once."""
+        self.commits += 1
         for record in records:
             self.table.apply(record)
         return Ok(None)
@@ -125,6 +159,28 @@
             run(self.keeper.carry_on_all(self.scheduler))
 
 
-def make_waves(model: WorkModel) -> WavesOfOne:
+def make_waves(model: WorkModel) -> ModelWaves:
     """Make a wave of one host."""
-    return WavesOfOne(model.scheduler)
+    client = OneHost(_make_host('m', 'p', 'before'))
+    return ModelWaves(model.scheduler, client, (client.host.host,))
+
+
+def make_large_wave(model: WorkModel, count: int) -> ModelWaves:
+    """Make a wave of idle hosts, each of another pool."""
+    hosts = [
+        _make_host(f'm{number}', f'p{number}', f'before-{number}')
+        for number in range(count)
+    ]
+    client = ManyHosts({host.host: host for host in hosts})
+    return ModelWaves(model.scheduler, client, tuple(client.hosts))
+
+
+def _make_host(host: str, pool: str, worker: str) -> ListedHost:
+    return ListedHost(
+        HostId(host),
+        PoolName(pool),
+        HostState.up,
+        ZoneName('z'),
+        'r1',
+        WorkerId(worker),
+    )
