Log the room of each pool beside what waits for it

Twice a second the holder logs for each pool its hosts, idle and coming ones, the room, what of it is free, what is expected to be needed, the waiting tasks and the oldest wait.

--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -32,6 +32,8 @@
 # While hosts are on their way the list is read more often.
 _MOVING_LIST_SECONDS: Final = 1.2
 _REPEAT_SECONDS: Final = 1.5
+# The room of each pool is logged so often.
+_LOG_SECONDS: Final = 0.5
 
 
 @define(eq=False)
@@ -45,6 +47,7 @@
     hosts: HostList
     get_moment: Callable[[], Moment]
     planner: MovePlanner = field(factory=MovePlanner)
+    logged_at: float = -1000
 
     async def carry_on(self, scheduler: Scheduler) -> None:
         """Settle the moves in progress and begin new ones."""
@@ -65,6 +68,7 @@
             for move in self.planner.plan(view, now.steady)
             if self._reserve(scheduler, move)
         ]
+        self._log_rooms(view, now.steady)
         await self._begin(planned)
 
     def get_workers(self) -> set[WorkerId]:
@@ -85,6 +89,13 @@
             )
         return bound
 
+    def _log_rooms(self, view: PoolView, now: float) -> None:
+        if now - self.logged_at < _LOG_SECONDS:
+            return
+        self.logged_at = now
+        for event in self.planner.describe(view):
+            log_event(event)
+
     def _reserve(self, scheduler: Scheduler, move: Move) -> bool:
         """Keep new work off a host; tell whether it may move."""
         session = scheduler.sessions.get(move.worker)
--- a/packages/callers/hornbeamstair_callers/jobs/demand.py
+++ b/packages/callers/hornbeamstair_callers/jobs/demand.py
@@ -43,6 +43,12 @@
             host_room=max(map(_get_whole_room, usable), default=host_room),
             homeless=sum(map(_count_lasting, jobs))
             + sum(_find_displaced(scheduler, name, now)),
+            free=sum(session.get_free().cpu for session in usable),
+            waiting_tasks=sum(map(_count_tasks, jobs)),
+            oldest_wait=max(
+                (now.wall - found.job.accepted_at for found in jobs),
+                default=0,
+            ),
         )
     return demands
 
@@ -97,6 +103,10 @@
     return session.announced.room.cpu - lasting
 
 
+def _count_tasks(found: WaitingJob) -> int:
+    return sum(len(ready.tasks) for ready in found.phases)
+
+
 def _count_lasting(found: WaitingJob) -> int:
     """Count the lasting tasks that wait; there is no room for them."""
     return sum(
--- a/packages/fleet/hornbeamstair_fleet/events.py
+++ b/packages/fleet/hornbeamstair_fleet/events.py
@@ -7,6 +7,7 @@
 __all__ = (
     'HostListEvent',
     'HostOrderedEvent',
+    'PoolRoomEvent',
     'WaveDeclaredEvent',
 )
 
@@ -55,3 +56,27 @@
 
     is_known: bool
     hosts: int
+
+
+@register_event
+@frozen
+class PoolRoomEvent(Event):
+    """Room of a pool and the work that asks for it."""
+
+    number = 6004
+    name = 'pool_room'
+    summary = 'How much room a pool has, how much is free, and what waits.'
+
+    pool: str
+    # Hosts that are listed as up, those of them that run nothing, and those
+    # that are on their way.
+    hosts: int
+    idle: int
+    coming: int
+    # Thousandths of a core: what workers that may get work offer, what of it
+    # is free, and what is expected to be needed.
+    room: int
+    free: int
+    needed: int
+    waiting_tasks: int
+    oldest_wait_ms: int
--- a/packages/fleet/hornbeamstair_fleet/moves/messages.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/messages.py
@@ -55,3 +55,8 @@
     host_room: int
     # Lasting tasks that no worker of the pool can take.
     homeless: int
+    # Processor that is not taken of the workers that may get work.
+    free: int = 0
+    waiting_tasks: int = 0
+    # Seconds since the first of the waiting jobs was accepted.
+    oldest_wait: float = 0
--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -8,6 +8,8 @@
 from attrs import define, field, frozen
 
 from hornbeamstair_core.ids import HostId, PoolName, WorkerId
+from hornbeamstair_core.units import to_milliseconds
+from hornbeamstair_fleet.events import PoolRoomEvent
 from hornbeamstair_fleet.moves.messages import Move, PoolDemand
 from hornbeamstair_fleet.moves.needs import RoomNeed
 from hornbeamstair_fleet.waves.messages import HostState, ListedHost
@@ -86,6 +88,30 @@
             self.idle_since.pop(move.host, None)
         return moves
 
+    def describe(self, view: PoolView) -> Iterator[PoolRoomEvent]:
+        """Describe the room of each pool at the last plan."""
+        idle = Counter(
+            host.pool for host in view.hosts.values() if _is_idle(view, host)
+        )
+        up = Counter(
+            host.pool
+            for host in view.hosts.values()
+            if host.state == HostState.up
+        )
+        coming = Counter(view.bound.values())
+        for pool, demand in view.demands.items():
+            yield PoolRoomEvent(
+                pool,
+                up[pool],
+                idle[pool],
+                coming[pool],
+                demand.room,
+                demand.free,
+                self.needs[pool].get_latest(),
+                demand.waiting_tasks,
+                to_milliseconds(demand.oldest_wait),
+            )
+
     def note_refused(self, host: HostId, pool: PoolName) -> None:
         """Note that a host is not of the kind of a pool."""
         self.refused.add((host, pool))
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -123,3 +123,9 @@
     Then the wave is complete
     And 12 orders were on their way at a time
     And 3 commits carried the wave out
+
+  Scenario: The log tells a pool without room from one that is late to use it
+    Given a standby pool with 4 hosts and a busy pool with 2
+    When the busy pool lacks the processor of 3 hosts
+    Then the busy pool is logged with 2 hosts, 0 idle and 48000 of room lacking
+    And the standby pool is logged with 4 hosts and 4 idle
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -14,6 +14,7 @@
     ZoneName,
 )
 from hornbeamstair_core.moments import Moment
+from hornbeamstair_fleet.events import PoolRoomEvent
 from hornbeamstair_fleet.moves.messages import PoolDemand
 from hornbeamstair_fleet.moves.needs import RoomNeed
 from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
@@ -281,6 +282,29 @@
     context.waves.pass_time(1)
 
 
+@then(
+    'the busy pool is logged with {hosts:d} hosts, {idle:d} idle and '
+    '{lacking:d} of room lacking'
+)
+def check_busy_room(
+    context: Any,
+    hosts: int,
+    idle: int,
+    lacking: int,
+) -> None:
+    """Check what is logged of the busy pool."""
+    event = _describe(context)[BUSY]
+    assert (event.hosts, event.idle) == (hosts, idle), event
+    assert event.needed - event.room == lacking, event
+
+
+@then('the standby pool is logged with {hosts:d} hosts and {idle:d} idle')
+def check_standby_room(context: Any, hosts: int, idle: int) -> None:
+    """Check what is logged of the standby pool."""
+    event = _describe(context)[STANDBY]
+    assert (event.hosts, event.idle) == (hosts, idle), event
+
+
 @given('a wave of {count:d} idle hosts of other pools each')
 def start_large_wave(context: Any, count: int) -> None:
     """Declare a wave whose hosts may all go down at a time."""
@@ -330,6 +354,11 @@
     assert context.waves.table.waves[1].is_complete
 
 
+def _describe(context: Any) -> dict[PoolName, PoolRoomEvent]:
+    events = context.moves.describe(_view(context, 48000))
+    return {PoolName(event.pool): event for event in events}
+
+
 def _plan_wave(context: Any) -> WavePlan:
     return WavePlanner().plan(
         context.progress,
