Let hosts move that only wait for their maintenance

Callers saw: SHORT on both grown sites; jobs wait in a burst while hosts of other pools idle.

Cause: moves left every host of an open wave alone, from its declaration until that host was maintained.

Only suspected: how many jobs were late for it.

Change: only hosts that are ordered down, or kept free to be, may not move. A host on its way is not ordered down, also while the list shows it where it was.

The test failed before: all 12 hosts of the wave were held back ('AssertionError' at '0 hosts may not move').

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -5,7 +5,7 @@
 from types import MappingProxyType
 from typing import Final
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.endpoints.moves import MoveKeeper
@@ -106,7 +106,7 @@
             plans.append(
                 self.planner.plan(
                     progress,
-                    self.hosts.hosts,
+                    self._get_placed_hosts(),
                     loads,
                     now,
                     self.moves.get_short(),
@@ -174,6 +174,16 @@
         ]
         await self._order(progress, due)
 
+    def _get_placed_hosts(self) -> dict[HostId, ListedHost]:
+        """Get the hosts; the list may show one that moves where it was."""
+        moving = self.moves.get_moving()
+        return {
+            host_id: evolve(host, state=HostState.moving)
+            if host_id in moving
+            else host
+            for host_id, host in self.hosts.hosts.items()
+        }
+
     def _free(self, scheduler: Scheduler, plans: list[WavePlan]) -> None:
         # An order in progress may yet be carried out.
         reserved = self.table.get_workers() | self.moves.get_workers()
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -23,7 +23,7 @@
     HostOutcome,
     HostState,
 )
-from hornbeamstair_fleet.waves.table import HostStep, WaveTable
+from hornbeamstair_fleet.waves.table import WaveTable
 
 __all__ = ('MoveKeeper',)
 
@@ -61,7 +61,7 @@
             get_demands(scheduler, now),
             self.hosts.hosts,
             get_loads(scheduler),
-            self._get_bound(),
+            self.get_bound(),
         )
         planned = [
             move
@@ -75,20 +75,25 @@
         """Get the workers whose hosts may leave at any moment."""
         return self.table.get_workers()
 
-    def get_short(self) -> set[PoolName]:
-        """Get the pools that lack room."""
-        return self.planner.short
+    def get_moving(self) -> set[HostId]:
+        """Get the hosts that are on their way, or soon will be."""
+        return set(self.table.begun)
 
-    def _get_bound(self) -> dict[HostId, PoolName]:
+    def get_bound(self) -> dict[HostId, PoolName]:
+        """Get the hosts that may not move now, and where they go.
+
+        A host that waits for its maintenance may move: it is maintained
+        wherever it is.
+        """
         bound = {move.host: move.pool for move in self.table.begun.values()}
         for progress in self.waves.get_open():
-            bound.update(
-                (host, PoolName(''))
-                for host, step in progress.steps.items()
-                if step != HostStep.over
-            )
+            bound.update(dict.fromkeys(progress.get_down(), PoolName('')))
         return bound
 
+    def get_short(self) -> set[PoolName]:
+        """Get the pools that lack room."""
+        return self.planner.short
+
     def _log_rooms(self, view: PoolView, now: float) -> None:
         if now - self.logged_at < _LOG_SECONDS:
             return
@@ -102,6 +107,9 @@
         if session is None:
             # A host that is switched off has no worker.
             return not move.worker
+        if session.is_reserved:
+            # The host is kept free for its maintenance.
+            return False
         # Something may have been placed since the plan was made.
         session.is_reserved = not session.runs
         return session.is_reserved
--- a/packages/fleet/hornbeamstair_fleet/waves/table.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/table.py
@@ -48,8 +48,12 @@
 
     def count_down(self) -> int:
         """Count the hosts that may be down for the wave."""
+        return len(self.get_down())
+
+    def get_down(self) -> list[HostId]:
+        """Get the hosts that may be down for the wave."""
         down = {HostStep.ordered, HostStep.taken}
-        return sum(1 for step in self.steps.values() if step in down)
+        return [host for host, step in self.steps.items() if step in down]
 
     def get_hosts(self, step: HostStep) -> list[HostId]:
         """Get the hosts that are so far."""
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -129,3 +129,11 @@
     When the busy pool lacks the processor of 3 hosts
     Then the busy pool is logged with 2 hosts, 0 idle and 48000 of room lacking
     And the standby pool is logged with 4 hosts and 4 idle
+
+  Scenario: A wave holds no host back that only waits for its maintenance
+    Given a wave of 12 idle hosts of other pools each
+    Then 0 hosts may not move
+    When host m3 is on its way to another pool
+    And 1 seconds of waves pass
+    Then 11 hosts may not move
+    And host m3 waits for its maintenance
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -323,6 +323,25 @@
     assert context.waves.commits == count, context.waves.commits
 
 
+@then('{count:d} hosts may not move')
+def check_bound(context: Any, count: int) -> None:
+    """Check how many hosts moves have to leave alone."""
+    assert len(context.waves.make_mover().get_bound()) == count
+
+
+@when('host {host} is on its way to another pool')
+def begin_move(context: Any, host: str) -> None:
+    """Note a move that the list does not show yet."""
+    context.waves.moves.moving.add(HostId(host))
+
+
+@then('host {host} waits for its maintenance')
+def check_waiting(context: Any, host: str) -> None:
+    """Check that a host has not been ordered down."""
+    progress = context.waves.table.waves[1]
+    assert progress.steps[HostId(host)] == HostStep.waiting
+
+
 @when("the host's worker crashes and another one starts")
 def replace_worker(context: Any) -> None:
     """Have the list show another worker."""
--- a/tests/support/waves.py
+++ b/tests/support/waves.py
@@ -9,11 +9,13 @@
 
 from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceKeeper
+from hornbeamstair_callers.endpoints.moves import MoveKeeper
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.ids import HostId, PoolName, WorkerId, ZoneName
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
 from hornbeamstair_fleet.hosts import HostsClient
+from hornbeamstair_fleet.moves.table import MoveTable
 from hornbeamstair_fleet.waves.messages import (
     HostOrder,
     HostOutcome,
@@ -103,6 +105,8 @@
 class NoMoves:
     """Moves that are never planned."""
 
+    moving: set[HostId] = field(factory=set)
+
     async def carry_on(self, scheduler: Scheduler) -> None:
         """Plan nothing."""
 
@@ -110,6 +114,10 @@
         """Get the pools that lack room: none."""
         return set()
 
+    def get_moving(self) -> set[HostId]:
+        """Get the hosts that are on their way."""
+        return self.moving
+
     def get_workers(self) -> set[WorkerId]:
         """Get the workers whose hosts may leave: none."""
         return set()
@@ -125,6 +133,7 @@
     now: float = 100
     table: WaveTable = field(factory=WaveTable)
     commits: int = 0
+    moves: NoMoves = field(factory=NoMoves)
     keeper: MaintenanceKeeper = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -138,7 +147,18 @@
             self,
             HostList(self.client, lambda: self.now),
             lambda: Moment(self.now, self.now),
-            NoMoves(),
+            self.moves,
+        )
+
+    def make_mover(self) -> MoveKeeper:
+        """Make a keeper of moves beside the waves."""
+        return MoveKeeper(
+            'holder',
+            MoveTable(),
+            self.table,
+            self,
+            self.keeper.hosts,
+            self.keeper.get_moment,
         )
 
     async def commit(self, records: Sequence[Record]) -> Result[None, Any]:
