Free hosts of runs that last early, and as many as the deadline asks for

Cause: hosts with runs that last take the longest to free, but went last, after all others of a wave, and two at a time in each pool whatever its size. With half of a large site in a wave, none of the slots of the wave is left for them.

Change: idle hosts go first, then hosts with runs that last for up to half of the slots, then the others; of each pool as many are freed of runs that last as the rest of the wave takes in rounds of 12 s, two at least. What may be away of a phase at a time still binds each stop.

The tests failed before: 2 hosts kept free instead of 6 with 24 s left, and none of those with a run that lasts instead of 2.

--- a/packages/fleet/hornbeamstair_fleet/waves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/planner.py
@@ -1,7 +1,8 @@
 """Decision which host of a wave goes down next."""
 
+import math
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping, Sequence
 from typing import Final
 
 from attrs import define, frozen
@@ -15,8 +16,14 @@
 
 # Share of a pool that may be kept free of work at a time.
 _POOL_SHARE: Final = 0.34
-# Runs that last leave one after the other; more hosts would stand empty.
-_MAX_LASTING: Final = 2
+# Runs that last leave one after the other: while there is time, no more hosts
+# of a pool are freed of them than this, or they would stand empty.
+_MIN_LASTING: Final = 2
+# Time that a host needs to get free of runs that last and be maintained.
+_LASTING_ROUND_SECONDS: Final = 12.0
+# Part of the hosts that may be down which hosts with runs that last, which
+# take the longest to free, are kept free for before the others.
+_LASTING_PART: Final = 2
 # Time that a host needs to get free of work and be maintained.
 _ROUND_SECONDS: Final = 6.0
 
@@ -74,7 +81,8 @@
             or host.pool not in short
             or _get_load(host, loads).has_lasting
         ]
-        chosen = self._choose(progress, hosts, able, loads)
+        left = progress.wave.deadline - now.wall
+        chosen = self._choose(progress, hosts, able, loads, left)
         free = [host for host in chosen if not _get_load(host, loads).runs]
         workers = frozenset(host.worker for host in chosen)
         return WavePlan(
@@ -87,30 +95,22 @@
         self,
         progress: WaveProgress,
         hosts: Mapping[HostId, ListedHost],
-        waiting: Iterable[ListedHost],
+        waiting: Sequence[ListedHost],
         loads: Mapping[WorkerId, HostLoad],
+        left_seconds: float,
     ) -> list[ListedHost]:
         room = progress.wave.max_down - progress.count_down()
-        sizes = Counter(host.pool for host in hosts.values())
-        down = Counter(
-            host.pool
-            for host in hosts.values()
-            if host.state != HostState.up
-            or progress.steps.get(host.host) in _DOWN
-        )
-        lasting: Counter[PoolName] = Counter()
+        sizes = _get_sizes(hosts)
+        down = _count_down(progress, hosts)
+        early, late = _split_lasting(waiting, loads, left_seconds)
         chosen: list[ListedHost] = []
-        by_load = sorted(
-            waiting,
-            key=lambda found: _get_load(found, loads).rest_seconds,
-        )
-        for host in by_load:
+        for host in _sort(
+            waiting, early[: progress.wave.max_down // _LASTING_PART], loads
+        ):
             if len(chosen) >= room:
                 break
-            if _get_load(host, loads).has_lasting:
-                lasting[host.pool] += 1
-            is_allowed = lasting[host.pool] <= _MAX_LASTING
-            if is_allowed and down[host.pool] < _get_limit(sizes, host.pool):
+            is_full = down[host.pool] >= _get_limit(sizes, host.pool)
+            if host not in late and not is_full:
                 down[host.pool] += 1
                 chosen.append(host)
         return chosen
@@ -127,6 +127,62 @@
     return loads.get(host.worker, _IDLE)
 
 
+def _count_down(
+    progress: WaveProgress,
+    hosts: Mapping[HostId, ListedHost],
+) -> 'Counter[PoolName]':
+    return Counter(
+        host.pool
+        for host in hosts.values()
+        if host.state != HostState.up or progress.steps.get(host.host) in _DOWN
+    )
+
+
+def _split_lasting(
+    waiting: Sequence[ListedHost],
+    loads: Mapping[WorkerId, HostLoad],
+    left_seconds: float,
+) -> tuple[list[ListedHost], list[ListedHost]]:
+    """Split the hosts with runs that last: freed now, or left for later.
+
+    As many are freed at a time as the rest of the wave takes.
+    """
+    lasting = [host for host in waiting if _get_load(host, loads).has_lasting]
+    rounds = max(left_seconds / _LASTING_ROUND_SECONDS, 1)
+    limits = {
+        pool: max(math.ceil(count / rounds), _MIN_LASTING)
+        for pool, count in Counter(host.pool for host in lasting).items()
+    }
+    early: list[ListedHost] = []
+    late: list[ListedHost] = []
+    for host in lasting:
+        limits[host.pool] -= 1
+        (late if limits[host.pool] < 0 else early).append(host)
+    return early, late
+
+
+def _sort(
+    waiting: Sequence[ListedHost],
+    early: Collection[ListedHost],
+    loads: Mapping[WorkerId, HostLoad],
+) -> list[ListedHost]:
+    """Put idle hosts first, then some that take long, then by their rest."""
+    return sorted(waiting, key=lambda host: _get_key(host, early, loads))
+
+
+def _get_key(
+    host: ListedHost,
+    early: Collection[ListedHost],
+    loads: Mapping[WorkerId, HostLoad],
+) -> tuple[bool, bool, float]:
+    load = _get_load(host, loads)
+    return bool(load.runs), host not in early, load.rest_seconds
+
+
+def _get_sizes(hosts: Mapping[HostId, ListedHost]) -> 'Counter[PoolName]':
+    return Counter(host.pool for host in hosts.values())
+
+
 def _get_limit(sizes: Mapping[PoolName, int], pool: PoolName) -> int:
     return max(int(sizes[pool] * _POOL_SHARE), 1)
 
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -137,3 +137,16 @@
     And 1 seconds of waves pass
     Then 11 hosts may not move
     And host m3 waits for its maintenance
+
+  Scenario: Hosts whose runs last are freed early enough for the deadline
+    Given a wave of 12 hosts of one pool of 60 with at most 40 down
+    When a run that lasts is on each host
+    And 24 seconds are left of the wave
+    Then 6 hosts are kept free
+    When 12 seconds are left of the wave
+    Then 12 hosts are kept free
+
+  Scenario: Hosts whose runs last do not wait until all others are done
+    Given a wave of 20 hosts of one pool of 40 with at most 4 down
+    When a run that lasts is on 3 of the hosts and short runs on the others
+    Then 2 of those with a run that lasts are kept free
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -268,6 +268,29 @@
     }
 
 
+@when(
+    'a run that lasts is on {count:d} of the hosts and short runs on the others'
+)
+def load_some_hosts(context: Any, count: int) -> None:
+    """Have something run on each host that lasts on some."""
+    context.wave_loads = {
+        host.worker: HostLoad(1, 8, has_lasting=True)
+        if number < count
+        else HostLoad(1, 1)
+        for number, host in enumerate(context.hosts.values())
+    }
+
+
+@then('{count:d} of those with a run that lasts are kept free')
+def check_reserved_lasting(context: Any, count: int) -> None:
+    """Check how many hosts are freed of runs that last."""
+    reserved = _plan_wave(context).reserved
+    lasting = [
+        worker for worker in reserved if context.wave_loads[worker].has_lasting
+    ]
+    assert len(lasting) == count, reserved
+
+
 @then('{count:d} hosts are kept free')
 def check_reserved(context: Any, count: int) -> None:
     """Check how many hosts get no new work."""
