Count the rounds of a wave by pool when its deadline comes near

Cause: a wave waits for bursts until its hosts, divided by how many may be down, need the rest of its time. A pool keeps two thirds of its hosts, so that a wave of many hosts of one pool needs more rounds than that.

Evidence: read in the code. With 9 hosts of one pool of 9 and 40 allowed down the wave woke 6 s before its deadline and needs three rounds of 6 s.

Change: the rounds are those of the pool that takes most.

The test failed before: nothing was ordered down 16 s before the deadline.

--- a/packages/fleet/hornbeamstair_fleet/waves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/planner.py
@@ -73,7 +73,7 @@
             for host in progress.get_hosts(HostStep.waiting)
             if host in hosts and hosts[host].state == HostState.up
         ]
-        is_urgent = _is_urgent(progress, len(waiting), now)
+        is_urgent = _is_urgent(progress, waiting, hosts, now)
         able = [
             host
             for host in waiting
@@ -187,8 +187,16 @@
     return max(int(sizes[pool] * _POOL_SHARE), 1)
 
 
-def _is_urgent(progress: WaveProgress, waiting: int, now: Moment) -> bool:
+def _is_urgent(
+    progress: WaveProgress,
+    waiting: Sequence[ListedHost],
+    hosts: Mapping[HostId, ListedHost],
+    now: Moment,
+) -> bool:
     """Tell whether waiting for runs to end would miss the deadline."""
-    rounds = 1 + waiting // max(progress.wave.max_down, 1)
+    sizes = _get_sizes(hosts)
+    rounds = 1 + len(waiting) // max(progress.wave.max_down, 1)
+    for pool, count in Counter(host.pool for host in waiting).items():
+        rounds = max(rounds, math.ceil(count / _get_limit(sizes, pool)))
     left = progress.wave.deadline - now.wall
     return left < rounds * _ROUND_SECONDS
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -150,3 +150,10 @@
     Given a wave of 20 hosts of one pool of 40 with at most 4 down
     When a run that lasts is on 3 of the hosts and short runs on the others
     Then 2 of those with a run that lasts are kept free
+
+  Scenario: A wave with many hosts of one pool gets urgent in time
+    Given a wave of 9 hosts of one pool of 9 with at most 40 down
+    When the pool lacks room
+    Then 0 hosts are ordered down at once
+    When 16 seconds are left of the wave
+    Then 3 hosts are ordered down at once
