--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -157,3 +157,9 @@
     Then 0 hosts are ordered down at once
     When 16 seconds are left of the wave
     Then 3 hosts are ordered down at once
+
+  Scenario: Hosts that moved do not wait for each other's records
+    Given 12 hosts that were told to move and have arrived
+    When the moves are carried on
+    Then no host is on its way
+    And 1 commit was waited for
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -1,5 +1,6 @@
 """Steps with the planners of moves and waves."""
 
+from asyncio import run
 from random import Random
 from typing import Any
 
@@ -30,7 +31,11 @@
     WavePlanner,
 )
 from hornbeamstair_fleet.waves.table import HostStep, WaveProgress
-from tests.support.waves import make_large_wave, make_waves
+from tests.support.waves import (
+    make_arrived_moves,
+    make_large_wave,
+    make_waves,
+)
 from tests.support.work_model import (
     WorkModel,
     make_phase,
@@ -346,6 +351,31 @@
     assert context.waves.commits == count, context.waves.commits
 
 
+@given('{count:d} hosts that were told to move and have arrived')
+def arrive_all(context: Any, count: int) -> None:
+    """Have the list show hosts where they were to go."""
+    context.waves = make_arrived_moves(WorkModel(Random(1)), count)
+
+
+@when('the moves are carried on')
+def carry_on_moves(context: Any) -> None:
+    """Let the keeper of moves work once."""
+    mover = context.waves.make_mover()
+    run(mover.carry_on(context.waves.scheduler))
+
+
+@then('no host is on its way')
+def check_arrived(context: Any) -> None:
+    """Check that all moves are over."""
+    assert not context.waves.begun.begun
+
+
+@then('{count:d} commit was waited for')
+def check_move_commits(context: Any, count: int) -> None:
+    """Check how many commits the moves waited for."""
+    assert context.waves.commits == count, context.waves.commits
+
+
 @then('{count:d} hosts may not move')
 def check_bound(context: Any, count: int) -> None:
     """Check how many hosts moves have to leave alone."""
--- a/tests/support/waves.py
+++ b/tests/support/waves.py
@@ -15,6 +15,7 @@
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
 from hornbeamstair_fleet.hosts import HostsClient
+from hornbeamstair_fleet.moves.messages import Move, MoveBegun
 from hornbeamstair_fleet.moves.table import MoveTable
 from hornbeamstair_fleet.waves.messages import (
     HostOrder,
@@ -134,6 +135,7 @@
     table: WaveTable = field(factory=WaveTable)
     commits: int = 0
     moves: NoMoves = field(factory=NoMoves)
+    begun: MoveTable = field(factory=MoveTable)
     keeper: MaintenanceKeeper = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -154,7 +156,7 @@
         """Make a keeper of moves beside the waves."""
         return MoveKeeper(
             'holder',
-            MoveTable(),
+            self.begun,
             self.table,
             self,
             self.keeper.hosts,
@@ -166,6 +168,7 @@
         self.commits += 1
         for record in records:
             self.table.apply(record)
+            self.begun.apply(record)
         return Ok(None)
 
     def find_scheduler(self) -> Scheduler:
@@ -195,6 +198,21 @@
     return ModelWaves(model.scheduler, client, tuple(client.hosts))
 
 
+def make_arrived_moves(model: WorkModel, count: int) -> ModelWaves:
+    """Make moves whose hosts are where they were to go, without a wave."""
+    waves = make_large_wave(model, count)
+    waves = ModelWaves(model.scheduler, waves.client, ())
+    for number in range(count):
+        move = Move(
+            HostId(f'm{number}'),
+            PoolName('origin'),
+            PoolName(f'p{number}'),
+            WorkerId(''),
+        )
+        waves.begun.apply(MoveBegun(move))
+    return waves
+
+
 def _make_host(host: str, pool: str, worker: str) -> ListedHost:
     return ListedHost(
         HostId(host),
