Keep of an ended job only what may still be asked for

Cause: a job stays for 180 s after its end, for callers that ask for its state, with its text and every task it ever had. Neither is used any more: no task of it starts, and only runs that have not ended are still told to stop.

The table drops both at the end, and tasks with a run once that has ended.

The second scenario passed before, too; it guards against dropping a run that still has to be stopped.

--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Any, ClassVar
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from hornbeamstair_callers.jobs.messages import (
     JobSpec,
@@ -64,7 +64,8 @@
     service: ServiceName
     accepted_at: float
     state: JobState = JobState.queued
-    # Tasks that were started at least once.
+    # Tasks that were started at least once; of an ended job only those with
+    # a run that has not ended.
     tasks: dict[TaskId, Task] = field(factory=dict)
     # Tasks done, by occurrence and phase.
     done: dict[str, int] = field(factory=dict)
@@ -110,6 +111,15 @@
         name = f'{key.occurrence}.{key.phase}'
         self.done[name] = self.done.get(name, 0) + 1
 
+    def release(self) -> None:
+        """Drop what nobody needs any more of a job that has ended."""
+        if self.is_open:
+            return
+        self.spec = evolve(self.spec, text='')
+        self.tasks = {
+            task_id: task for task_id, task in self.tasks.items() if task.worker
+        }
+
 
 @frozen
 class JobTableState:
@@ -156,6 +166,8 @@
     def put_state(self, state: Any) -> None:
         """Replace the jobs."""
         found = () if state is None else state.jobs
+        for kept in found:
+            kept.release()
         self.jobs = {job.spec.job: job for job in found}
         self.pending = Counter(
             job.queue for job in found if job.state == JobState.queued
@@ -197,6 +209,7 @@
         self._leave_queue(job)
         job.state = state
         job.ended_at = at
+        job.release()
         return True
 
     def _forget(self, jobs: tuple[JobId, ...]) -> bool:
@@ -239,6 +252,7 @@
             task.failures += 1
         if record.end == RunEnd.done:
             self._note_done(job, place, task, record.at)
+        job.release()
         return True
 
     def _note_done(
@@ -250,7 +264,7 @@
     ) -> None:
         key = place.key
         phase = job.spec.phases[key.phase]
-        if phase.needs.lasts:
+        if phase.needs.lasts or not job.is_open:
             # A task that lasts runs again however it ends.
             return
         job.note_done(key, task)
@@ -259,6 +273,6 @@
             for index in range(phase.count):
                 member = job.tasks.setdefault(make_task_id(key, index), Task())
                 job.note_done(key, member)
-        if job.is_open and job.is_done():
+        if job.is_done():
             job.state = JobState.completed
             job.ended_at = at
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -53,6 +53,23 @@
     And 6 seconds pass
     Then nothing runs
 
+  Scenario: An ended job leaves neither its text nor its tasks in a snapshot
+    Given a work model with seed 1 and no faults
+    When a job of 3 phases with 4 tasks each is accepted
+    And 20 seconds pass
+    Then the job is completed after 12 starts
+    And a snapshot keeps the job with 0 tasks and without its text
+
+  Scenario: A holder that starts from a snapshot stops the runs of ended jobs
+    Given a work model with seed 7 in which a third of the answers is lost
+    When 6 jobs of 2 phases with 5 tasks each are accepted
+    And 1 seconds pass
+    And every job is cancelled
+    And the holder changes to one that starts from a snapshot
+    Then some tasks of ended jobs have runs
+    When 6 seconds pass
+    Then nothing runs
+
   Scenario: A run that is stopped starts elsewhere only after its end
     Given a work model with seed 9 and no faults
     When 6 jobs of 2 phases with 5 tasks each are accepted
