Refuse to change the voters before the term has a committed entry

At worst two voters lead and serve at once, and what one of them accepted is gone.

Cause: add_voter and remove_voter looked only whether the newest change of the voters known here is committed. A leader of an earlier term may have appended another change elsewhere that is not known here; the quorums of the two changes need not meet (the known fault of changes of one server at a time).

Evidence: the new scenario. Before the change it failed with AssertionError: two voters serve reads: ['new', 'b']

Why this works: the first entry of a term is committed by a quorum of the voters before the change, which the earlier leader's change needs at least one of; that voter then refuses the earlier leader's log.

--- a/packages/replicas/hornbeamstair_replicas/voting/roles/leader.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/roles/leader.py
@@ -90,7 +90,7 @@
         if voter in self.state.log.get_voters():
             return Error(MembershipFailure(f'{voter} is a voter already'))
         if self.joining not in {None, voter} or self._changes_voters():
-            return Error(MembershipFailure('another change is in progress'))
+            return _refuse_change()
         self.joining = voter
         self.replicator.put_peers([*self.state.get_peers(), voter], now)
         self.replicator.send(voter, now)
@@ -116,7 +116,7 @@
         if voter not in voters:
             return Error(MembershipFailure(f'{voter} is no voter'))
         if self.joining is not None or self._changes_voters():
-            return Error(MembershipFailure('another change is in progress'))
+            return _refuse_change()
         if len(voters) == 1:
             return Error(MembershipFailure('the last voter must stay'))
         remaining = tuple(found for found in voters if found != voter)
@@ -198,6 +198,9 @@
 
     def _changes_voters(self) -> bool:
         state = self.state
+        if state.commit_index < self.first_index:
+            # A change of an earlier leader may still be committed elsewhere.
+            return True
         return state.log.get_voters_index() > state.commit_index
 
     def _put_voters(self, voters: tuple[VoterId, ...], now: float) -> None:
@@ -228,3 +231,7 @@
     def _send_heartbeats(self, now: float) -> None:
         self.deadline = now + self.state.timing.heartbeat
         self.replicator.broadcast(now)
+
+
+def _refuse_change() -> Result[None, Failure]:
+    return Error(MembershipFailure('another change is in progress'))
--- a/tests/features/steps/voting_steps.py
+++ b/tests/features/steps/voting_steps.py
@@ -266,6 +266,53 @@
     assert context.second.error.number == code
 
 
+@when('the leader is cut off from the others and adds a voter')
+def add_behind_cut(context: Any) -> None:
+    """Let the leader append a change that no other voter receives."""
+    network: VoterNetwork = context.network
+    network.start(NEW_VOTER, is_joining=True)
+    network.run(1)
+    _cut_apart(network, {context.first_leader, NEW_VOTER})
+    assert network.change(lambda role: role.add_voter(NEW_VOTER, network.now))
+    network.run(0.2)
+    state = network.nodes[context.first_leader].voter.state
+    assert NEW_VOTER in state.log.get_voters()
+
+
+@when('a new leader removes the old one before it has committed an entry')
+def remove_early(context: Any) -> None:
+    """Cut one of the voters that elected the leader off at once."""
+    network: VoterNetwork = context.network
+    leader = context.first_leader
+    while leader == context.first_leader:
+        network.run(STEP)
+        leader = (network.find_leaders() or [leader])[0]
+    others = set(network.first_voters) - {context.first_leader, leader}
+    context.rest = min(others)
+    _cut_apart(network, {leader, *others} - {context.rest})
+    network.change(
+        lambda role: role.remove_voter(context.first_leader, network.now),
+    )
+
+
+@when(
+    'the old leader, the new voter and one other voter are the only ones left',
+)
+def cut_off_rest(context: Any) -> None:
+    """Join the voters that do not know what was committed."""
+    network: VoterNetwork = context.network
+    network.cuts.clear()
+    _cut_apart(network, {context.first_leader, NEW_VOTER, context.rest})
+    network.run(5)
+
+
+def _cut_apart(network: VoterNetwork, group: set[VoterId]) -> None:
+    for one in group:
+        for other in set(network.nodes) - group:
+            network.cut(one, other)
+            network.cut(other, one)
+
+
 @given('the random run with seed {seed:d}')
 def run_one(context: Any, seed: int) -> None:
     """Run one random run."""
--- a/tests/features/voting.feature
+++ b/tests/features/voting.feature
@@ -64,6 +64,15 @@
     When a voter is added and another removed at once
     Then the second change is refused with code 5004
 
+  Scenario: A new leader changes the voters before it has committed an entry
+    Given 4 voters with seed 9
+    When the leader is cut off from the others and adds a voter
+    And a new leader removes the old one before it has committed an entry
+    And 5 payloads are proposed
+    And the old leader, the new voter and one other voter are the only ones left
+    And the links are mended for 5 seconds
+    Then the living voters hold every accepted payload once, in one order
+
   Scenario: A snapshot never discards entries that were acknowledged
     Given the random run with seed 20
     Then each run ended with every accepted payload once, in one order
