Derive the number of voters from the losses to be borne, feed spares

Cause: the planner wanted five voters only while five processes answered. Two machines away for 4 s made the group three; two wiped disks, which the deployment bears, were then the majority for good. A process that joined was brought up to date only then, one at a time, began anew after 4 s, and had to hold all that was committed at one moment under load, so that the small group lasted.

Why this works: the number of voters is twice the losses and one more, from the settings, and a voter that is merely silent goes only when a spare holds the log in its place. Spares are fed beside the voters, so that this takes one entry. A wiped disk's former identity goes first, which never costs margin (docs/design/platform.md).

--- a/packages/daemon/hornbeamstair_daemon/system/options.py
+++ b/packages/daemon/hornbeamstair_daemon/system/options.py
@@ -20,6 +20,9 @@
 __all__ = ('SystemOptions', 'read_system_options')
 
 _ROLES: Final = ('control', 'entry')
+_DEFAULT_LOSSES: Final = 1
+# Each one more costs two voters that every commit waits for.
+_MOST_LOSSES: Final = 3
 _DEFAULT_LEASE_SECONDS: Final = 6.0
 _DEFAULT_STOP_SECONDS: Final = 0.2
 _DEFAULT_GRACE_SECONDS: Final = 6.0
@@ -69,6 +72,7 @@
         seeds=tuple(map(read_listener, reader.get_sections('seeds'))),
         bootstrap=bootstrap,
         data_folder=Path(folder) if folder else None,
+        losses=reader.get_int_opt('losses', 1, _MOST_LOSSES, _DEFAULT_LOSSES),
         lease=get_lease_terms(longest, stop),
         grace_seconds=reader.get_float_opt(
             'grace_seconds',
--- a/packages/daemon/hornbeamstair_daemon/system/settings.py
+++ b/packages/daemon/hornbeamstair_daemon/system/settings.py
@@ -24,6 +24,8 @@
     # The whole system starts for the first time.
     bootstrap: bool
     data_folder: Path | None
+    # Machines with a disk that may be lost at the same time.
+    losses: int
     lease: LeaseTerms
     # Time from a stop signal until the process is killed, in seconds.
     grace_seconds: float
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -39,6 +39,7 @@
 from hornbeamstair_replicas.groups.node import open_node
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.membership.groups import MembershipKeeper
+from hornbeamstair_replicas.membership.planner import MembershipPlanner
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.storage.file import FileLogStorage
 from hornbeamstair_replicas.storage.measured import MeasuredStorage
@@ -157,7 +158,13 @@
         channel,
         LeaderClient(channel, codec, metrics, get_steady_time),
         group,
-        MembershipKeeper(group, channel, settings.zone, get_steady_time),
+        MembershipKeeper(
+            group,
+            channel,
+            settings.zone,
+            get_steady_time,
+            MembershipPlanner(settings.losses),
+        ),
         runner,
         maintenance,
     )
--- a/packages/replicas/hornbeamstair_replicas/events.py
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -120,6 +120,8 @@
     # Voters that are taken for lost, and processes that could take a place.
     lost: str
     spares: str
+    # Time since this leader began to feed the voter.
+    fed_ms: int
 
 
 @register_event
--- a/packages/replicas/hornbeamstair_replicas/membership/groups.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/groups.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from attrs import define, field
+from attrs import define
 
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import ZoneName
@@ -21,6 +21,8 @@
 
 _CHANNEL: Final = 'members'
 _REPORT_SECONDS: Final = 0.5
+# A change takes two steps, and a process that starts waits for both.
+_LEAD_SECONDS: Final = 0.1
 _ASK_SECONDS: Final = 0.4
 
 
@@ -32,7 +34,7 @@
     channel: LeaderChannel
     zone: ZoneName
     get_time: Callable[[], float]
-    planner: MembershipPlanner = field(factory=MembershipPlanner)
+    planner: MembershipPlanner
     reporting: 'Task[None] | None' = None
 
     def start(self) -> None:
@@ -50,9 +52,10 @@
             role = self.group.node.voter.find_leader_role()
             if role.is_ok():
                 self._lead(role.ok)
+                await sleep(_LEAD_SECONDS)
             else:
                 await self._report()
-            await sleep(_REPORT_SECONDS)
+                await sleep(_REPORT_SECONDS)
 
     async def _report(self) -> None:
         state = self.group.node.voter.state
--- a/packages/replicas/hornbeamstair_replicas/membership/leading.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/leading.py
@@ -1,12 +1,12 @@
-"""Steps of a leader towards voters that are alive."""
+"""Steps of a leader towards voters that bear the losses."""
 
 from expression import Result
 
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import ZoneName
+from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_replicas.events import VotersChangeEvent
 from hornbeamstair_replicas.membership.planner import (
-    AbandonJoining,
     AddVoter,
     MembershipPlanner,
     RemoveVoter,
@@ -23,15 +23,21 @@
     zone: ZoneName,
     now: float,
 ) -> VotersChangeEvent | None:
-    """Begin the next change of the voters, if one is due."""
-    planner.note_report(role.state.voter, zone, now)
+    """Feed spares, and begin the next change of the voters if one is due."""
+    own = role.state.voter
+    planner.note_report(own, zone, now)
     silence = {
         voter: role.get_silence(voter, now)
         for voter in role.state.log.get_voters()
     }
-    change = planner.plan(silence, role.joining, now)
+    fed = {voter: role.get_silence(voter, now) for voter in role.learners}
+    role.put_learners(planner.choose_learners(silence, fed, now), now)
+    if not role.can_change_voters():
+        return None
+    change = planner.plan(own, silence, role.get_caught_up(now), now)
     if change is None:
         return None
+    fed_seconds = role.replicator.get_fed_seconds(change.voter, now)
     outcome = _change(role, change, now)
     return VotersChangeEvent(
         type(change).__name__,
@@ -40,6 +46,7 @@
         len(silence),
         ' '.join(planner.get_lost(silence)),
         ' '.join(planner.get_spares(silence, now)),
+        to_milliseconds(fed_seconds),
     )
 
 
@@ -53,6 +60,4 @@
             return role.add_voter(voter, now)
         case RemoveVoter(voter):
             return role.remove_voter(voter, now)
-        case AbandonJoining():
-            role.abandon_joining()
     return Result.Ok(None)
--- a/packages/replicas/hornbeamstair_replicas/voting/progress.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/progress.py
@@ -11,6 +11,7 @@
 
     next_index: int
     match_index: int = 0
+    began_at: float = 0
     acknowledged_at: float = 0
     sent_at: float = 0
     # Until it answers the last message it is sent no entries.
--- a/packages/replicas/hornbeamstair_replicas/voting/replicator.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/replicator.py
@@ -20,6 +20,8 @@
 _MAX_ENTRIES: Final = 256
 _CHUNK_BYTES: Final = 256 * KIB  # noqa: WPS432
 _RESEND_HEARTBEATS: Final = 3
+# Some messages bring the rest, in a fraction of a second.
+_CAUGHT_UP_ENTRIES: Final = 4 * _MAX_ENTRIES
 
 
 @define(eq=False)
@@ -28,14 +30,19 @@
 
     state: VoterState
     peers: dict[VoterId, PeerProgress] = field(factory=dict)
+    # Peers that do not vote and are fed with the heartbeats.
+    learners: tuple[VoterId, ...] = ()
 
     def put_peers(self, wanted: list[VoterId], now: float) -> None:
-        """Replicate to these peers and to no others."""
+        """Replicate to these peers and the learners, and to no others."""
         next_index = self.state.log.last_index + 1
+        self.learners = tuple(
+            learner for learner in self.learners if learner not in wanted
+        )
         self.peers = {
             peer: self.peers.get(peer)
-            or PeerProgress(next_index, acknowledged_at=now)
-            for peer in wanted
+            or PeerProgress(next_index, began_at=now, acknowledged_at=now)
+            for peer in (*wanted, *self.learners)
         }
 
     def get_match(self, voter: VoterId) -> int:
@@ -45,6 +52,31 @@
         progress = self.peers.get(voter)
         return 0 if progress is None else progress.match_index
 
+    def get_fed_seconds(self, peer: VoterId, now: float) -> float:
+        """Get the seconds since a peer was first sent something."""
+        progress = self.peers.get(peer)
+        return 0 if progress is None else now - progress.began_at
+
+    def is_caught_up(self, peer: VoterId, now: float) -> bool:
+        """Tell whether a peer answers and lacks little of what is committed."""
+        progress = self.peers.get(peer)
+        if progress is None or not progress.match_index:
+            return False
+        missing = self.state.commit_index - progress.match_index
+        silence = now - progress.acknowledged_at
+        is_current = silence < self.state.timing.election_max
+        return is_current and missing <= _CAUGHT_UP_ENTRIES
+
+    def has_more(self, peer: VoterId) -> bool:
+        """Tell whether a peer is sent more before the next heartbeat."""
+        progress = self.peers[peer]
+        if progress.installs_snapshot:
+            return False
+        missing = self.state.log.last_index + 1 - progress.next_index
+        if peer in self.learners and not progress.is_probed:
+            return missing >= _MAX_ENTRIES
+        return missing > 0
+
     def has_quorum(self, now: float, seconds: float) -> bool:
         """Tell whether a quorum answered what was sent so recently."""
         reached = {
@@ -99,7 +131,7 @@
         """Send what is new to the peers that follow entry by entry."""
         for peer, progress in self.peers.items():
             is_slow = progress.installs_snapshot or self._probes(progress, now)
-            if not is_slow:
+            if not (is_slow or peer in self.learners):
                 self.send(peer, now)
 
     def send(self, peer: VoterId, now: float) -> None:
--- a/packages/replicas/hornbeamstair_replicas/voting/roles/leader.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/roles/leader.py
@@ -1,5 +1,6 @@
 """Role of the voter that leads."""
 
+from collections.abc import Iterable
 from typing import ClassVar
 
 from attrs import define, field
@@ -43,6 +44,11 @@
         """Start to replicate the shared log."""
         self.replicator = Replicator(self.state)
 
+    @property
+    def learners(self) -> tuple[VoterId, ...]:
+        """Processes that are kept up to date and do not vote."""
+        return self.replicator.learners
+
     def enter(self, now: float) -> RoleTrigger | None:
         """Tell the other voters and commit an entry of this term."""
         state = self.state
@@ -86,24 +92,43 @@
         return Ok(range(first_index, first_index + len(entries)))
 
     def add_voter(self, voter: VoterId, now: float) -> Result[None, Failure]:
-        """Bring a new voter up to date; it votes once it is."""
+        """Bring a new voter up to date; it votes as soon as it is."""
         if voter in self.state.log.get_voters():
             return Error(MembershipFailure(f'{voter} is a voter already'))
-        if self.joining not in {None, voter} or self._changes_voters():
+        if not self.can_change_voters():
             return _refuse_change()
         self.joining = voter
-        self.replicator.put_peers([*self.state.get_peers(), voter], now)
-        self.replicator.send(voter, now)
+        self.put_learners((*self.learners, voter), now)
+        self._check_joining(now)
         return Ok(None)
 
-    def abandon_joining(self) -> None:
-        """Give up a new voter that does not come up to date."""
-        if self.joining is None:
-            return
-        peers = self.replicator.peers
-        if self.joining not in self.state.log.get_voters():
-            peers.pop(self.joining, None)
-        self.joining = None
+    def put_learners(self, learners: Iterable[VoterId], now: float) -> None:
+        """Keep these processes up to date beside the voters."""
+        known = self.learners
+        wanted = dict.fromkeys(learners)
+        if self.joining is not None:
+            wanted[self.joining] = None
+        self.replicator.learners = tuple(wanted)
+        if self.learners != known:
+            self.replicator.put_peers(self.state.get_peers(), now)
+        for learner in set(self.learners).difference(known):
+            self.replicator.send(learner, now)
+
+    def get_caught_up(self, now: float) -> list[VoterId]:
+        """Get the learners that could vote at once."""
+        return [
+            learner
+            for learner in self.learners
+            if self.replicator.is_caught_up(learner, now)
+        ]
+
+    def can_change_voters(self) -> bool:
+        """Tell whether no change of the voters may be in progress."""
+        state = self.state
+        if self.joining is not None or state.commit_index < self.first_index:
+            # A change of an earlier leader may still be committed elsewhere.
+            return False
+        return state.log.get_voters_index() <= state.commit_index
 
     def get_silence(self, voter: VoterId, now: float) -> float:
         """Get the seconds since a peer last answered."""
@@ -115,7 +140,7 @@
         voters = self.state.log.get_voters()
         if voter not in voters:
             return Error(MembershipFailure(f'{voter} is no voter'))
-        if self.joining is not None or self._changes_voters():
+        if not self.can_change_voters():
             return _refuse_change()
         if len(voters) == 1:
             return Error(MembershipFailure('the last voter must stay'))
@@ -151,8 +176,7 @@
         if progress is None:
             return None
         is_current = self.replicator.take_append_answer(progress, answer)
-        has_more = progress.next_index <= self.state.log.last_index
-        if is_current and has_more and not progress.installs_snapshot:
+        if is_current and self.replicator.has_more(sender):
             self.replicator.send(sender, now)
         return self._advance(now)
 
@@ -196,13 +220,6 @@
             return False
         return state.commit_index >= state.log.get_voters_index()
 
-    def _changes_voters(self) -> bool:
-        state = self.state
-        if state.commit_index < self.first_index:
-            # A change of an earlier leader may still be committed elsewhere.
-            return True
-        return state.log.get_voters_index() > state.commit_index
-
     def _put_voters(self, voters: tuple[VoterId, ...], now: float) -> None:
         state = self.state
         index = state.log.last_index + 1
@@ -213,10 +230,8 @@
         self.replicator.send_entries(now)
 
     def _check_joining(self, now: float) -> None:
-        if self.joining is None or self._changes_voters():
-            return
         joining = self.joining
-        if self.replicator.get_match(joining) < self.state.commit_index:
+        if joining is None or not self.replicator.is_caught_up(joining, now):
             return
         self.joining = None
         self._put_voters((*self.state.log.get_voters(), joining), now)
