Let a spare find the new leader when the one that fed it is gone

Cause: a process that does not vote hears of no election. It named the last leader that it had heard for ever, sent its reports there, and asked nobody else, since its own channel trusts that name first. The new leader never knew of the spare. The same name was given to entry processes that asked it.

Evidence: the new scenario; before the change it failed with AssertionError: {'x/1'} that is, after two seconds only the leader that is gone was reported to.

Why this works: a leader that was not heard for two election timeouts is not named, so that the process asks the others.

--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
@@ -128,7 +128,8 @@
 
     def get_leader(self) -> VoterId:
         """Get the leader as far as known."""
-        return VoterId(self.group.get_status().leader)
+        state = self.group.node.voter.state
+        return state.get_recent_leader(self.group.get_time())
 
     def get_voters(self) -> tuple[VoterId, ...]:
         """Get the voters of the group."""
--- a/packages/replicas/hornbeamstair_replicas/membership/groups.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/groups.py
@@ -59,10 +59,10 @@
 
     async def _report(self) -> None:
         state = self.group.node.voter.state
-        if not state.leader:
-            # A process that is no voter hears of no election.
+        leader = state.get_recent_leader(self.get_time())
+        if not leader:
             await self.channel.ask(b'', _ASK_SECONDS)
-        leader = state.leader or self.channel.targets.leader
+            leader = self.channel.targets.leader
         if leader:
             report = MemberReport(state.voter, self.zone)
             self.group.transport.send(
--- a/packages/replicas/hornbeamstair_replicas/voting/state.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from random import Random
+from typing import Final
 
 from attrs import define, field
 
@@ -27,6 +28,8 @@
 __all__ = ('VoterState',)
 
 _NO_LEADER = VoterId('')
+# Heard no more for so many election timeouts, a leader has been replaced.
+_STALE_TIMEOUTS: Final = 2
 
 
 @define(eq=False)
@@ -76,6 +79,15 @@
         """
         return now - self.leader_heard_at < self.timing.election_min
 
+    def get_recent_leader(self, now: float) -> VoterId:
+        """Get the leader; empty if it was not heard for long.
+
+        A process that does not vote hears of no election.
+        """
+        silence = now - self.leader_heard_at
+        is_stale = silence > self.timing.election_max * _STALE_TIMEOUTS
+        return _NO_LEADER if is_stale else self.leader
+
     def hear_leader(self, leader: VoterId, now: float) -> None:
         """Note a message of the leader of this term."""
         self.leader = leader
--- a/tests/features/members.feature
+++ b/tests/features/members.feature
@@ -19,3 +19,9 @@
       | first | last |
       | 3000  | 3024 |
       | 3040  | 3049 |
+
+  Scenario: A spare whose leader went silent for good reports to the new one
+    Given a spare whose leader x has been silent for 10 seconds
+    And a process y that leads
+    When the spare reports for 2 seconds
+    Then y has heard of it
