--- a/tests/features/members.feature
+++ b/tests/features/members.feature
@@ -7,7 +7,7 @@
   Scenario: Two wiped disks after short absences lose nothing
     Given machines a1 a2 b1 b2 c1 c2 of which 2 may be lost
     When a1 and b1 are off for 7 seconds
-    And 6 seconds pass
+    And the machines run for 6 seconds
     And zone a is cut off for 6 seconds and then 2 voters outside lose their disks while all restart
     Then a leader accepts and holds all that was accepted
 
--- a/tests/features/steps/member_steps.py
+++ b/tests/features/steps/member_steps.py
@@ -86,7 +86,7 @@
         context.fleet.start(started)
 
 
-@when('{seconds:g} seconds pass')
+@when('the machines run for {seconds:g} seconds')
 def let_pass(context: Any, seconds: float) -> None:
     """Let time pass."""
     context.fleet.run(seconds)
