Count a job as pending until a worker has started a task of it

Cause: the record of a start is written before its order, and a job left the count with the record. An order that waits for a late loop, or falls on a worker that is gone, starts nothing for seconds.

The new scenario failed on the code before: the count was 0 with the start recorded and each worker cut off.

Change: the holder counts the open jobs of which no worker has told a run, from answers to starts, looks and ends; a new holder counts those of which the log shows no end and learns of the others with its first looks.

--- a/packages/callers/hornbeamstair_callers/jobs/messages.py
+++ b/packages/callers/hornbeamstair_callers/jobs/messages.py
@@ -13,6 +13,7 @@
     'Phase',
     'PhaseKey',
     'TaskPlace',
+    'get_job',
     'make_task_id',
     'parse_task_id',
 )
@@ -100,6 +101,11 @@
     return TaskId(f'{key.group}.{index}')
 
 
+def get_job(task: TaskId) -> JobId:
+    """Get the job of a task."""
+    return JobId(task.partition('.')[0])
+
+
 def parse_task_id(task: TaskId) -> TaskPlace:
     """Parse the identifier of a task; ValueError if it is not one."""
     job, occurrence, phase, index = task.split('.')
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -29,6 +29,7 @@
 from hornbeamstair_callers.jobs.run_log import RunLog
 from hornbeamstair_callers.jobs.starts import StartPlanner
 from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_callers.jobs.unstarted import UnstartedJobs
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_log import WaitingLog
 from hornbeamstair_core.effects import Effect
@@ -44,6 +45,7 @@
     Announced,
     HoldAnswer,
     OrderAnswer,
+    OrderOutcome,
     RunEnd,
     StartOrder,
     StopOrder,
@@ -88,6 +90,7 @@
     forgot_at: float = 0
     # Jobs whose end is in the log of events.
     logged_ends: set[JobId] = field(factory=set)
+    unstarted: UnstartedJobs = field(factory=UnstartedJobs, init=False)
     run_log: RunLog = field(init=False)
     waiting: WaitingJobs = field(init=False)
     waiting_log: WaitingLog = field(init=False)
@@ -128,6 +131,8 @@
         self.waiting.mark(self.state.jobs.jobs)
         for job in self.state.jobs.jobs.values():
             self._inherit(job, now)
+            if job.is_open:
+                self.unstarted.note_open(job)
 
     def take_effects(self) -> list[Effect]:
         """Take the effects since the last call."""
@@ -147,15 +152,19 @@
                 self._order_start(record, now)
                 # The task may be listed as ready since before its record.
                 self.waiting.mark((parse_task_id(record.task).key.job,))
-            case RunEnded(task, at=at):
+            case RunEnded(task, end=end, at=at):
                 self.waiting.in_flight.discard(task)
+                if end != RunEnd.lost:
+                    self.unstarted.note_started((task,))
                 job_id = parse_task_id(task).key.job
                 self.waiting.mark((job_id,))
                 self._log_end(job_id, at)
             case JobAccepted():
                 self.waiting.mark((record.spec.job,))
+                self.unstarted.note_open(self.state.jobs.jobs[record.spec.job])
             case JobCancelled(job, at) | JobFailed(job, at):
                 self._stop_job(job)
+                self.unstarted.discard(job)
                 self._log_end(job, at)
 
     def note_announced(self, announced: Announced, now: Moment) -> bool:
@@ -193,6 +202,7 @@
         """Take the answer to a look."""
         was_silent = session.is_silent
         ended = take_look(session, answer, sent_at, now.steady)
+        self.unstarted.note_started(report.task for report in answer.running)
         _log_silence(session, was_silent=was_silent)
         self._commit_ends(session, ended, now)
         if session.health.quarantine_if_bad(now.steady):
@@ -209,6 +219,8 @@
         """Take the answer to an order to start."""
         was_silent = session.is_silent
         ended = session.note_start(order, answer, now.steady)
+        if answer.outcome == OrderOutcome.done:
+            self.unstarted.note_started((order.task,))
         _log_silence(session, was_silent=was_silent)
         self._commit_ends(session, ended, now)
 
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -86,7 +86,7 @@
             case CancelJob():
                 return await self._cancel(request)
             case CountPending(place):
-                return self._find_queue(place).map(self._count)
+                return self._find_queue(place).bind(self._count)
         raise TypeError(request)
 
     async def _submit(self, request: SubmitJob) -> Result[Reply, Failure]:
@@ -155,8 +155,11 @@
             )
         return Ok(queue)
 
-    def _count(self, queue: Queue) -> Reply:
-        return PendingReply(self.state.jobs.pending[queue.queue])
+    def _count(self, queue: Queue) -> Result[Reply, Failure]:
+        scheduler = self.committer.find_scheduler()
+        if scheduler is None:
+            return Error(NotLeaderFailure(''))
+        return Ok(PendingReply(scheduler.unstarted.count(queue.queue)))
 
 
 @define(eq=False)
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -1,6 +1,5 @@
 """Replicated table of jobs and of the runs of their tasks."""
 
-from collections import Counter
 from collections.abc import Iterator
 from typing import Any, ClassVar
 
@@ -144,8 +143,6 @@
     state_class: ClassVar[type[Any]] = JobTableState
 
     jobs: dict[JobId, Job] = field(factory=dict)
-    # Jobs of each queue of which nothing was started.
-    pending: 'Counter[QueueName]' = field(factory=Counter)
     listener: RecordListener | None = None
 
     def apply(self, record: Record) -> object:
@@ -169,9 +166,6 @@
         for kept in found:
             kept.release()
         self.jobs = {job.spec.job: job for job in found}
-        self.pending = Counter(
-            job.queue for job in found if job.state == JobState.queued
-        )
 
     def _apply(self, record: Record) -> bool:
         match record:
@@ -199,14 +193,12 @@
             record.service,
             record.accepted_at,
         )
-        self.pending[record.queue] += 1
         return True
 
     def _end(self, job_id: JobId, state: JobState, at: float) -> bool:
         job = self.jobs.get(job_id)
         if job is None or not job.is_open:
             return False
-        self._leave_queue(job)
         job.state = state
         job.ended_at = at
         job.release()
@@ -217,10 +209,6 @@
             self.jobs.pop(job, None)
         return True
 
-    def _leave_queue(self, job: Job) -> None:
-        if job.state == JobState.queued:
-            self.pending[job.queue] -= 1
-
     def _start(self, record: RunStarted) -> bool:
         place = parse_task_id(record.task)
         job = self.jobs.get(place.key.job)
@@ -234,7 +222,6 @@
         task.run = record.run
         task.worker = record.worker
         task.incarnation = record.incarnation
-        self._leave_queue(job)
         job.state = JobState.running
         return True
 
--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -15,6 +15,7 @@
 from hornbeamstair_upstreams.work.session import WorkerSession
 from tests.support.random_work import WorkMachine, get_work_settings
 from tests.support.work_model import (
+    QUEUE,
     WorkModel,
     count_at_work,
     make_phase,
@@ -96,6 +97,34 @@
         context.work.accept(JobId(f'{number:016x}'), tuple(made))
 
 
+@when('every worker is cut off as a job of {tasks:d} tasks is accepted')
+def accept_behind_cut(context: Any, tasks: int) -> None:
+    """Accept a job when no worker can be reached any more."""
+    for worker in context.work.workers.values():
+        worker.is_cut = True
+    accept_job(context, 1, tasks)
+
+
+@when('every worker is in reach again')
+def mend_cuts(context: Any) -> None:
+    """End all cuts."""
+    for worker in context.work.workers.values():
+        worker.is_cut = False
+
+
+@then('a start of the job is recorded')
+def check_recorded(context: Any) -> None:
+    """Check that the log holds a run."""
+    found = next(iter(context.work.scheduler.state.jobs.jobs.values()))
+    assert any(task.run for task in found.tasks.values())
+
+
+@then('{count:d} jobs are pending')
+def check_pending(context: Any, count: int) -> None:
+    """Check the count that callers get."""
+    assert context.work.scheduler.unstarted.count(QUEUE) == count
+
+
 @when('a job of {tasks:d} tasks that last is accepted')
 def accept_lasting(context: Any, tasks: int) -> None:
     """Accept a job that runs until it is cancelled."""
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -145,6 +145,17 @@
     And 100 jobs alike are accepted, more than there is room for
     Then a placement without room asks 36 times what room a worker has
 
+  Scenario: A job counts as pending until a worker has started a task of it
+    Given a work model with seed 18, 3 workers and no faults
+    When 1 seconds pass
+    And every worker is cut off as a job of 2 tasks is accepted
+    And 1 seconds pass
+    Then a start of the job is recorded
+    And 1 jobs are pending
+    When every worker is in reach again
+    And 2 seconds pass
+    Then 0 jobs are pending
+
   Scenario: Random faults in any order
     Given the work machine with 40 examples
     Then no promise is broken
