Take over the runs on workers that the log does not know

Cause: a new holder skipped recorded runs whose worker was not in the table of workers. Their tasks stayed with that worker for good: no look could end them, and where the worker came back its runs were stopped as strays and their ends ignored. The log holds such a run where the record of the worker was lost with an earlier leader, and where a worker that was forgotten came back just then.

Change: recorded runs are kept by worker. A worker takes its own when it is known, also later, and keeps them as long as a lease of an earlier holder may last; what no worker took by then has lapsed and counts as lost.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -16,6 +16,7 @@
     WorkerBelievedEvent,
     WorkerQuarantinedEvent,
 )
+from hornbeamstair_callers.jobs.inheritance import InheritedRuns
 from hornbeamstair_callers.jobs.messages import parse_task_id
 from hornbeamstair_callers.jobs.order import ObjectiveOrder
 from hornbeamstair_callers.jobs.records import (
@@ -90,6 +91,7 @@
     forgot_at: float = 0
     # Jobs whose end is in the log of events.
     logged_ends: set[JobId] = field(factory=set)
+    inherited: InheritedRuns = field(factory=lambda: InheritedRuns(0))
     unstarted: UnstartedJobs = field(factory=UnstartedJobs, init=False)
     run_log: RunLog = field(init=False)
     waiting: WaitingJobs = field(init=False)
@@ -122,6 +124,8 @@
         the earlier holder.
         """
         longest = self.terms.longest
+        self.inherited = InheritedRuns(now.steady + longest)
+        self.inherited.note_jobs(self.state.jobs.jobs.values(), now.steady)
         for announced in self.state.workers.workers.values():
             self._add_session(announced, now, now.steady + longest)
         for worker in held:
@@ -129,10 +133,8 @@
             if session is not None:
                 session.is_reserved = True
         self.waiting.mark(self.state.jobs.jobs)
-        for job in self.state.jobs.jobs.values():
-            self._inherit(job, now)
-            if job.is_open:
-                self.unstarted.note_open(job)
+        for job in self.state.jobs.get_open():
+            self.unstarted.note_open(job)
 
     def take_effects(self) -> list[Effect]:
         """Take the effects since the last call."""
@@ -242,6 +244,7 @@
             self._order_again(session, now)
             if _is_gone(session, now):
                 self._forget_session(session)
+        self._expire_inherited(now)
         if now.steady - self.forgot_at > _FORGET_SECONDS:
             self.forgot_at = now.steady
             self._forget_jobs(now)
@@ -294,33 +297,32 @@
         now: Moment,
         lapse_at: float,
     ) -> None:
-        self.sessions[announced.worker] = WorkerSession(
+        runs = self.inherited.take(announced.worker)
+        if runs:
+            lapse_at = max(lapse_at, self.inherited.lapse_at)
+        session = WorkerSession(
             announced,
             self.fencing_token,
             self.terms,
             WorkerLease(self.terms, lapse_at),
             heard_at=now.steady,
         )
-
-    def _inherit(self, job: Job, now: Moment) -> None:
-        for task_id, task in job.tasks.items():
-            session = self.sessions.get(task.worker)
-            if session is None:
-                continue
-            key = parse_task_id(task_id).key
-            run = Run(
-                task_id,
-                task.run,
-                job.spec.phases[key.phase].needs,
-                key.group,
-                RunState.inherited,
-                now.steady,
-                task.checkpoint,
-            )
+        self.sessions[announced.worker] = session
+        for run in runs:
             session.add_run(run)
-            if not job.is_open:
+            if run.is_stop_wanted:
                 session.want_stop(run)
 
+    def _expire_inherited(self, now: Moment) -> None:
+        lapsed = self.inherited.expire(now.steady)
+        if lapsed:
+            self.waiting.in_flight.update(run.task for run in lapsed)
+            records = [
+                RunEnded(run.task, run.run, RunEnd.lost, '', now.wall)
+                for run in lapsed
+            ]
+            self.effects.append(CommitBatch(tuple(records)))
+
     def _find_job(self, task: TaskId) -> Job | None:
         return self.state.jobs.jobs.get(parse_task_id(task).key.job)
 
--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -11,7 +11,8 @@
 from hornbeamstair_callers.jobs.evacuation import free_workers
 from hornbeamstair_callers.jobs.messages import JobState
 from hornbeamstair_callers.jobs.records import RunStarted
-from hornbeamstair_core.ids import JobId, TaskId
+from hornbeamstair_core.ids import JobId, TaskId, WorkerId
+from hornbeamstair_upstreams.work.messages import WorkerGone
 from hornbeamstair_upstreams.work.session import WorkerSession
 from tests.support.random_work import WorkMachine, get_work_settings
 from tests.support.work_model import (
@@ -19,6 +20,7 @@
     WorkModel,
     count_at_work,
     make_phase,
+    replace_worker,
 )
 
 ENDED = frozenset((JobState.completed, JobState.failed))
@@ -150,6 +152,19 @@
     work.apply((evolve(started, worker=former),))
 
 
+@when('the holder changes and a busy worker is neither recorded nor back')
+def lose_worker(context: Any) -> None:
+    """Have the log hold a run on a worker that it does not know."""
+    worker = _forget_busy(context.work)
+    replace_worker(context.work, worker)
+
+
+@when('the holder changes and a busy worker is not recorded but comes back')
+def forget_worker(context: Any) -> None:
+    """Have a new holder hear of a worker only after it took over."""
+    _forget_busy(context.work)
+
+
 @when('the worker of its first task is cut off')
 def cut_first(context: Any) -> None:
     """Cut the worker off that runs the first task."""
@@ -337,6 +352,15 @@
     )
 
 
+def _forget_busy(work: WorkModel) -> WorkerId:
+    while not any(worker.runs for worker in work.workers.values()):
+        work.step()
+    busy = next(worker for worker in work.workers.values() if worker.runs)
+    work.apply((WorkerGone(busy.worker, busy.born),))
+    work.take_over()
+    return busy.worker
+
+
 def _find_starts(work: WorkModel) -> list[RunStarted]:
     return [
         record
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -132,6 +132,20 @@
     And a worker is born again and an answer of its former life arrives
     Then its clock is not taken for that of the new life
 
+  Scenario: A run on a worker that the log does not know does not hold its task
+    Given a work model with seed 18, 3 workers and no faults
+    When a job of 1 phases with 3 tasks each is accepted
+    And the holder changes and a busy worker is neither recorded nor back
+    And 20 seconds pass
+    Then every job is completed
+
+  Scenario: A run on a worker that the log does not know ends once
+    Given a work model with seed 18, 3 workers and no faults
+    When a job of 1 phases with 3 tasks each is accepted
+    And the holder changes and a busy worker is not recorded but comes back
+    And 20 seconds pass
+    Then the job is completed after 3 starts
+
   Scenario: A start that the log refuses is not ordered
     Given a work model with seed 17, 3 workers and no faults
     When a job of 1 phases with 1 tasks each is accepted
