Keep the runs of an earlier holder until the next life of a worker has answered

Cause: a new holder that heard of the next life of a worker by its announcement counted the inherited runs there as lost at once. A life that was born again has seen no token: until it has answered a look of the new holder it still carries out a start of the earlier one that comes late. The look then lists that run as a stray and has it stopped, after the task was started elsewhere.

Change: inherited runs stay over a change of the life, as do those whose order has no answer, until a look that carries the token misses them or their lease has lapsed. A run that is to be stopped is stopped in the next life as well.

--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -28,8 +28,11 @@
     stopping = 'stopping'
 
 
-# The order to start may be carried out by any life of the worker.
-UNSURE_STATES: Final = frozenset((RunState.ordered, RunState.unanswered))
+# The order to start may be carried out by any life of the worker; that of an
+# earlier holder only until the worker has seen a newer token.
+UNSURE_STATES: Final = frozenset(
+    (RunState.inherited, RunState.ordered, RunState.unanswered),
+)
 
 
 @define(eq=False)
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -130,8 +130,9 @@
     ) -> list[EndedRun]:
         """Count the runs of a life that ended as lost.
 
-        An order to start that has no answer may have reached the next life
-        of the worker: its run stays until that life has answered.
+        An order to start that has no answer, or is of an earlier holder, may
+        have reached the next life of the worker: its run stays until that
+        life has answered.
         """
         self.lease.begin_life(now)
         self.cursor = 0
@@ -149,13 +150,17 @@
             is_leaving=False,
         )
         self.lease.lapse_at = now + self.terms.longest
-        return self.lose(
+        ended = self.lose(
             [
                 task
                 for task, run in self.runs.items()
                 if run.state not in UNSURE_STATES
             ],
         )
+        for run in self.runs.values():
+            if run.is_stop_wanted:
+                self.want_stop(run)
+        return ended
 
     def expire(self, now: float) -> list[EndedRun]:
         """Count runs as lost whose lease has surely lapsed."""
--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -19,10 +19,13 @@
     QUEUE,
     WorkModel,
     count_at_work,
+    make_announced,
     make_phase,
     replace_worker,
 )
 
+# A task that is free again is started sooner, and goes on for longer.
+LATE_SECONDS = 0.3
 ENDED = frozenset((JobState.completed, JobState.failed))
 
 
@@ -165,6 +168,26 @@
     _forget_busy(context.work)
 
 
+@when('its start is late for a worker that is born again as the holder changes')
+def start_next_life(context: Any) -> None:
+    """Have the new holder hear of a life before it can look at it."""
+    work = context.work
+    while not _find_starts(work):
+        work.step()
+    worker = work.workers[_find_starts(work)[0].worker]
+    worker.crash(work.now)
+    work.late_share = 1
+    while not work.late:
+        work.step()
+    work.late_share = 0
+    _, born, order = work.late.pop()
+    work.late.append((work.now + LATE_SECONDS, born, order))
+    work.take_over()
+    worker.is_cut = True
+    announced = make_announced(worker.worker, worker.born)
+    work.scheduler.note_announced(announced, work.get_moment())
+
+
 @when('the worker of its first task is cut off')
 def cut_first(context: Any) -> None:
     """Cut the worker off that runs the first task."""
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -146,6 +146,13 @@
     And 20 seconds pass
     Then the job is completed after 3 starts
 
+  Scenario: A start of an earlier holder comes late to the next life of a worker
+    Given a work model with seed 19, 3 workers and no faults
+    When a job of 1 phases with 1 tasks each is accepted
+    And its start is late for a worker that is born again as the holder changes
+    And 20 seconds pass
+    Then every job is completed
+
   Scenario: A start that the log refuses is not ordered
     Given a work model with seed 17, 3 workers and no faults
     When a job of 1 phases with 1 tasks each is accepted
