Let hosts wait or move again at once whose order was throttled

A throttled order changed nothing, but its host counted as down, or on its way, until the list was 1.5 s newer and the order was given again: it held a place of the wave and hosts that a pool lacked.

Its rate is not in the product's settings and is not paced ahead.

Change: a throttled host waits again, or is free for the next plan, with the next pass.

The tests failed before: after a second the platform had taken the orders of 5 hosts instead of 12, and the host whose move was throttled was still on its way.

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -274,6 +274,7 @@
         HostOutcome.done: HostStep.taken,
         HostOutcome.busy: HostStep.waiting,
         HostOutcome.refused: HostStep.waiting,
+        HostOutcome.throttled: HostStep.waiting,
     },
 )
 
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -1,7 +1,7 @@
 """Endpoint that moves hosts between pools while this process leads."""
 
 from asyncio import gather
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from attrs import define, field
@@ -32,6 +32,10 @@
 # While hosts are on their way the list is read more often.
 _MOVING_LIST_SECONDS: Final = 1.2
 _REPEAT_SECONDS: Final = 1.5
+# Outcomes of orders that changed nothing and will not.
+_NOT_DONE: Final = frozenset(
+    (HostOutcome.busy, HostOutcome.refused, HostOutcome.throttled),
+)
 # The room of each pool is logged so often.
 _LOG_SECONDS: Final = 0.5
 
@@ -69,7 +73,15 @@
             if self._reserve(scheduler, move)
         ]
         self._log_rooms(view, now.steady)
-        await self._begin(planned)
+        await self.begin(planned)
+
+    async def begin(self, moves: Sequence[Move]) -> None:
+        """Record moves and order them."""
+        if not moves:
+            return
+        committed = await self.runner.commit(tuple(map(MoveBegun, moves)))
+        if committed.is_ok():
+            await gather(*map(self._order, moves))
 
     def get_workers(self) -> set[WorkerId]:
         """Get the workers whose hosts may leave at any moment."""
@@ -114,13 +126,6 @@
         session.is_reserved = not session.runs
         return session.is_reserved
 
-    async def _begin(self, moves: list[Move]) -> None:
-        if not moves:
-            return
-        committed = await self.runner.commit(tuple(map(MoveBegun, moves)))
-        if committed.is_ok():
-            await gather(*map(self._order, moves))
-
     async def _order(self, move: Move) -> None:
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
@@ -141,7 +146,7 @@
         )
         if outcome == HostOutcome.done:
             scheduler.note_left(move.worker, self.get_moment())
-        elif outcome in {HostOutcome.busy, HostOutcome.refused}:
+        elif outcome in _NOT_DONE:
             if outcome == HostOutcome.refused:
                 self.planner.note_refused(move.host, move.pool)
             await self.runner.commit((MoveEnded(move.host),))
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -163,3 +163,14 @@
     When the moves are carried on
     Then no host is on its way
     And 1 commit was waited for
+
+  Scenario: Throttled orders of a wave are given again without a pause
+    Given a wave of 12 idle hosts of other pools each
+    And a platform that takes 5 orders at a time
+    When 1 seconds of waves pass
+    Then the platform took the orders of 12 hosts
+
+  Scenario: A host whose move was throttled is free for another plan
+    Given a wave of 12 idle hosts of other pools each
+    When a move of host m3 is ordered and throttled
+    Then no host is on its way
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -364,6 +364,25 @@
     run(mover.carry_on(context.waves.scheduler))
 
 
+@given('a platform that takes {count:d} orders at a time')
+def limit_orders(context: Any, count: int) -> None:
+    """Have the platform throttle orders."""
+    context.waves.client.limit = count
+
+
+@then('the platform took the orders of {count:d} hosts')
+def check_taken(context: Any, count: int) -> None:
+    """Check how many hosts are known to go down."""
+    progress = context.waves.table.waves[1]
+    assert len(progress.get_hosts(HostStep.taken)) == count, progress
+
+
+@when('a move of host {host} is ordered and throttled')
+def throttle_move(context: Any, host: str) -> None:
+    """Order a move that the platform does not take now."""
+    context.waves.order_move(HostId(host))
+
+
 @then('no host is on its way')
 def check_arrived(context: Any) -> None:
     """Check that all moves are over."""
--- a/tests/support/waves.py
+++ b/tests/support/waves.py
@@ -65,11 +65,13 @@
 
 @define(eq=False)
 class ManyHosts(HostsClient):
-    """Platform that takes each order and counts those on their way."""
+    """Platform that takes orders and counts those on their way."""
 
     name: ClassVar[str] = 'many'
 
     hosts: dict[HostId, ListedHost]
+    # Orders beyond so many at a time are throttled.
+    limit: int = 1000
     on_the_way: int = 0
     # The most orders that were on their way at a time.
     most: int = 0
@@ -84,6 +86,8 @@
         wave: int,
     ) -> HostOutcome:
         """Take an order a moment later; the worker is another one then."""
+        if self.on_the_way >= self.limit:
+            return HostOutcome.throttled
         self.on_the_way += 1
         self.most = max(self.most, self.on_the_way)
         await sleep(0)
@@ -98,8 +102,8 @@
         order: HostOrder,
         pool: PoolName,
     ) -> HostOutcome:
-        """Refuse any move."""
-        return HostOutcome.refused
+        """Throttle any move."""
+        return HostOutcome.throttled
 
 
 @define(eq=False)
@@ -163,6 +167,11 @@
             self.keeper.get_moment,
         )
 
+    def order_move(self, host: HostId) -> None:
+        """Order a move as its keeper does."""
+        move = Move(host, PoolName('p'), PoolName('q'), WorkerId(''))
+        run(self.make_mover().begin((move,)))
+
     async def commit(self, records: Sequence[Record]) -> Result[None, Any]:
         """Apply records at once."""
         self.commits += 1
