Hand ends over to be recorded once, not again with each tick

Cause: as long as the end of a run was on its way into the log, each tick (20 a second) and each answer of its worker committed another batch without records for that worker, to move the cursor of its looks. The later the loop, the more such entries: each is encoded, synced, sent to all voters and applied there.

The session notes up to which end it has handed over; only newer ones are handed over. The batch of an end moves the cursor as before.

Before, "Ends on their way into the log are not handed over with each tick" failed: the ticks handed over CommitBatch(records=()).

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -371,7 +371,8 @@
         now: Moment,
     ) -> None:
         records = tuple(self.ends.get_records(session, ended, now))
-        if records or session.seen_number > session.cursor:
+        if records or session.seen_number > session.handed_number:
+            session.handed_number = session.seen_number
             self.effects.append(
                 CommitBatch(records, session, session.seen_number),
             )
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -47,8 +47,10 @@
     lease: WorkerLease
     heard_at: float
     cursor: int = 0
-    # Highest number of an end that was handed over to be recorded.
+    # Highest number of an end that a look listed.
     seen_number: int = 0
+    # Highest number of an end that was handed over to be recorded.
+    handed_number: int = 0
     runs: dict[TaskId, Run] = field(factory=dict)
     # Orders to stop that are due; answered ones are taken out.
     stops: dict[tuple[TaskId, int], float] = field(factory=dict)
@@ -137,6 +139,7 @@
         self.lease.begin_life(now)
         self.cursor = 0
         self.seen_number = 0
+        self.handed_number = 0
         self.is_synced = False
         self.health = WorkerHealth()
         self.stops.clear()
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -177,6 +177,12 @@
     And 2 seconds pass
     Then 0 jobs are pending
 
+  Scenario: Ends on their way into the log are not handed over with each tick
+    Given a work model with seed 17 and no faults
+    When 6 jobs of 2 phases with 5 tasks each are accepted
+    And a look lists ends that are not recorded yet
+    Then 10 ticks hand over nothing to record for these ends
+
   Scenario: Random faults in any order
     Given the work machine with 40 examples
     Then no promise is broken
