Commit records again that the group refused while its leader stayed

Cause: while a leader hands over to another voter its group refuses proposals. If the handover fails, the term and the scheduler go on, but the batch was dropped: its tasks stayed marked as being recorded, so that they never started or ended for that holder, and a later batch of the same worker moved the cursor past ends that were never recorded, which the worker then forgot.

The runner proposes a refused batch again as long as its scheduler leads. All records may be applied twice: a second start or end of a run changes nothing.

Before, "Records that a failed handover refuses are committed later" failed: the record was not applied two seconds after the handover was given up.

--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -205,8 +205,13 @@
         batch: CommitBatch,
     ) -> None:
         payload = self.machine.codec.write(batch.records)
-        outcome = await self.group.propose_once(payload, _COMMIT_SECONDS)
-        if outcome.is_ok() and scheduler is self.scheduler:
+        while scheduler is self.scheduler:
+            outcome = await self.group.propose_once(payload, _COMMIT_SECONDS)
+            if outcome.is_ok():
+                break
+            # A handover that fails refuses records of a term that goes on.
+            await sleep(_RETRY_SECONDS)
+        if scheduler is self.scheduler:
             scheduler.note_committed(batch)
 
     async def _send_start(
--- /dev/null
+++ b/tests/features/steps/retry_steps.py
@@ -0,0 +1,99 @@
+"""Steps with a holder whose group refuses records for a while."""
+
+from asyncio import Runner, sleep
+from random import Random
+from typing import Any
+from unittest.mock import create_autospec
+
+from behave import given, then, when
+
+from hornbeamstair_callers.jobs.effects import CommitBatch
+from hornbeamstair_callers.jobs.runner import WorkRunner
+from hornbeamstair_callers.jobs.scheduler import SchedulerState
+from hornbeamstair_callers.jobs.table import JobTable
+from hornbeamstair_core.ids import WorkerId
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_operators.manifest.table import ManifestTable
+from hornbeamstair_replicas.groups.node import open_node
+from hornbeamstair_replicas.groups.voting import VotingGroup
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.storage.memory import MemoryLogStorage
+from hornbeamstair_replicas.tables.codec import TableStateMachine
+from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.voting.timing import Timing
+from hornbeamstair_upstreams.work.leases import get_lease_terms
+from hornbeamstair_upstreams.work.messages import WorkerSeen
+from hornbeamstair_upstreams.work.sender import WorkerSender
+from hornbeamstair_upstreams.work.table import WorkerTable
+from tests.support.stepped_loop import SteppedClock, SteppedLoop
+from tests.support.work_model import (
+    LONGEST_LEASE,
+    STOP_SECONDS,
+    make_announced,
+)
+
+OWN = VoterId('a')
+WORKER = WorkerId('w')
+TARGET = VoterId('b')
+
+
+@given('a holder that leads alone')
+def make_holder(context: Any) -> None:
+    """Make the group and the runner of a sole voter."""
+    clock = SteppedClock()
+    state = SchedulerState(JobTable(), ManifestTable(), WorkerTable())
+    machine = TableStateMachine((state.jobs, state.manifest, state.workers))
+    node = open_node(
+        'work',
+        OWN,
+        MemoryLogStorage(),
+        machine,
+        (OWN,),
+        Timing(),
+        Random(1),
+        clock.now,
+    )
+    node.get_time = clock.get_time
+    group = VotingGroup('work', node, LocalTransport(OWN), clock.get_time)
+    context.clock = clock
+    context.holder = WorkRunner(
+        group,
+        machine,
+        state,
+        create_autospec(WorkerSender, instance=True),
+        get_lease_terms(LONGEST_LEASE, STOP_SECONDS),
+        Metrics(),
+        lambda: Moment(clock.now, clock.now),
+        set,
+    )
+
+
+@when('it hands over in vain while a record is on its way to the log')
+def hand_over(context: Any) -> None:
+    """Have the group refuse proposals until the handover is given up."""
+    with Runner(loop_factory=lambda: SteppedLoop(context.clock)) as runner:
+        runner.run(_hand_over(context.holder))
+
+
+@then('the record is committed all the same')
+def check_record(context: Any) -> None:
+    """Check that the record was applied."""
+    assert WORKER in context.holder.state.workers.workers
+
+
+async def _hand_over(holder: WorkRunner) -> None:
+    holder.group.start()
+    holder.start()
+    await sleep(1)
+    scheduler = holder.find_scheduler()
+    assert scheduler is not None
+    role = holder.group.node.voter.find_leader_role().ok
+    role.transfer_target = TARGET
+    role.transfer_deadline = holder.group.get_time() + 1
+    seen = WorkerSeen(make_announced(WORKER, 1))
+    scheduler.effects.append(CommitBatch((seen,)))
+    await sleep(3)
+    assert holder.find_scheduler() is scheduler
+    await holder.stop()
+    await holder.group.stop()
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -183,6 +183,11 @@
     And a look lists ends that are not recorded yet
     Then 10 ticks hand over nothing to record for these ends
 
+  Scenario: Records that a failed handover refuses are committed later
+    Given a holder that leads alone
+    When it hands over in vain while a record is on its way to the log
+    Then the record is committed all the same
+
   Scenario: Random faults in any order
     Given the work machine with 40 examples
     Then no promise is broken
