Let a new life of a worker forget no ends of its own

Cause: each life of a worker counts its ends from one. A batch with ends of a former life that was committed after the new life had begun set the cursor of the new one to the number of the old. The next look then let the worker forget ends that nobody had seen; their tasks counted as lost and ran again.

The batch names the life whose ends it holds, and moves the cursor of that life only. Before, "Ends of a former life do not make the next one forget its own" failed: the look at the new life had cursor=1.

--- a/packages/callers/hornbeamstair_callers/jobs/effects.py
+++ b/packages/callers/hornbeamstair_callers/jobs/effects.py
@@ -14,11 +14,13 @@
 class CommitBatch(Effect):
     """Commit records, then tell the scheduler.
 
-    Once they are committed the worker may forget its ends up to a number.
+    Once they are committed the life of the worker that listed its ends may
+    forget them up to a number.
     """
 
     records: tuple[Record, ...]
     session: WorkerSession | None = None
+    incarnation: int = 0
     cursor: int = 0
 
 
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -145,7 +145,7 @@
     def note_committed(self, batch: CommitBatch) -> None:
         """Have a worker forget ends after their records were applied."""
         if batch.session is not None:
-            batch.session.cursor = max(batch.session.cursor, batch.cursor)
+            batch.session.note_recorded(batch.incarnation, batch.cursor)
 
     def note_record(self, record: Record, now: Moment) -> None:
         """Go on after a record was applied, whoever proposed it."""
@@ -374,7 +374,12 @@
         if records or session.seen_number > session.handed_number:
             session.handed_number = session.seen_number
             self.effects.append(
-                CommitBatch(records, session, session.seen_number),
+                CommitBatch(
+                    records,
+                    session,
+                    session.announced.incarnation,
+                    session.seen_number,
+                ),
             )
 
     def _log_end(self, job_id: JobId, at: float) -> None:
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -125,6 +125,12 @@
             lease_end=self.lease.give(now) if is_reached else None,
         )
 
+    def note_recorded(self, incarnation: int, number: int) -> None:
+        """Note up to which number the ends of a life are recorded."""
+        # Each life counts its ends from one.
+        if incarnation == self.announced.incarnation:
+            self.cursor = max(self.cursor, number)
+
     def end_life(
         self,
         incarnation: int | None,
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -183,6 +183,13 @@
     And a look lists ends that are not recorded yet
     Then 10 ticks hand over nothing to record for these ends
 
+  Scenario: Ends of a former life do not make the next one forget its own
+    Given a work model with seed 18 and no faults
+    When 6 jobs of 2 phases with 5 tasks each are accepted
+    And a look lists ends that are not recorded yet
+    And their worker is born again before they are recorded
+    Then the first look at its new life lets it forget no end
+
   Scenario: Records that a failed handover refuses are committed later
     Given a holder that leads alone
     When it hands over in vain while a record is on its way to the log
