Rank waiting jobs anew only when their rank may change

Cause: each placement and each tick worked out the place in the order of every waiting job: two passes over its phases, though the key changes only with the job, the manifest, or once it is too late for its objective.

The index keeps the key with the time up to which it holds, and drops it with the job's ready tasks and with each new manifest. The order stays the same.

Before, "Jobs that wait are not ranked anew while nothing changes" failed: the placements worked out the keys of all waiting jobs.

--- a/packages/callers/hornbeamstair_callers/jobs/order.py
+++ b/packages/callers/hornbeamstair_callers/jobs/order.py
@@ -1,6 +1,7 @@
 """Order in which jobs get room on the workers."""
 
 from abc import ABC, abstractmethod
+from math import inf
 from typing import ClassVar, Final
 
 from attrs import frozen
@@ -35,6 +36,10 @@
     ) -> tuple[float, ...]:
         """Get a sort key at a wall-clock time; the lowest comes first."""
 
+    @abstractmethod
+    def get_change(self, job: Job, queue: Queue, wall: float) -> float:
+        """Get the time after which the sort key changes by itself."""
+
     @abstractmethod
     def is_hopeless(self, job: Job, queue: Queue, wall: float) -> bool:
         """Tell whether a job can no longer meet its objective."""
@@ -65,14 +70,16 @@
             _get_due(job),
         )
 
+    def get_change(self, job: Job, queue: Queue, wall: float) -> float:
+        """Get the time after which the job is hopeless."""
+        if job.spec.lasts:
+            return inf
+        latest = _get_latest(job, queue)
+        return inf if wall > latest else latest
+
     def is_hopeless(self, job: Job, queue: Queue, wall: float) -> bool:
         """Compare the estimates of what is left with the objective."""
-        if job.spec.lasts:
-            return False
-        chain = get_chain_seconds(job.spec)
-        objective = _get_due(job) + chain * queue.stretch + queue.target_seconds
-        rest = get_rest_seconds(job) * (1 + _MARGIN_SHARE)
-        return wall + rest > objective
+        return not job.spec.lasts and wall > _get_latest(job, queue)
 
 
 def get_chain_seconds(spec: JobSpec) -> float:
@@ -100,3 +107,10 @@
 def _get_due(job: Job) -> float:
     """Get the wall-clock time from which the objective of a job counts."""
     return max(job.accepted_at, job.spec.get_due(0))
+
+
+def _get_latest(job: Job, queue: Queue) -> float:
+    """Get the time by which a job must go on to meet its objective."""
+    chain = get_chain_seconds(job.spec)
+    objective = _get_due(job) + chain * queue.stretch + queue.target_seconds
+    return objective - get_rest_seconds(job) * (1 + _MARGIN_SHARE)
--- a/packages/callers/hornbeamstair_callers/jobs/waiting.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Iterable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from hornbeamstair_callers.jobs.order import JobOrder
 from hornbeamstair_callers.jobs.ready import ReadyPhase, find_ready
 from hornbeamstair_callers.jobs.table import Job, JobTable
 from hornbeamstair_core.ids import JobId, ServiceName, TaskId
+from hornbeamstair_operators.manifest.messages import Manifest, Queue
 from hornbeamstair_operators.manifest.table import ManifestTable
 
 __all__ = ('WaitingJob', 'WaitingJobs')
@@ -22,6 +23,14 @@
     phases: list[ReadyPhase]
 
 
+@frozen
+class _Rank:
+    """Sort key of a job, and the time up to which it holds."""
+
+    key: tuple[float, ...]
+    until: float
+
+
 @define(eq=False)
 class WaitingJobs:
     """Ready tasks by job, worked out again only for jobs that changed."""
@@ -33,6 +42,9 @@
     stale: set[JobId] = field(factory=set)
     # Wall-clock times since when phases have ready tasks.
     since: dict[JobId, dict[str, float]] = field(factory=dict)
+    ranks: dict[JobId, _Rank] = field(factory=dict, init=False)
+    # Manifest by which the jobs were ranked.
+    ranked_by: Manifest | None = field(default=None, init=False)
     # Tasks of which a start or an end is being recorded.
     in_flight: set[TaskId] = field(factory=set)
 
@@ -54,13 +66,16 @@
     ) -> dict[ServiceName, list[WaitingJob]]:
         """Get the waiting jobs of each service in their order."""
         self._refresh(wall)
+        if self.ranked_by is not self.manifest.manifest:
+            self.ranked_by = self.manifest.manifest
+            self.ranks.clear()
         by_service: dict[ServiceName, list[WaitingJob]] = {}
         for job_id, phases in self.ready.items():
             job = self.jobs.jobs[job_id]
             queue = self.manifest.find_known(job.queue)
             if queue is not None:
                 waiting = WaitingJob(
-                    self.order.get_key(job, queue, wall),
+                    self._get_key(job, queue, wall),
                     job,
                     phases,
                 )
@@ -81,15 +96,32 @@
         else:
             self.ready.pop(job, None)
             self.since.pop(job, None)
+            self.ranks.pop(job, None)
 
     def get_waited(self, phase: ReadyPhase, wall: float) -> float:
         """Get the seconds for which a phase has had ready tasks."""
         since = self.since.get(phase.key.job, {})
         return wall - since.get(phase.group, wall)
 
+    def _get_key(
+        self,
+        job: Job,
+        queue: Queue,
+        wall: float,
+    ) -> tuple[float, ...]:
+        rank = self.ranks.get(job.spec.job)
+        if rank is None or wall > rank.until:
+            rank = _Rank(
+                self.order.get_key(job, queue, wall),
+                self.order.get_change(job, queue, wall),
+            )
+            self.ranks[job.spec.job] = rank
+        return rank.key
+
     def _refresh(self, wall: float) -> None:
         for job_id in self.stale:
             job = self.jobs.jobs.get(job_id)
+            self.ranks.pop(job_id, None)
             phases = [] if job is None else find_ready(job, wall)
             self._note_since(job_id, phases, wall)
             self.put_left(job_id, phases)
--- a/tests/features/steps/placement_steps.py
+++ b/tests/features/steps/placement_steps.py
@@ -5,9 +5,10 @@
 
 from behave import then, when
 
+from hornbeamstair_callers.jobs.order import ObjectiveOrder
 from hornbeamstair_core.ids import JobId
 from hornbeamstair_upstreams.work.session import WorkerSession
-from tests.support.work_model import ROOM, make_phase
+from tests.support.work_model import ROOM, SERVICE, STEP, make_phase
 
 SLOTS = 8
 
@@ -35,3 +36,35 @@
     ) as asked:
         context.work.scheduler.place(context.work.get_moment())
     assert asked.call_count == limit, asked.call_count
+
+
+@then('{count:d} placements rank no job anew')
+def check_ranked(context: Any, count: int) -> None:
+    """Count the keys that placements work out."""
+    scheduler = context.work.scheduler
+    with patch.object(
+        ObjectiveOrder,
+        'get_key',
+        autospec=True,
+        side_effect=ObjectiveOrder.get_key,
+    ) as ranked:
+        for _ in range(count):
+            scheduler.place(context.work.get_moment())
+    assert not ranked.called, ranked.call_count
+
+
+@then('for {seconds:d} seconds each rank is that of a new look')
+def check_ranks(context: Any, seconds: int) -> None:
+    """Compare the keys of the waiting jobs with keys worked out anew."""
+    model = context.work
+    end = model.now + seconds
+    compared = 0
+    while model.now < end:
+        model.run(STEP)
+        wall = model.get_moment().wall
+        waiting = model.scheduler.waiting
+        for found in waiting.get_waiting(wall).get(SERVICE, ()):
+            queue = model.tables.manifest.find_known(found.job.queue)
+            assert found.key == waiting.order.get_key(found.job, queue, wall)
+            compared += 1
+    assert compared
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -177,6 +177,13 @@
     And 2 seconds pass
     Then 0 jobs are pending
 
+  Scenario: Jobs that wait are not ranked anew while nothing changes
+    Given a work model with seed 16, 36 workers and no faults
+    When 1 seconds pass
+    And 100 jobs alike are accepted, more than there is room for
+    Then 5 placements rank no job anew
+    And for 5 seconds each rank is that of a new look
+
   Scenario: Ends on their way into the log are not handed over with each tick
     Given a work model with seed 17 and no faults
     When 6 jobs of 2 phases with 5 tasks each are accepted
