--- a/packages/replicas/hornbeamstair_replicas/voting/progress.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/progress.py
@@ -17,7 +17,9 @@
     # Until it answers the last message it is sent no entries.
     is_probed: bool = False
     snapshot_index: int = 0
+    # Part of the snapshot that the peer holds, and what was sent of it.
     snapshot_offset: int = 0
+    sent_offset: int = 0
 
     @property
     def installs_snapshot(self) -> bool:
@@ -36,6 +38,21 @@
         """
         return not self.is_probed or sent_at >= self.sent_at
 
+    def begin_snapshot(self, index: int) -> None:
+        """Send a snapshot from its start."""
+        self.snapshot_index = index
+        self.snapshot_offset = 0
+        self.sent_offset = 0
+
+    def take_offset(self, offset: int) -> bool:
+        """Note the part of a snapshot held; tell whether it grew or fell."""
+        is_new = offset != self.snapshot_offset
+        # A peer that started again holds less than it did.
+        if offset < self.snapshot_offset:
+            self.sent_offset = offset
+        self.snapshot_offset = offset
+        return is_new
+
     def match(self, index: int) -> None:
         """Note that the peer holds the log up to an index."""
         self.match_index = max(self.match_index, index)
--- a/packages/replicas/hornbeamstair_replicas/voting/replicator.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/replicator.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 from hornbeamstair_core.units import KIB
-from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.messages import Snapshot, VoterId
 from hornbeamstair_replicas.voting.messages import (
     AppendAnswer,
     AppendRequest,
@@ -19,7 +19,11 @@
 
 _MAX_ENTRIES: Final = 256
 _CHUNK_BYTES: Final = 256 * KIB  # noqa: WPS432
+# Parts of a snapshot on their way at once: answers of a busy peer take long.
+_WINDOW_BYTES: Final = 4 * _CHUNK_BYTES
 _RESEND_HEARTBEATS: Final = 3
+# Parts are large, and what is sent again delays the rest.
+_RESEND_PART_HEARTBEATS: Final = 10
 # Some messages bring the rest, in a fraction of a second.
 _CAUGHT_UP_ENTRIES: Final = 4 * _MAX_ENTRIES
 
@@ -115,9 +119,7 @@
             progress.snapshot_index = 0
             progress.match(answer.snapshot_index)
             return True
-        is_new = progress.snapshot_offset != answer.next_offset
-        progress.snapshot_offset = answer.next_offset
-        return is_new
+        return progress.take_offset(answer.next_offset)
 
     def broadcast(self, now: float) -> None:
         """Send entries, or a heartbeat, to every peer."""
@@ -125,6 +127,7 @@
             is_probed = self._probes(progress, now)
             is_slow = progress.installs_snapshot or is_probed
             if not (is_slow and self._waits(progress, now)):
+                progress.sent_offset = progress.snapshot_offset
                 self.send(peer, now)
 
     def send_entries(self, now: float) -> None:
@@ -167,16 +170,37 @@
         return progress.is_probed
 
     def _waits(self, progress: PeerProgress, now: float) -> bool:
-        timeout = self.state.timing.heartbeat * _RESEND_HEARTBEATS
+        heartbeats = _RESEND_HEARTBEATS
+        if progress.installs_snapshot:
+            heartbeats = _RESEND_PART_HEARTBEATS
+        timeout = self.state.timing.heartbeat * heartbeats
         return now - progress.sent_at < timeout
 
     def _send_snapshot(self, peer: VoterId, progress: PeerProgress) -> None:
         snapshot = self.state.log.snapshot
         if progress.snapshot_index != snapshot.index:
-            progress.snapshot_index = snapshot.index
-            progress.snapshot_offset = 0
-        offset = progress.snapshot_offset
-        chunk = snapshot.state[offset : offset + _CHUNK_BYTES]
+            progress.begin_snapshot(snapshot.index)
+        progress.sent_offset = max(
+            progress.sent_offset,
+            progress.snapshot_offset,
+        )
+        end = min(
+            progress.snapshot_offset + _WINDOW_BYTES,
+            # An empty snapshot is a part of no bytes.
+            max(len(snapshot.state), 1),
+        )
+        while progress.sent_offset < end:
+            self._send_part(peer, progress, snapshot)
+            progress.sent_offset += _CHUNK_BYTES
+
+    def _send_part(
+        self,
+        peer: VoterId,
+        progress: PeerProgress,
+        snapshot: Snapshot,
+    ) -> None:
+        offset = progress.sent_offset
+        part = snapshot.state[offset : offset + _CHUNK_BYTES]
         self.state.send(
             peer,
             SnapshotChunk(
@@ -185,8 +209,8 @@
                 snapshot_term=snapshot.term,
                 voters=snapshot.voters,
                 offset=offset,
-                chunk=chunk,
-                is_last=offset + len(chunk) >= len(snapshot.state),
+                chunk=part,
+                is_last=offset + len(part) >= len(snapshot.state),
                 sent_at=progress.sent_at,
             ),
         )
--- a/tests/features/steps/voting_steps.py
+++ b/tests/features/steps/voting_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from hypothesis.stateful import run_state_machine_as_test
 
+from hornbeamstair_core.units import KIB
 from hornbeamstair_replicas.groups.node import LogNode, open_node
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.messages import VoterId
@@ -25,6 +26,8 @@
 from tests.support.voters import STEP, Journal, VoterNetwork
 
 NEW_VOTER = VoterId('new')
+SEED = 10
+PART_BYTES = 256 * KIB
 
 
 @given('{count:d} voters with seed {seed:d}')
@@ -249,6 +252,44 @@
     assert context.network.find_leaders() == [context.target]
 
 
+@given('3 voters with a snapshot of {parts:d} parts')
+def start_large(context: Any, parts: int) -> None:
+    """Start voters and commit payloads of a part each."""
+    voters = tuple(map(VoterId, 'abc'))
+    context.network = VoterNetwork(
+        Random(SEED),
+        voters,
+        max_delay=0,
+        snapshot_entries=parts,
+    )
+    for voter in voters:
+        context.network.start(voter)
+    context.network.run(3)
+    for number in range(parts):
+        context.network.propose(str(number).encode().ljust(PART_BYTES))
+        context.network.run(STEP)
+    context.network.run(1)
+
+
+@when('a new voter is fed')
+def feed_new(context: Any) -> None:
+    """Begin to feed a voter with an empty disk."""
+    network: VoterNetwork = context.network
+    network.start(NEW_VOTER, is_joining=True)
+    leader = network.find_leaders()[0]
+    role = network.get_leader_role(leader)
+    role.put_learners((NEW_VOTER,), network.now)
+    network.flush(leader)
+
+
+@then('it holds all in less than {trips:d} round trips')
+def check_trips(context: Any, trips: int) -> None:
+    """Let as much time pass as the round trips take."""
+    network: VoterNetwork = context.network
+    network.run(2 * STEP * (trips - 1))
+    assert network.get_journal(NEW_VOTER) == network.longest
+
+
 @when('a voter is added and another removed at once')
 def change_twice(context: Any) -> None:
     """Start two changes of the voters at once."""
--- a/tests/features/voting.feature
+++ b/tests/features/voting.feature
@@ -59,6 +59,11 @@
     When the cut heals and 1000 payloads are proposed in 2 seconds
     Then it holds all and was sent less than 3000 entries since
 
+  Scenario: A snapshot of many parts does not wait for each part's answer
+    Given 3 voters with a snapshot of 24 parts
+    When a new voter is fed
+    Then it holds all in less than 24 round trips
+
   Scenario: Two changes of the voters at once are refused
     Given 3 voters with seed 7
     When a voter is added and another removed at once
