--- a/packages/replicas/hornbeamstair_replicas/groups/node.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/node.py
@@ -34,6 +34,8 @@
 __all__ = ('AppliedEntry', 'Flushed', 'LogNode', 'open_node')
 
 _SNAPSHOT_ENTRIES: Final = 10000
+# The log may grow so much while a peer still receives the last snapshot.
+_HELD_FACTOR: Final = 2
 
 
 @frozen
@@ -137,7 +139,10 @@
 
     def _compact(self) -> None:
         covered = self.applied_index - self.voter.state.log.snapshot.index
-        if covered < self.snapshot_entries:
+        limit = self.snapshot_entries
+        if self.voter.sends_snapshot():
+            limit *= _HELD_FACTOR
+        if covered < limit:
             return
         began = self.get_time()
         state = self.state_machine.get_snapshot()
--- a/packages/replicas/hornbeamstair_replicas/voting/replicator.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/replicator.py
@@ -84,6 +84,13 @@
             return missing >= _MAX_ENTRIES
         return missing > 0
 
+    def sends_snapshot(self) -> bool:
+        """Tell whether a peer receives the snapshot part by part."""
+        return any(
+            progress.snapshot_offset and progress.installs_snapshot
+            for progress in self.peers.values()
+        )
+
     def has_quorum(self, now: float, seconds: float) -> bool:
         """Tell whether a quorum answered what was sent so recently."""
         reached = {
--- a/packages/replicas/hornbeamstair_replicas/voting/voter.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/voter.py
@@ -146,6 +146,11 @@
         """Tell whether there are writes or messages to take."""
         return not self.state.outputs.is_empty
 
+    def sends_snapshot(self) -> bool:
+        """Tell whether another voter receives the snapshot from this one."""
+        role = self.role
+        return isinstance(role, LeaderRole) and role.replicator.sends_snapshot()
+
     def note_synced(self) -> None:
         """Count this voter's own entries once they are synced."""
         self.state.synced_index = self.state.log.last_index
--- a/tests/features/steps/voting_steps.py
+++ b/tests/features/steps/voting_steps.py
@@ -103,10 +103,11 @@
     assert held == network.longest, (len(held), len(network.longest))
 
 
-def _propose_over(network: VoterNetwork, count: int, seconds: int) -> None:
+def _propose_over(network: VoterNetwork, count: int, seconds: float) -> None:
     steps = round(seconds / STEP)
     for step in range(steps):
-        for number in range(count // steps):
+        due = count * (step + 1) // steps - count * step // steps
+        for number in range(due):
             assert network.propose(f'{step}.{number}'.encode())
         network.run(STEP / 2)
 
@@ -289,8 +290,8 @@
     network.turns[network.find_leaders()[0]] = round(seconds / STEP)
 
 
-@when('{count:d} payloads are proposed in {seconds:d} seconds')
-def propose_fast(context: Any, count: int, seconds: int) -> None:
+@when('{count:d} payloads are proposed in {seconds:g} seconds')
+def propose_fast(context: Any, count: int, seconds: float) -> None:
     """Propose payloads at an even rate."""
     _propose_over(context.network, count, seconds)
 
--- a/tests/features/voting.feature
+++ b/tests/features/voting.feature
@@ -71,6 +71,13 @@
     And 6800 payloads are proposed in 4 seconds
     Then the new voter could vote at once
 
+  Scenario: A snapshot that is being sent is not replaced under load
+    Given 3 voters with a snapshot of 24 parts
+    When the leader acts only every 0.26 seconds
+    And a new voter is fed
+    And 48 payloads are proposed in 2.4 seconds
+    Then the new voter could vote at once
+
   Scenario: Two changes of the voters at once are refused
     Given 3 voters with seed 7
     When a voter is added and another removed at once
