--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -120,7 +120,8 @@
 @then('a start of the job is recorded')
 def check_recorded(context: Any) -> None:
     """Check that the log holds a run."""
-    found = next(iter(context.work.scheduler.state.jobs.jobs.values()))
+    table = context.work.scheduler.state.jobs
+    found = next(table.get_open())
     assert any(task.run for task in found.tasks.values())
 
 
