Count a run on a leaving worker as away before it is stopped

Cause: runs on a worker that leaves are stopped whatever else is away, as they end in any case. Until its stop was decided such a run counted as one at work, so that in the same pass two others of its phase were let go from hosts of the wave before it.

That the three stops were decided in one pass is concluded from this; the log has no line for a stop.

Change: runs on leaving workers do not count as at work.

Open: a worker may announce that it leaves while stops of others of the phase are on their way; its own run is then still stopped at once.

The test failed before: task 0 was told to stop as well as task 3, of which one may be away.

--- a/packages/callers/hornbeamstair_callers/jobs/evacuation.py
+++ b/packages/callers/hornbeamstair_callers/jobs/evacuation.py
@@ -112,8 +112,11 @@
 ) -> Iterator[Run]:
     stopping = scheduler.terms.stopping
     for session in scheduler.sessions.values():
-        # The runs of a silent worker may have ended long ago.
-        runs = session.runs.values() if session.is_reached(now.steady) else ()
+        # The runs of a silent worker may have ended long ago, and those of a
+        # leaving one end in any case.
+        is_sure = session.is_reached(now.steady)
+        is_sure = is_sure and not session.announced.is_leaving
+        runs = session.runs.values() if is_sure else ()
         yield from (
             run
             for run in runs
--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -254,6 +254,25 @@
     assert context.stopped, 'nothing was freed'
 
 
+@when('the last of its workers leaves while all others are to be freed')
+def leave_and_free(context: Any) -> None:
+    """Have a worker leave and free all workers at the same time."""
+    work = context.work
+    sessions = work.scheduler.sessions
+    session = [found for found in sessions.values() if found.runs][-1]
+    session.announced = evolve(session.announced, is_leaving=True)
+    context.leaving = {(run.task, run.run) for run in session.runs.values()}
+    reserved = [name for name, found in sessions.items() if found.runs]
+    free_workers(work.scheduler, reserved, (), work.get_moment())
+
+
+@then('only the tasks of that worker are told to stop')
+def check_only_leaving(context: Any) -> None:
+    """Check that no run of another worker is stopped."""
+    stopped = _get_stopped(context.work.scheduler.sessions.values())
+    assert stopped == context.leaving, stopped
+
+
 @then('the task runs elsewhere within {seconds:g} seconds of the cut')
 def check_restarted(context: Any, seconds: float) -> None:
     """Check that another worker runs the task of the lost one."""
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -118,6 +118,13 @@
     And one of its tasks is told to stop just before the holder changes
     Then its other tasks are freed for 3 seconds without harm
 
+  Scenario: A run on a leaving worker counts as away before it is stopped
+    Given a work model with seed 11, 6 workers and no faults
+    When a job of 4 steady tasks of which 1 may be away
+    And 3 seconds pass
+    And the last of its workers leaves while all others are to be freed
+    Then only the tasks of that worker are told to stop
+
   Scenario: Work starts elsewhere before its worker counts as away
     Given a work model with seed 12, 6 workers and no faults
     When a job of 4 steady tasks of which 1 may be away
