Say nothing of the runs of the next leader after a term is over

Its scheduler took a start of the next leader for one of its own on a lost worker, recorded it as lost, and the log forwarded that record to the next leader: the task would be started twice.

Change: records are passed on, and batches proposed, only while the term of the scheduler goes on; the same test decides when it is dropped.

--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -95,9 +95,11 @@
 
     def note_applied(self, record: Record) -> None:
         """Have the scheduler go on, also if the proposer has given up."""
-        if self.scheduler is None:
+        scheduler = self.scheduler
+        if scheduler is None or not _is_in_term(self.group, scheduler):
+            # The record may be of the next leader, who settles its own.
             return
-        self.scheduler.note_record(record, self.get_moment())
+        scheduler.note_record(record, self.get_moment())
         self._gather()
         if not self.has_applied:
             self.has_applied = True
@@ -113,14 +115,11 @@
             await sleep(_TICK_SECONDS)
 
     def _follow_role(self) -> None:
-        role = self.group.node.voter.find_leader_role()
-        term = self.group.node.voter.state.term
         scheduler = self.scheduler
-        if scheduler is not None:
-            if role.is_error() or scheduler.fencing_token != term:
-                self._drop()
+        if scheduler is not None and not _is_in_term(self.group, scheduler):
+            self._drop()
         if self.scheduler is None and self.leads():
-            self._take_over(term)
+            self._take_over(self.group.node.voter.state.term)
 
     def _take_over(self, term: int) -> None:
         now = self.get_moment()
@@ -204,6 +203,9 @@
         scheduler: Scheduler,
         batch: CommitBatch,
     ) -> None:
+        if not _is_in_term(self.group, scheduler):
+            # The log would forward it to the next leader.
+            return
         payload = self.machine.codec.write(batch.records)
         while scheduler is self.scheduler:
             outcome = await self.group.propose_once(payload, _COMMIT_SECONDS)
@@ -276,3 +278,10 @@
             if answer.outcome != OrderOutcome.done:
                 self.metrics.count_retry(f'look_{answer.outcome.value}')
                 await sleep(_RETRY_SECONDS)
+
+
+def _is_in_term(group: VotingGroup, scheduler: Scheduler) -> bool:
+    """Tell whether a term goes on, be its lease in force or not."""
+    voter = group.node.voter
+    is_same = voter.state.term == scheduler.fencing_token
+    return is_same and voter.find_leader_role().is_ok()
--- a/tests/features/holder.feature
+++ b/tests/features/holder.feature
@@ -15,3 +15,8 @@
     Given a holder with a worker
     When a job is recorded after its proposer gave up
     Then the worker runs the task within 2 seconds
+
+  Scenario: A process that led says nothing of the runs of the next leader
+    Given a holder with a worker
+    When its term is over and a start of the next leader is applied
+    Then it says nothing of that run for 0.3 seconds
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -3,10 +3,13 @@
 from asyncio import Runner, create_task, sleep
 from typing import Any
 
+from attrs import evolve
 from behave import given, then, when
 
+from hornbeamstair_callers.jobs.records import RunStarted
 from hornbeamstair_core.clock import get_moment
-from tests.support.holder import Holder, make_accepted
+from hornbeamstair_core.ids import WorkerId
+from tests.support.holder import TASK, Holder, make_accepted
 
 
 @given('a holder with a worker')
@@ -30,6 +33,22 @@
     context.holder.set_lease(has_lease=True)
 
 
+@when('its term is over and a start of the next leader is applied')
+def apply_next(context: Any) -> None:
+    """Have the log hold a start of the next leader before the runner knows."""
+    context.loop.run(_apply_next(context.holder))
+
+
+@then('it says nothing of that run for {seconds:g} seconds')
+def check_unsaid(context: Any, seconds: float) -> None:
+    """Check that the run is not ended by the process that led before."""
+    context.loop.run(sleep(seconds))
+    job = context.holder.find_job()
+    task = job.get_task(TASK)
+    assert (task.run, task.worker) == (1, 'w0'), task
+    context.loop.run(context.holder.stop())
+
+
 @when('another process forwards a job to its log')
 def forward_job(context: Any) -> None:
     """Have a job come into the log that nobody here proposed."""
@@ -65,6 +84,18 @@
     assert proposing.cancelled()
 
 
+async def _apply_next(holder: Holder) -> None:
+    # The loop is late: the next tick comes after what follows.
+    holder.runner.ticking.cancel()
+    holder.set_lease(has_lease=False)
+    await holder.runner.commit((make_accepted(get_moment()),))
+    state = holder.group.node.voter.state
+    state.vote = evolve(state.vote, term=state.term + 1)
+    holder.state.jobs.apply(RunStarted(TASK, 1, WorkerId('w0'), 1))
+    for _ in range(10):
+        await sleep(0)
+
+
 async def _let_lapse(holder: Holder) -> None:
     await holder.runner.commit((make_accepted(get_moment()),))
     await holder.wait_for_record()
