--- a/packages/replicas/hornbeamstair_replicas/groups/node.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/node.py
@@ -34,7 +34,7 @@
 __all__ = ('AppliedEntry', 'Flushed', 'LogNode', 'open_node')
 
 _SNAPSHOT_ENTRIES: Final = 10000
-# The log may grow so much while a peer still receives the last snapshot.
+# The log may grow so much while a peer is being brought up to date.
 _HELD_FACTOR: Final = 2
 
 
@@ -140,7 +140,7 @@
     def _compact(self) -> None:
         covered = self.applied_index - self.voter.state.log.snapshot.index
         limit = self.snapshot_entries
-        if self.voter.sends_snapshot():
+        if self.voter.needs_log():
             limit *= _HELD_FACTOR
         if covered < limit:
             return
--- a/packages/replicas/hornbeamstair_replicas/voting/replicator.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/replicator.py
@@ -39,6 +39,8 @@
     peers: dict[VoterId, PeerProgress] = field(factory=dict)
     # Peers that do not vote and are fed with the heartbeats.
     learners: tuple[VoterId, ...] = ()
+    # Time of the last heartbeats.
+    beat_at: float = 0
 
     def put_peers(self, wanted: list[VoterId], now: float) -> None:
         """Replicate to these peers and the learners, and to no others."""
@@ -70,9 +72,7 @@
         if progress is None or not progress.match_index:
             return False
         missing = self.state.commit_index - progress.match_index
-        silence = now - progress.acknowledged_at
-        is_current = silence < self.state.timing.election_max
-        return is_current and missing <= _CAUGHT_UP_ENTRIES
+        return self._answers(peer, now) and missing <= _CAUGHT_UP_ENTRIES
 
     def has_more(self, peer: VoterId) -> bool:
         """Tell whether a peer is sent more before the next heartbeat."""
@@ -84,11 +84,15 @@
             return missing >= _MAX_ENTRIES
         return missing > 0
 
-    def sends_snapshot(self) -> bool:
-        """Tell whether a peer receives the snapshot part by part."""
+    def needs_log(self) -> bool:
+        """Tell whether a peer that answers is still being brought up to date.
+
+        Without the entries after its snapshot it would begin anew.
+        """
+        now = self.beat_at
         return any(
-            progress.snapshot_offset and progress.installs_snapshot
-            for progress in self.peers.values()
+            self._answers(peer, now) and not self.is_caught_up(peer, now)
+            for peer in self.peers
         )
 
     def has_quorum(self, now: float, seconds: float) -> bool:
@@ -133,6 +137,7 @@
 
     def broadcast(self, now: float) -> None:
         """Send entries, or a heartbeat, to every peer."""
+        self.beat_at = now
         for peer, progress in self.peers.items():
             is_probed = self._probes(peer, now)
             is_slow = progress.installs_snapshot or is_probed
@@ -154,6 +159,10 @@
         while self._has_room(progress):
             self._send(peer, now)
 
+    def _answers(self, peer: VoterId, now: float) -> bool:
+        silence = now - self.peers[peer].acknowledged_at
+        return silence < self.state.timing.election_max
+
     def _has_room(self, progress: PeerProgress) -> bool:
         if progress.installs_snapshot or progress.is_probed:
             return False
--- a/packages/replicas/hornbeamstair_replicas/voting/voter.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/voter.py
@@ -146,10 +146,10 @@
         """Tell whether there are writes or messages to take."""
         return not self.state.outputs.is_empty
 
-    def sends_snapshot(self) -> bool:
-        """Tell whether another voter receives the snapshot from this one."""
+    def needs_log(self) -> bool:
+        """Tell whether another voter is being brought up to date."""
         role = self.role
-        return isinstance(role, LeaderRole) and role.replicator.sends_snapshot()
+        return isinstance(role, LeaderRole) and role.replicator.needs_log()
 
     def note_synced(self) -> None:
         """Count this voter's own entries once they are synced."""
--- a/tests/features/steps/voting_steps.py
+++ b/tests/features/steps/voting_steps.py
@@ -47,13 +47,27 @@
 @given('{count:d} voters with seed {seed:d} that keep their whole log')
 def start_long(context: Any, count: int, seed: int) -> None:
     """Start voters that write no snapshot."""
+    start_compacting(context, count, seed, 100000)
+
+
+@given(
+    '{count:d} voters with seed {seed:d} that write a snapshot each '
+    '{entries:d} entries',
+)
+def start_compacting(
+    context: Any,
+    count: int,
+    seed: int,
+    entries: int,
+) -> None:
+    """Start voters that write few snapshots."""
     voters = tuple(map(VoterId, 'abcde'[:count]))
     network = VoterNetwork(
         Random(seed),
         voters,
         # A connection keeps the order of its messages.
         max_delay=0,
-        snapshot_entries=100000,
+        snapshot_entries=entries,
     )
     for voter in voters:
         network.start(voter)
@@ -306,6 +320,12 @@
     assert ready == [NEW_VOTER], (progress, role.state.commit_index)
 
 
+@then('it was sent no snapshot')
+def check_no_part(context: Any) -> None:
+    """Check that the new voter got entries only."""
+    assert not context.network.sent_parts[NEW_VOTER], context.network.sent_parts
+
+
 @then('it holds all in less than {trips:d} round trips')
 def check_trips(context: Any, trips: int) -> None:
     """Let as much time pass as the round trips take."""
--- a/tests/features/voting.feature
+++ b/tests/features/voting.feature
@@ -78,6 +78,15 @@
     And 48 payloads are proposed in 2.4 seconds
     Then the new voter could vote at once
 
+  Scenario: Entries that a new voter is being sent are not compacted
+    Given 3 voters with seed 12 that write a snapshot each 6000 entries
+    When 5500 payloads are proposed in 1 seconds
+    And the leader acts only every 0.26 seconds
+    And a new voter is fed
+    And 3400 payloads are proposed in 2 seconds
+    Then the new voter could vote at once
+    And it was sent no snapshot
+
   Scenario: Two changes of the voters at once are refused
     Given 3 voters with seed 7
     When a voter is added and another removed at once
--- a/tests/support/voters.py
+++ b/tests/support/voters.py
@@ -16,6 +16,7 @@
 from hornbeamstair_replicas.storage.memory import MemoryLogStorage
 from hornbeamstair_replicas.voting.messages import (
     AppendRequest,
+    SnapshotChunk,
     VoterMessage,
 )
 from hornbeamstair_replicas.voting.roles.leader import LeaderRole
@@ -75,6 +76,7 @@
     longest: list[bytes] = field(factory=list)
     # Entries sent to each voter, on links that are cut as well.
     sent_entries: 'Counter[VoterId]' = field(factory=Counter)
+    sent_parts: 'Counter[VoterId]' = field(factory=Counter)
     snapshot_entries: int = SNAPSHOT_ENTRIES
     # Steps from one turn of a voter's loop to the next.
     turns: dict[VoterId, int] = field(factory=dict)
@@ -200,6 +202,8 @@
     ) -> None:
         if isinstance(message, AppendRequest):
             self.sent_entries[receiver] += len(message.entries)
+        if isinstance(message, SnapshotChunk):
+            self.sent_parts[receiver] += 1
         if (sender, receiver) in self.cuts or self.rng.random() < self.loss:
             return
         arrives_at = self.now + self.rng.uniform(0, self.max_delay)
