Let a worker forget no end before the batch that holds it is recorded

Each batch of a worker moved the cursor of its looks up to the highest end that was listed, also a batch without these ends. Where the batch with the ends had been refused and waited to be proposed again, the worker forgot them while the log did not hold them: with the next holder tasks that were done ran again.

The ends of a life are handed over in batches named by their highest number, and the cursor passes a batch only once it and all before it are recorded.

--- a/packages/callers/hornbeamstair_callers/jobs/effects.py
+++ b/packages/callers/hornbeamstair_callers/jobs/effects.py
@@ -15,7 +15,7 @@
     """Commit records, then tell the scheduler.
 
     Once they are committed the life of the worker that listed its ends may
-    forget them up to a number.
+    forget them, up to the number that names the batch.
     """
 
     records: tuple[Record, ...]
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -264,7 +264,7 @@
                 await sleep(_TICK_SECONDS)
                 continue
             began = self.get_moment().steady
-            if session.seen_number > session.cursor:
+            if not session.numbers.is_recorded():
                 # A look before the commit would list the same ends again.
                 await sleep(_COMMIT_PAUSE_SECONDS)
                 continue
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -371,14 +371,14 @@
         now: Moment,
     ) -> None:
         records = tuple(self.ends.get_records(session, ended, now))
-        if records or session.seen_number > session.handed_number:
-            session.handed_number = session.seen_number
+        number = session.numbers.hand_over()
+        if records or number:
             self.effects.append(
                 CommitBatch(
                     records,
                     session,
                     session.announced.incarnation,
-                    session.seen_number,
+                    number,
                 ),
             )
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/looks.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/looks.py
@@ -60,9 +60,9 @@
     reports: Iterable[EndReport],
 ) -> Iterator[EndedRun]:
     for report in reports:
-        if report.number <= session.seen_number:
+        if report.number <= session.numbers.seen:
             continue
-        session.seen_number = report.number
+        session.numbers.seen = report.number
         session.stops.pop((report.task, report.run), None)
         run = session.runs.get(report.task)
         if run is None or run.run != report.run:
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -6,6 +6,7 @@
 from attrs import define, evolve, field
 
 from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.end_numbers import EndNumbers
 from hornbeamstair_upstreams.work.health import WorkerHealth
 from hornbeamstair_upstreams.work.leases import LeaseTerms, WorkerLease
 from hornbeamstair_upstreams.work.messages import (
@@ -46,11 +47,7 @@
     terms: LeaseTerms
     lease: WorkerLease
     heard_at: float
-    cursor: int = 0
-    # Highest number of an end that a look listed.
-    seen_number: int = 0
-    # Highest number of an end that was handed over to be recorded.
-    handed_number: int = 0
+    numbers: EndNumbers = field(factory=EndNumbers)
     runs: dict[TaskId, Run] = field(factory=dict)
     # Orders to stop that are due; answered ones are taken out.
     stops: dict[tuple[TaskId, int], float] = field(factory=dict)
@@ -120,16 +117,16 @@
             address=self.announced.address,
             port=self.announced.port,
             fencing_token=self.fencing_token,
-            cursor=self.cursor,
+            cursor=self.numbers.cursor,
             wait_seconds=self.terms.wait if is_reached else 0,
             lease_end=self.lease.give(now) if is_reached else None,
         )
 
     def note_recorded(self, incarnation: int, number: int) -> None:
-        """Note up to which number the ends of a life are recorded."""
+        """Note that a batch with ends of a life is recorded."""
         # Each life counts its ends from one.
         if incarnation == self.announced.incarnation:
-            self.cursor = max(self.cursor, number)
+            self.numbers.note_recorded(number)
 
     def end_life(
         self,
@@ -143,9 +140,7 @@
         life has answered.
         """
         self.lease.begin_life(now)
-        self.cursor = 0
-        self.seen_number = 0
-        self.handed_number = 0
+        self.numbers = EndNumbers()
         self.is_synced = False
         self.health = WorkerHealth()
         self.stops.clear()
--- a/tests/features/steps/record_steps.py
+++ b/tests/features/steps/record_steps.py
@@ -5,6 +5,13 @@
 from behave import then, when
 
 from hornbeamstair_callers.jobs.effects import CommitBatch
+from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.messages import (
+    EndReport,
+    HoldAnswer,
+    OrderOutcome,
+    RunEnd,
+)
 from tests.support.work_model import make_announced
 
 
@@ -64,5 +71,63 @@
     return [
         session
         for session in context.work.scheduler.sessions.values()
-        if session.seen_number > session.cursor
+        if not session.numbers.is_recorded()
     ]
+
+
+@when('looks at a worker list the ends 1 to {middle:d} and then to {last:d}')
+def list_twice(context: Any, middle: int, last: int) -> None:
+    """Have two looks hand over a batch each."""
+    scheduler = context.work.scheduler
+    context.session = next(iter(scheduler.sessions.values()))
+    scheduler.take_effects()
+    for number in (middle, last):
+        _look(context, number)
+    context.batches = [
+        effect
+        for effect in scheduler.take_effects()
+        if isinstance(effect, CommitBatch)
+    ]
+    assert [batch.cursor for batch in context.batches] == [middle, last]
+
+
+@when('a batch of the same worker without ends is recorded')
+def record_other(context: Any) -> None:
+    """Record a batch that holds no listed end."""
+    session = context.session
+    batch = CommitBatch((), session, session.announced.incarnation)
+    context.work.scheduler.note_committed(batch)
+
+
+@when('batch {place:d} of the ends is recorded')
+def record_batch(context: Any, place: int) -> None:
+    """Record one of the batches."""
+    context.work.scheduler.note_committed(context.batches[place - 1])
+
+
+@then('the next look lets it forget the ends up to {number:d}')
+def check_forgotten(context: Any, number: int) -> None:
+    """Check the cursor of the next look."""
+    order = context.session.get_hold(context.work.now)
+    assert order.cursor == number, order
+
+
+def _look(context: Any, last: int) -> None:
+    """List ends of runs that the holder does not know."""
+    ended = tuple(
+        EndReport(number, TaskId(f'{number:016x}.0.0.0'), 1, RunEnd.done, '')
+        for number in range(1, last + 1)
+    )
+    moment = context.work.get_moment()
+    answer = HoldAnswer(
+        OrderOutcome.done,
+        moment.steady,
+        context.session.announced.incarnation,
+        ended=ended,
+    )
+    context.work.scheduler.note_hold(
+        context.session,
+        answer,
+        moment.steady,
+        moment,
+    )
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -209,6 +209,17 @@
     When it hands over in vain while a record is on its way to the log
     Then the record is committed all the same
 
+  Scenario: A worker forgets no end before the batch that holds it is recorded
+    Given a work model with seed 19, 3 workers and no faults
+    When 1 seconds pass
+    And looks at a worker list the ends 1 to 5 and then to 7
+    And a batch of the same worker without ends is recorded
+    Then the next look lets it forget the ends up to 0
+    When batch 2 of the ends is recorded
+    Then the next look lets it forget the ends up to 0
+    When batch 1 of the ends is recorded
+    Then the next look lets it forget the ends up to 7
+
   Scenario: Random faults in any order
     Given the work machine with 40 examples
     Then no promise is broken
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -429,7 +429,7 @@
     def _look(self) -> None:
         for name, session in list(self.scheduler.sessions.items()):
             due = self.looked_at.get(name, 0) + self.rng.choice((0, 0.3))
-            if self.now < due or session.seen_number > session.cursor:
+            if self.now < due or not session.numbers.is_recorded():
                 continue
             self.looked_at[name] = self.now
             answer = look_at(self, session.get_hold(self.now))
