Write nothing in one term that was decided in another

A proposal waits for its batch, up to 30 ms and the lateness of the loop. If the leader changed meanwhile it was forwarded to the next one, who took the end of a run for recorded that he had just inherited, and started the task beside it.

What the holder proposes carries its term, and is refused, neither written nor forwarded, once this process does not lead that term. A failed disk answers what waits for a batch, and batches are not proposed again after it.

The new scenario 'What was decided in one term is not written in the next' drives propose_once with a term, which the code before did not take.

--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from attrs import define, field
-from expression import Error, Ok, Result
+from expression import Error, Result
 
 from hornbeamstair_callers.jobs.effects import (
     CommitBatch,
@@ -88,10 +88,12 @@
     ) -> Result[None, Failure]:
         """Commit records; they are applied when it returns."""
         payload = self.machine.codec.write(records)
-        outcome = await self.group.propose_once(payload)
-        if outcome.is_error():
-            return Error(outcome.error)
-        return Ok(None)
+        role = self.group.find_leading_role()
+        if role.is_error():
+            return Error(role.error)
+        term = self.group.node.voter.state.term
+        outcome = await self.group.propose_once(payload, term=term)
+        return outcome.map(lambda _: None)
 
     def note_applied(self, record: Record) -> None:
         """Have the scheduler go on, also if the proposer has given up."""
@@ -204,9 +206,12 @@
         batch: CommitBatch,
     ) -> None:
         payload = self.machine.codec.write(batch.records)
-        # After its term the log would forward it to the next leader.
         while _is_in_term(self.group, scheduler):
-            outcome = await self.group.propose_once(payload, _COMMIT_SECONDS)
+            outcome = await self.group.propose_once(
+                payload,
+                _COMMIT_SECONDS,
+                scheduler.fencing_token,
+            )
             if outcome.is_ok():
                 break
             # A handover that fails refuses records of a term that goes on.
@@ -282,4 +287,5 @@
     """Tell whether a term goes on, be its lease in force or not."""
     voter = group.node.voter
     is_same = voter.state.term == scheduler.fencing_token
-    return is_same and voter.find_leader_role().is_ok()
+    is_leader = voter.find_leader_role().is_ok()
+    return is_same and is_leader and group.failure is None
--- a/packages/replicas/hornbeamstair_replicas/groups/forwarding.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/forwarding.py
@@ -1,17 +1,20 @@
 """Proposals on their way into the log, and who waits for them."""
 
 from asyncio import Future
+from collections.abc import Iterable
 
 from attrs import define, field, frozen
-from expression import Result
+from expression import Error, Result
 
 from hornbeamstair_core.failures import Failure
+from hornbeamstair_replicas.failures import NotLeaderFailure
 
 __all__ = (
     'Answer',
     'ForwardedProposals',
     'Proposal',
     'WaitingProposer',
+    'refuse_former',
     'set_answer',
 )
 
@@ -24,6 +27,8 @@
 
     payload: bytes
     answer: 'Future[Answer]'
+    # Term of this process that it was decided in; None if any leader will do.
+    term: int | None = None
 
 
 @frozen
@@ -61,3 +66,17 @@
     """Answer a proposer that still waits."""
     if not answer.done():
         answer.set_result(outcome)
+
+
+def refuse_former(
+    proposals: Iterable[Proposal],
+    led_term: int | None,
+) -> list[Proposal]:
+    """Refuse the proposals of terms that are over; return the others."""
+    standing: list[Proposal] = []
+    for proposal in proposals:
+        if proposal.term in {None, led_term}:
+            standing.append(proposal)
+        else:
+            set_answer(proposal.answer, Error(NotLeaderFailure('')))
+    return standing
--- a/packages/replicas/hornbeamstair_replicas/groups/pace.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/pace.py
@@ -47,13 +47,18 @@
         if self.timer is None:
             self._set_timer()
 
-    def flush(self) -> None:
-        """Propose what waits, without any delay."""
+    def take(self) -> list[Proposal]:
+        """Take what waits out."""
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
         proposals = self.proposals
         self.proposals = []
+        return proposals
+
+    def flush(self) -> None:
+        """Propose what waits, without any delay."""
+        proposals = self.take()
         if proposals:
             self.propose(proposals)
 
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -26,6 +26,7 @@
     ForwardedProposals,
     Proposal,
     WaitingProposer,
+    refuse_former,
     set_answer,
 )
 from hornbeamstair_replicas.groups.node import AppliedEntry, LogNode
@@ -95,12 +96,17 @@
         self,
         payload: bytes,
         seconds: float = _COMMIT_SECONDS,
+        term: int | None = None,
     ) -> Answer:
-        """Commit a payload and return the answer of the state machine."""
+        """Commit a payload and return the answer of the state machine.
+
+        With a term it is refused once this process does not lead that term
+        any more, unless it was written before.
+        """
         if self.failure is not None:
             return Error(self.failure)
         answer: Future[Answer] = get_running_loop().create_future()
-        self.batch.add(Proposal(payload, answer))
+        self.batch.add(Proposal(payload, answer, term))
         try:
             async with timeout(seconds):
                 return await answer
@@ -110,13 +116,18 @@
     def propose_all(self, proposals: list[Proposal]) -> None:
         """Write a batch of proposals, or pass them on to the leader."""
         self._schedule()
-        payloads = tuple(proposal.payload for proposal in proposals)
+        voter = self.node.voter
+        led = voter.state.term if voter.find_leader_role().is_ok() else None
+        standing = refuse_former(proposals, led)
+        if not standing:
+            return
+        payloads = tuple(proposal.payload for proposal in standing)
         indexes = self.node.voter.propose(payloads, self.get_time())
         if indexes.is_error():
-            self._forward(proposals)
+            self._forward(standing)
             return
         term = self.node.voter.state.term
-        for index, proposal in zip(indexes.ok, proposals, strict=True):
+        for index, proposal in zip(indexes.ok, standing, strict=True):
             self.waiting[index] = WaitingProposer(term, proposal.answer)
 
     def get_applied_index(self) -> int:
@@ -293,6 +304,8 @@
         for waiting in self.waiting.values():
             set_answer(waiting.answer, Error(failure))
         self.waiting.clear()
+        for proposal in self.batch.take():
+            set_answer(proposal.answer, Error(failure))
 
 
 def _send_place(
--- a/tests/features/commits.feature
+++ b/tests/features/commits.feature
@@ -14,6 +14,11 @@
     When 2 proposals a second come for 3 seconds
     Then each proposal is committed within 7 ms
 
+  Scenario: What was decided in one term is not written in the next
+    Given a group on a disk that takes 6 ms a sync
+    When a proposal of a term waits for its batch as another voter leads
+    Then it is refused with code 5003 and goes to nobody
+
   Scenario: A slow disk holds up no commit for long beyond its syncs
     Given a group on a disk that takes 100 ms a sync
     When 100 proposals a second come for 2 seconds
--- a/tests/features/steps/commit_steps.py
+++ b/tests/features/steps/commit_steps.py
@@ -1,6 +1,6 @@
 """Steps with a group on a slow disk and a clock that it moves."""
 
-from asyncio import Runner, gather, sleep
+from asyncio import Runner, create_task, gather, sleep
 from random import Random
 from typing import Any
 
@@ -10,11 +10,13 @@
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.voting.messages import AppendRequest
 from hornbeamstair_replicas.voting.timing import Timing
 from tests.support.stepped_loop import SlowStorage, SteppedClock, SteppedLoop
 from tests.support.voters import Journal
 
 OWN = VoterId('a')
+OTHER = VoterId('b')
 
 
 @given('a group on a disk that takes {milliseconds:d} ms a sync')
@@ -52,6 +54,21 @@
         runner.run(_propose_all(context, rate, rate * seconds))
 
 
+@when('a proposal of a term waits for its batch as another voter leads')
+def propose_across_terms(context: Any) -> None:
+    """Have a newer leader heard between a proposal and its batch."""
+    with Runner(loop_factory=lambda: SteppedLoop(context.clock)) as runner:
+        runner.run(_propose_across_terms(context))
+
+
+@then('it is refused with code {code:d} and goes to nobody')
+def check_refused(context: Any, code: int) -> None:
+    """Check that the proposal was neither written nor forwarded."""
+    assert context.answer.is_error(), context.answer
+    assert context.answer.error.number == code, context.answer
+    assert not context.group.forwarded.waiting
+
+
 @then('syncs take at most {share:d} percent of the time')
 def check_share(context: Any, share: int) -> None:
     """Check the share of the time that syncs took."""
@@ -87,3 +104,22 @@
     answer = await context.group.propose_once(b'x')
     assert answer.is_ok(), answer
     return float(context.clock.now - due)
+
+
+async def _propose_across_terms(context: Any) -> None:
+    group = context.group
+    voter = group.node.voter
+    group.start()
+    await sleep(1)
+    # The next batch has to wait after this sync.
+    await group.propose_once(b'before')
+    term = voter.state.term
+    waiting = create_task(group.propose_once(b'late', term=term))
+    await sleep(0)
+    voter.receive(
+        OTHER,
+        AppendRequest(term + 1, 0, 0, (), 0, 0),
+        context.clock.now,
+    )
+    context.answer = await waiting
+    await group.stop()
