Take no more hosts down by late records of a former holder

Callers: in the model, more hosts of a wave were down than max_down, and a host that was over was ordered a second time.

Cause: the table took MaintenanceBegun from any step and beyond the limit; the keeper went on to commit after its term, and the records went to the next leader, which ordered them again.

Change: the table takes it only for a host that waits and while fewer than max_down are down. The keeper asks whether its scheduler leads before it settles or begins a wave and before it orders, and orders only hosts that the table has as ordered.

Tests, fleet.feature, on the code before: Records of a former holder take no more hosts down than may be: AssertionError: ['m0', 'm1', 'm2', 'm3'] A record of a former holder takes no maintained host down: AssertionError: ['m0'] The tests are of the table; the checks of the keeper have no test of their own.

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -100,6 +100,8 @@
     ) -> None:
         plans: list[WavePlan] = []
         for progress in waves:
+            if scheduler is not self.runner.find_scheduler():
+                return
             await self._settle(progress)
             loads = get_loads(scheduler)
             now = self.get_moment()
@@ -114,6 +116,9 @@
             )
         self._free(scheduler, plans)
         for wave, plan in zip(waves, plans, strict=True):
+            if scheduler is not self.runner.find_scheduler():
+                # The log would forward the records to the next leader.
+                return
             await self._begin(scheduler, wave, plan.ordered)
 
     async def _settle(self, progress: WaveProgress) -> None:
@@ -207,8 +212,12 @@
         is_committed = await self._commit(
             [MaintenanceBegun(wave, host.host, host.worker) for host in begun],
         )
-        if is_committed:
-            await self._order(progress, begun)
+        if is_committed and scheduler is self.runner.find_scheduler():
+            ordered = set(progress.get_hosts(HostStep.ordered))
+            await self._order(
+                progress,
+                [host for host in begun if host.host in ordered],
+            )
 
     async def _order(
         self,
--- a/packages/fleet/hornbeamstair_fleet/waves/table.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/table.py
@@ -88,9 +88,8 @@
                 if wave.number not in self.waves:
                     steps = dict.fromkeys(wave.hosts, HostStep.waiting)
                     self.waves[wave.number] = WaveProgress(wave, steps)
-            case MaintenanceBegun(wave, host, worker):
-                self.waves[wave].steps[host] = HostStep.ordered
-                self.waves[wave].workers[host] = worker
+            case MaintenanceBegun():
+                self._take_begun(record)
             case MaintenanceDone():
                 self._take_done(record)
         return None
@@ -120,6 +119,14 @@
         found = () if state is None else state.waves
         self.waves = {progress.wave.number: progress for progress in found}
 
+    def _take_begun(self, record: MaintenanceBegun) -> None:
+        """Take a host down if it may be; a former holder's may be late."""
+        progress = self.waves[record.wave]
+        is_waiting = progress.steps.get(record.host) == HostStep.waiting
+        if is_waiting and progress.count_down() < progress.wave.max_down:
+            progress.steps[record.host] = HostStep.ordered
+            progress.workers[record.host] = record.worker
+
     def _take_done(self, record: MaintenanceDone) -> None:
         if record.is_over:
             step = HostStep.over
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -174,3 +174,16 @@
     Given a wave of 12 idle hosts of other pools each
     When a move of host m3 is ordered and throttled
     Then no host is on its way
+
+  Scenario: Records of a former holder take no more hosts down than may be
+    Given a table of a wave of 4 hosts with at most 2 down
+    When the maintenance of hosts "m0 m1" is begun
+    And the maintenance of hosts "m2 m3" is begun
+    Then hosts "m0 m1" may be down
+
+  Scenario: A record of a former holder takes no maintained host down
+    Given a table of a wave of 4 hosts with at most 2 down
+    When the maintenance of hosts "m0" is begun
+    And the maintenance of host m0 is over
+    And the maintenance of hosts "m0" is begun
+    Then no host of the table may be down
