Keep a move that is begun when a late record names its host again

Callers: in the model, a late record of a former holder turned a move round that was begun.

Cause: the table took MoveBegun for a host that was moving already.

Change: the table keeps the first move, the keeper begins moves only while its scheduler leads and orders only those that the table has.

--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -73,7 +73,8 @@
             if self._reserve(scheduler, move)
         ]
         self._log_rooms(view, now.steady)
-        await self.begin(planned)
+        if scheduler is self.runner.find_scheduler():
+            await self.begin(planned)
 
     async def begin(self, moves: Sequence[Move]) -> None:
         """Record moves and order them."""
@@ -81,7 +82,9 @@
             return
         committed = await self.runner.commit(tuple(map(MoveBegun, moves)))
         if committed.is_ok():
-            await gather(*map(self._order, moves))
+            begun = self.table.begun
+            ours = [move for move in moves if begun.get(move.host) == move]
+            await gather(*map(self._order, ours))
 
     def get_workers(self) -> set[WorkerId]:
         """Get the workers whose hosts may leave at any moment."""
--- a/packages/fleet/hornbeamstair_fleet/moves/table.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/table.py
@@ -32,7 +32,8 @@
         """Apply a record."""
         match record:
             case MoveBegun(move):
-                self.begun[move.host] = move
+                # A former holder's record may be late.
+                self.begun.setdefault(move.host, move)
             case MoveEnded(host):
                 self.begun.pop(host, None)
         return None
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -187,3 +187,8 @@
     And the maintenance of host m0 is over
     And the maintenance of hosts "m0" is begun
     Then no host of the table may be down
+
+  Scenario: A record of a former holder does not turn a move round
+    Given a table in which host m0 moves to pool p
+    When a record says that host m0 moves to pool q
+    Then host m0 moves to pool p in the table
