Hand the leadership back and forth around a wiped disk in random runs

Each plan of the fleet of members is also checked now: a voter whose disk is present is removed only from more voters than wanted.

--- a/tests/features/members.feature
+++ b/tests/features/members.feature
@@ -20,6 +20,14 @@
       | 3000  | 3024 |
       | 3040  | 3049 |
 
+  Scenario Outline: Leadership handed away and back around a wiped disk
+    Given random handovers with seeds from <first> to <last>
+    Then each time a leader accepted and held all that was accepted
+
+    Examples:
+      | first | last |
+      | 3100  | 3107 |
+
   Scenario: A spare whose leader went silent for good reports to the new one
     Given a spare whose leader x has been silent for 10 seconds
     And a process y that leads
--- a/tests/features/steps/member_steps.py
+++ b/tests/features/steps/member_steps.py
@@ -32,6 +32,7 @@
 from tests.support.random_members import (
     CATCH_UP_SECONDS,
     check_service,
+    run_handovers,
     run_members,
     wipe_during,
 )
@@ -124,6 +125,12 @@
     context.fleets = [run_members(seed) for seed in range(first, last + 1)]
 
 
+@given('random handovers with seeds from {first:d} to {last:d}')
+def hand_over_at_random(context: Any, first: int, last: int) -> None:
+    """Run handovers around wiped disks; each run checks itself."""
+    context.fleets = [run_handovers(seed) for seed in range(first, last + 1)]
+
+
 @then('each time a leader accepted and held all that was accepted')
 def check_fleets(context: Any) -> None:
     """Check that the runs accepted payloads at all."""
--- a/tests/support/member_fleet.py
+++ b/tests/support/member_fleet.py
@@ -102,7 +102,12 @@
         for leader in self.network.find_leaders():
             zone = self.zones[machines[leader]]
             role = self.network.get_leader_role(leader)
-            lead_members(role, self.planners[leader], zone, self.network.now)
+            planner = self.planners[leader]
+            event = lead_members(role, planner, zone, self.network.now)
+            if event is not None and event.change == 'RemoveVoter':
+                is_present = event.voter in self.voters.values()
+                has_more = event.voters > planner.get_wanted()
+                assert has_more or not is_present, event
             self.network.flush(leader)
 
     def _cut(self) -> None:
--- a/tests/support/random_members.py
+++ b/tests/support/random_members.py
@@ -8,7 +8,7 @@
 from tests.support.member_fleet import MemberFleet, make_fleet
 from tests.support.random_voters import check_journal
 
-__all__ = ('check_service', 'run_members', 'wipe_during')
+__all__ = ('check_service', 'run_handovers', 'run_members', 'wipe_during')
 
 # Bounds of the deployments: a machine that is back counts as lost for as long.
 CATCH_UP_SECONDS: Final = 6.0
@@ -36,6 +36,25 @@
     return fleet
 
 
+def run_handovers(seed: int) -> MemberFleet:
+    """Hand the leadership away and back around a wiped disk."""
+    rng = Random(seed)
+    layout, losses = rng.choice(_LAYOUTS)
+    fleet = make_fleet(seed, layout, losses)
+    fleet.run(CATCH_UP_SECONDS)
+    for _ in range(_ROUNDS):
+        first, second, wiped = _choose_machines(fleet, rng)
+        _hand_over(fleet, second)
+        wipe_during(fleet, (wiped,), restarts_all=False)
+        fleet.run(CATCH_UP_SECONDS)
+        fleet.apart = {wiped}
+        _hand_over(fleet, first)
+        fleet.run(rng.uniform(1, 3))
+        check_service(fleet)
+        fleet.run(CATCH_UP_SECONDS)
+    return fleet
+
+
 def wipe_during(
     fleet: MemberFleet,
     wiped: Iterable[ProcessId],
@@ -74,6 +93,19 @@
     check_journal(network, network.find_leaders()[0])
 
 
+def _choose_machines(fleet: MemberFleet, rng: Random) -> list[ProcessId]:
+    """Choose the machine that leads, and two others that vote."""
+    leader, *others = fleet.find_voting()
+    return [leader, *rng.sample(others, 2)]
+
+
+def _hand_over(fleet: MemberFleet, machine: ProcessId) -> None:
+    """Ask the leader to hand over to a machine that votes."""
+    network = fleet.network
+    network.transfer(network.find_leaders()[0], fleet.voters[machine])
+    fleet.run(0.4)
+
+
 def _lose_some(fleet: MemberFleet, rng: Random) -> None:
     machines = sorted(fleet.voters)
     if rng.choice((True, False)):
