Take a batch for recorded only once it is

Found on the last read of this change. Joining two fixes left the word that a batch is recorded behind the loop that proposes it, so that a batch whose term was over before it was committed moved the cursor of its worker as well, as long as the scheduler of that term was not dropped, 50 ms at most.

--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -57,7 +57,6 @@
     ticking: 'Task[None] | None' = field(default=None, init=False)
     looks: dict[WorkerId, 'Task[None]'] = field(factory=dict, init=False)
     tasks: 'set[Task[None]]' = field(factory=set, init=False)
-    last_commit: 'Task[None] | None' = field(default=None, init=False)
     is_gathering: bool = field(default=False, init=False)
     has_applied: bool = field(default=False, init=False)
     is_stopping: bool = field(default=False, init=False)
@@ -136,7 +135,6 @@
             return
         self.scheduler = None
         self.state.jobs.listener = None
-        self.last_commit = None
         for task in (*self.tasks, *self.looks.values()):
             task.cancel()
         self.looks.clear()
@@ -213,11 +211,10 @@
                 scheduler.fencing_token,
             )
             if outcome.is_ok():
-                break
+                scheduler.note_committed(batch)
+                return
             # A handover that fails refuses records of a term that goes on.
             await sleep(_RETRY_SECONDS)
-        if scheduler is self.scheduler:
-            scheduler.note_committed(batch)
 
     async def _send_start(
         self,
