--- a/packages/callers/hornbeamstair_callers/jobs/demand.py
+++ b/packages/callers/hornbeamstair_callers/jobs/demand.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from hornbeamstair_callers.jobs.evacuation import has_place_elsewhere
-from hornbeamstair_callers.jobs.messages import parse_task_id
+from hornbeamstair_callers.jobs.messages import get_job
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_callers.jobs.waiting import WaitingJob
 from hornbeamstair_core.ids import JobId, PoolName, ServiceName
@@ -64,7 +64,7 @@
     for session in scheduler.get_sessions(service):
         for run in session.runs.values():
             if not run.needs.fills and not run.needs.lasts:
-                job = parse_task_id(run.task).key.job
+                job = get_job(run.task)
                 by_job[job] += run.needs.room.cpu
     for found in waiting:
         is_hopeless = scheduler.waiting.is_hopeless(found.job, now.wall)
--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from hornbeamstair_callers.jobs.messages import parse_task_id
+from hornbeamstair_callers.jobs.messages import get_job, parse_task_id
 from hornbeamstair_callers.jobs.records import JobFailed, RunEnded
 from hornbeamstair_callers.jobs.run_log import RunLog
 from hornbeamstair_callers.jobs.table import Job, JobTable
@@ -57,11 +57,11 @@
             now.wall,
         )
         if ended.end == RunEnd.failed and self._uses_up(run):
-            yield JobFailed(parse_task_id(run.task).key.job, now.wall)
+            yield JobFailed(get_job(run.task), now.wall)
 
     def _uses_up(self, run: Run) -> bool:
         """Tell whether a failure is the last that its job may have."""
-        job = self.jobs.jobs.get(parse_task_id(run.task).key.job)
+        job = self.jobs.jobs.get(get_job(run.task))
         if job is None or run.needs.lasts or not job.is_open:
             return False
         queue = self.manifest.find_known(job.queue)
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -17,7 +17,7 @@
     WorkerQuarantinedEvent,
 )
 from hornbeamstair_callers.jobs.inheritance import InheritedRuns
-from hornbeamstair_callers.jobs.messages import parse_task_id
+from hornbeamstair_callers.jobs.messages import get_job
 from hornbeamstair_callers.jobs.order import ObjectiveOrder
 from hornbeamstair_callers.jobs.records import (
     JobAccepted,
@@ -153,12 +153,12 @@
             case RunStarted():
                 self._order_start(record, now)
                 # The task may be listed as ready since before its record.
-                self.waiting.mark((parse_task_id(record.task).key.job,))
+                self.waiting.mark((get_job(record.task),))
             case RunEnded(task, end=end, at=at):
                 self.waiting.in_flight.discard(task)
                 if end != RunEnd.lost:
                     self.unstarted.note_started((task,))
-                job_id = parse_task_id(task).key.job
+                job_id = get_job(task)
                 self.waiting.mark((job_id,))
                 self._log_end(job_id, at)
             case JobAccepted():
@@ -324,7 +324,7 @@
             self.effects.append(CommitBatch(tuple(records)))
 
     def _find_job(self, task: TaskId) -> Job | None:
-        return self.state.jobs.jobs.get(parse_task_id(task).key.job)
+        return self.state.jobs.jobs.get(get_job(task))
 
     def _order_start(self, record: RunStarted, now: Moment) -> None:
         self.waiting.in_flight.discard(record.task)
