Split looks and the timing of orders off the endpoint of the scheduler

Looks get a class of their own, orders are timed by a sender that wraps another one, and the scheduler writes itself when its term begins and ends. Behaviour stays as it is: each event still has every worker checked for its look.

--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection, Coroutine, Sequence
 from typing import Any, Final
 
-from attrs import define, field
+from attrs import Factory, define, field
 from expression import Error, Result
 
 from hornbeamstair_callers.jobs.effects import (
@@ -12,11 +12,10 @@
     SendStart,
     SendStop,
 )
-from hornbeamstair_callers.jobs.events import HolderChangedEvent
+from hornbeamstair_callers.jobs.looking import WorkerLooks
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
 from hornbeamstair_core.effects import Effect
-from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.metrics import Metrics
@@ -25,7 +24,7 @@
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.tables.codec import TableStateMachine
 from hornbeamstair_upstreams.work.leases import LeaseTerms
-from hornbeamstair_upstreams.work.messages import OrderAnswer, OrderOutcome
+from hornbeamstair_upstreams.work.messages import HoldAnswer, OrderOutcome
 from hornbeamstair_upstreams.work.sender import WorkerSender
 from hornbeamstair_upstreams.work.session import WorkerSession
 
@@ -35,11 +34,21 @@
 # Events that arrive together are decided together.
 _GATHER_SECONDS: Final = 0.004
 _RETRY_SECONDS: Final = 0.25
-_COMMIT_PAUSE_SECONDS: Final = 0.01
 # A batch has its place in the log: it is committed, or another process leads.
 _COMMIT_SECONDS: Final = 60.0
 
 
+def _make_looks(runner: 'WorkRunner') -> WorkerLooks:
+    return WorkerLooks(
+        runner.sender,
+        runner.metrics,
+        lambda: runner.get_moment().steady,
+        runner.leads,
+        runner._has_session,
+        runner._note_look,
+    )
+
+
 @define(eq=False)
 class WorkRunner(RecordCommitter):
     """Scheduler of the terms in which this process leads."""
@@ -55,7 +64,10 @@
     get_held: Callable[[], Collection[WorkerId]]
     scheduler: Scheduler | None = field(default=None, init=False)
     ticking: 'Task[None] | None' = field(default=None, init=False)
-    looks: dict[WorkerId, 'Task[None]'] = field(factory=dict, init=False)
+    looks: WorkerLooks = field(
+        default=Factory(_make_looks, takes_self=True),
+        init=False,
+    )
     tasks: 'set[Task[None]]' = field(factory=set, init=False)
     is_gathering: bool = field(default=False, init=False)
     has_applied: bool = field(default=False, init=False)
@@ -127,7 +139,6 @@
         self.scheduler = Scheduler(self.state, term, self.terms)
         self.state.jobs.listener = self
         self.scheduler.start(now, self.get_held())
-        self._log_change(self.scheduler, holds=True)
 
     def _drop(self) -> None:
         scheduler = self.scheduler
@@ -135,22 +146,10 @@
             return
         self.scheduler = None
         self.state.jobs.listener = None
-        for task in (*self.tasks, *self.looks.values()):
+        for task in self.tasks:
             task.cancel()
-        self.looks.clear()
-        scheduler.run_log.flush()
-        self._log_change(scheduler, holds=False)
-
-    def _log_change(self, scheduler: Scheduler, *, holds: bool) -> None:
-        open_jobs = sum(1 for _ in self.state.jobs.get_open())
-        log_event(
-            HolderChangedEvent(
-                scheduler.fencing_token,
-                holds,
-                len(scheduler.sessions),
-                open_jobs,
-            ),
-        )
+        self.looks.drop()
+        scheduler.stop()
 
     def _gather(self) -> None:
         if not self.is_gathering:
@@ -172,12 +171,24 @@
     def _carry_out(self, scheduler: Scheduler) -> None:
         for effect in scheduler.take_effects():
             self._begin(self._get_work(scheduler, effect))
-        for worker, session in scheduler.sessions.items():
-            look = self.looks.get(worker)
-            if look is None or look.done():
-                self.looks[worker] = create_task(
-                    self._keep_looking(scheduler, session),
-                )
+        for session in scheduler.sessions.values():
+            self.looks.keep(session)
+
+    def _has_session(self, session: WorkerSession) -> bool:
+        scheduler = self.scheduler
+        return scheduler is not None and scheduler.has_session(session)
+
+    def _note_look(
+        self,
+        session: WorkerSession,
+        answer: HoldAnswer,
+        began: float,
+    ) -> None:
+        scheduler = self.scheduler
+        if scheduler is not None:
+            scheduler.note_hold(session, answer, began, self.get_moment())
+            self._carry_out(scheduler)
+            self._gather()
 
     def _get_work(
         self,
@@ -225,7 +236,7 @@
             # The lease may be renewed in this term.
             effect.session.note_unsent(effect.order)
             return
-        answer = await self._measure('start', self.sender.start(effect.order))
+        answer = await self.sender.start(effect.order)
         now = self.get_moment()
         scheduler.note_start(effect.session, effect.order, answer, now)
         if answer.outcome != OrderOutcome.done:
@@ -239,46 +250,11 @@
     ) -> None:
         if not self.leads():
             return
-        answer = await self._measure('stop', self.sender.stop(effect.order))
+        answer = await self.sender.stop(effect.order)
         now = self.get_moment()
         scheduler.note_stop(effect.session, effect.order, answer, now)
         self._carry_out(scheduler)
 
-    async def _measure(
-        self,
-        order: str,
-        answering: Coroutine[Any, Any, OrderAnswer],
-    ) -> OrderAnswer:
-        began = self.get_moment().steady
-        answer = await answering
-        spent = self.get_moment().steady - began
-        self.metrics.orders.labels(order, answer.outcome.value).observe(spent)
-        return answer
-
-    async def _keep_looking(
-        self,
-        scheduler: Scheduler,
-        session: WorkerSession,
-    ) -> None:
-        worker = session.announced.worker
-        while scheduler.sessions.get(worker) is session:
-            if not self.leads():
-                await sleep(_TICK_SECONDS)
-                continue
-            began = self.get_moment().steady
-            if not session.numbers.is_recorded():
-                # A look before the commit would list the same ends again.
-                await sleep(_COMMIT_PAUSE_SECONDS)
-                continue
-            order = session.get_hold(began)
-            answer = await self.sender.hold(order)
-            scheduler.note_hold(session, answer, began, self.get_moment())
-            self._carry_out(scheduler)
-            self._gather()
-            if answer.outcome != OrderOutcome.done:
-                self.metrics.count_retry(f'look_{answer.outcome.value}')
-                await sleep(_RETRY_SECONDS)
-
 
 def _is_in_term(group: VotingGroup, scheduler: Scheduler) -> bool:
     """Tell whether a term goes on, be its lease in force or not."""
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -12,6 +12,7 @@
 )
 from hornbeamstair_callers.jobs.ends import EndRecorder
 from hornbeamstair_callers.jobs.events import (
+    HolderChangedEvent,
     JobEndedEvent,
     WorkerBelievedEvent,
     WorkerQuarantinedEvent,
@@ -135,6 +136,12 @@
         self.waiting.mark(self.state.jobs.jobs)
         for job in self.state.jobs.get_open():
             self.unstarted.note_open(job)
+        self._log_change(holds=True)
+
+    def stop(self) -> None:
+        """Write what was not told yet; another process may lead."""
+        self.run_log.flush()
+        self._log_change(holds=False)
 
     def take_effects(self) -> list[Effect]:
         """Take the effects since the last call."""
@@ -266,6 +273,10 @@
                 self.effects.append(SendStop(session, order))
         self.run_log.flush_due(now)
 
+    def has_session(self, session: WorkerSession) -> bool:
+        """Tell whether a session is that of its worker."""
+        return self.sessions.get(session.announced.worker) is session
+
     def has_runs(self, worker: WorkerId) -> bool:
         """Tell whether anything may run on a worker."""
         session = self.sessions.get(worker)
@@ -323,6 +334,16 @@
             ]
             self.effects.append(CommitBatch(tuple(records)))
 
+    def _log_change(self, *, holds: bool) -> None:
+        log_event(
+            HolderChangedEvent(
+                self.fencing_token,
+                holds,
+                len(self.sessions),
+                sum(1 for _ in self.state.jobs.get_open()),
+            ),
+        )
+
     def _find_job(self, task: TaskId) -> Job | None:
         return self.state.jobs.jobs.get(get_job(task))
 
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -51,6 +51,7 @@
 from hornbeamstair_replicas.transport.websocket import WebsocketTransport
 from hornbeamstair_replicas.voter_ids import get_address
 from hornbeamstair_replicas.voting.timing import Timing
+from hornbeamstair_upstreams.work.measured import MeasuredSender
 from hornbeamstair_upstreams.work.sender import WorkerSender
 from hornbeamstair_upstreams.work.table import WorkerTable
 
@@ -126,7 +127,7 @@
         group,
         machine,
         state,
-        sender,
+        MeasuredSender(sender, metrics, get_steady_time),
         settings.lease,
         metrics,
         get_moment,
--- /dev/null
+++ b/packages/upstreams/hornbeamstair_upstreams/work/measured.py
@@ -0,0 +1,56 @@
+"""Sender of orders that tells how long workers take to answer."""
+
+from collections.abc import Awaitable, Callable
+from typing import ClassVar
+
+from attrs import define
+
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_upstreams.work.messages import (
+    HoldAnswer,
+    HoldOrder,
+    OrderAnswer,
+    StartOrder,
+    StopOrder,
+)
+from hornbeamstair_upstreams.work.sender import WorkerSender
+
+__all__ = ('MeasuredSender',)
+
+
+@define(eq=False)
+class MeasuredSender(WorkerSender):
+    """Sender that times the starts and stops of another one."""
+
+    name: ClassVar[str] = 'measured'
+
+    sender: WorkerSender
+    metrics: Metrics
+    get_time: Callable[[], float]
+
+    async def hold(self, order: HoldOrder) -> HoldAnswer:
+        """Renew the lease and look at the runs and their ends."""
+        return await self.sender.hold(order)
+
+    async def start(self, order: StartOrder) -> OrderAnswer:
+        """Start a run."""
+        return await self._measure('start', self.sender.start(order))
+
+    async def stop(self, order: StopOrder) -> OrderAnswer:
+        """Stop a run."""
+        return await self._measure('stop', self.sender.stop(order))
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.sender.close()
+
+    async def _measure(
+        self,
+        order: str,
+        answering: Awaitable[OrderAnswer],
+    ) -> OrderAnswer:
+        began = self.get_time()
+        answer = await answering
+        spent = self.get_time() - began
+        self.metrics.orders.labels(order, answer.outcome.value).observe(spent)
+        return answer
