Tell what placing costs, and whether a late job waited or took long

The logs could not tell a holder that computes from one whose pool is full: work_waiting shows both alike. placement_load tells once a second the passes, their time, the phases that asked for room, the workers examined and the runs placed; hornbeamstair_placing_seconds has the times. job_ended gains begun_ms and objective_ms, so that hypothesis 3 (begun in time, done late) shows in the log. Hypothesis 2 has pool_room already.

backlog.feature: two scenarios of the new lines, passed.

--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -11,6 +11,7 @@
     'HolderChangedEvent',
     'JobAcceptedEvent',
     'JobEndedEvent',
+    'PlacementLoadEvent',
     'RequestRefusedEvent',
     'RunsEndedEvent',
     'RunsPlacedEvent',
@@ -48,7 +49,12 @@
 
     job: str
     state: str
+    # Since the acceptance, as are the next two.
     age_ms: int
+    # Until the record of the first start; None if this holder saw none.
+    begun_ms: int | None
+    # Until the job was to be done, by its estimates.
+    objective_ms: int | None
 
 
 @register_event
@@ -146,3 +152,21 @@
     summary = 'Tasks wait; the services, their workers and free room.'
 
     services: tuple[Mapping[str, Any], ...]
+
+
+@register_event
+@frozen
+class PlacementLoadEvent(Event):
+    """Passes of the placement in about a second."""
+
+    number = 2010
+    name = 'placement_load'
+    summary = 'Passes of the placement, their time, and what they looked at.'
+
+    passes: int
+    spent_ms: int
+    # Phases that asked for room, workers examined for them, runs placed.
+    asked: int
+    examined: int
+    placed: int
+    span_ms: int
--- a/packages/callers/hornbeamstair_callers/jobs/order.py
+++ b/packages/callers/hornbeamstair_callers/jobs/order.py
@@ -14,6 +14,7 @@
     'JobOrder',
     'ObjectiveOrder',
     'get_chain_seconds',
+    'get_objective',
     'get_rest_seconds',
 )
 
@@ -104,6 +105,12 @@
     return max(ends, default=0)
 
 
+def get_objective(job: Job, queue: Queue) -> float:
+    """Get the wall-clock time by which a job is to be done."""
+    chain = get_chain_seconds(job.spec)
+    return _get_due(job) + chain * queue.stretch + queue.target_seconds
+
+
 def _get_due(job: Job) -> float:
     """Get the wall-clock time from which the objective of a job counts."""
     return max(job.accepted_at, job.spec.get_due(0))
@@ -111,6 +118,5 @@
 
 def _get_latest(job: Job, queue: Queue) -> float:
     """Get the time by which a job must go on to meet its objective."""
-    chain = get_chain_seconds(job.spec)
-    objective = _get_due(job) + chain * queue.stretch + queue.target_seconds
+    objective = get_objective(job, queue)
     return objective - get_rest_seconds(job) * (1 + _MARGIN_SHARE)
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/jobs/placement_log.py
@@ -0,0 +1,60 @@
+"""Log of what the passes of the placement cost."""
+
+from collections.abc import Callable
+from typing import Final
+
+from attrs import define, field
+
+from hornbeamstair_callers.jobs.events import PlacementLoadEvent
+from hornbeamstair_core.events import log_event
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.units import to_milliseconds
+from hornbeamstair_upstreams.work.effort import PlacementEffort
+
+__all__ = ('PlacementLog',)
+
+# One line a second, as of the log of entries, so that both can be compared.
+_REPORT_SECONDS: Final = 1.0
+
+
+@define(eq=False)
+class PlacementLog:
+    """Passes of one holder, and the time of the loop that they took."""
+
+    metrics: Metrics
+    get_time: Callable[[], float]
+    reported_at: float = field(default=0, init=False)
+    passes: int = field(default=0, init=False)
+    spent_seconds: float = field(default=0, init=False)
+
+    def measure(
+        self,
+        place: Callable[[], None],
+        effort: PlacementEffort,
+    ) -> None:
+        """Place once; tell about once a second what passes took."""
+        began = self.get_time()
+        place()
+        ended = self.get_time()
+        self.passes += 1
+        self.spent_seconds += ended - began
+        self.metrics.placing.observe(ended - began)
+        if ended - self.reported_at >= _REPORT_SECONDS:
+            self._report(effort, ended)
+
+    def _report(self, effort: PlacementEffort, now: float) -> None:
+        if self.reported_at:
+            log_event(
+                PlacementLoadEvent(
+                    self.passes,
+                    to_milliseconds(self.spent_seconds),
+                    effort.asked,
+                    effort.examined,
+                    effort.placed,
+                    to_milliseconds(now - self.reported_at),
+                ),
+            )
+        effort.clear()
+        self.reported_at = now
+        self.passes = 0
+        self.spent_seconds = 0
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -13,6 +13,7 @@
     SendStop,
 )
 from hornbeamstair_callers.jobs.looking import WorkerLooks
+from hornbeamstair_callers.jobs.placement_log import PlacementLog
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
 from hornbeamstair_core.effects import Effect
@@ -49,6 +50,10 @@
     )
 
 
+def _make_placement_log(runner: 'WorkRunner') -> PlacementLog:
+    return PlacementLog(runner.metrics, lambda: runner.get_moment().steady)
+
+
 @define(eq=False)
 class WorkRunner(RecordCommitter):
     """Scheduler of the terms in which this process leads."""
@@ -62,6 +67,10 @@
     get_moment: Callable[[], Moment]
     # Workers whose hosts may go down or leave by an order in progress.
     get_held: Callable[[], Collection[WorkerId]]
+    placement_log: PlacementLog = field(
+        default=Factory(_make_placement_log, takes_self=True),
+        init=False,
+    )
     scheduler: Scheduler | None = field(default=None, init=False)
     ticking: 'Task[None] | None' = field(default=None, init=False)
     looks: WorkerLooks = field(
@@ -123,7 +132,7 @@
             self._follow_role()
             scheduler = self.find_scheduler()
             if scheduler is not None:
-                scheduler.tick(self.get_moment())
+                self._measure_pass(scheduler.tick, scheduler)
                 self._carry_out(scheduler)
             await sleep(_TICK_SECONDS)
 
@@ -160,9 +169,17 @@
         self.is_gathering = False
         scheduler = self.find_scheduler()
         if scheduler is not None:
-            scheduler.place(self.get_moment())
+            self._measure_pass(scheduler.place, scheduler)
             self._carry_out(scheduler)
 
+    def _measure_pass(
+        self,
+        decide: Callable[[Moment], None],
+        scheduler: Scheduler,
+    ) -> None:
+        moment = self.get_moment()
+        self.placement_log.measure(lambda: decide(moment), scheduler.effort)
+
     def _carry_out_applied(self) -> None:
         self.has_applied = False
         if self.scheduler is not None:
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -13,11 +13,11 @@
 from hornbeamstair_callers.jobs.ends import EndRecorder
 from hornbeamstair_callers.jobs.events import (
     HolderChangedEvent,
-    JobEndedEvent,
     WorkerBelievedEvent,
     WorkerQuarantinedEvent,
 )
 from hornbeamstair_callers.jobs.inheritance import InheritedRuns
+from hornbeamstair_callers.jobs.job_log import JobLog
 from hornbeamstair_callers.jobs.messages import get_job
 from hornbeamstair_callers.jobs.order import ObjectiveOrder
 from hornbeamstair_callers.jobs.records import (
@@ -39,8 +39,8 @@
 from hornbeamstair_core.ids import JobId, ServiceName, TaskId, WorkerId
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
-from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_operators.manifest.table import ManifestTable
+from hornbeamstair_upstreams.work.effort import PlacementEffort
 from hornbeamstair_upstreams.work.leases import LeaseTerms, WorkerLease
 from hornbeamstair_upstreams.work.looks import take_look
 from hornbeamstair_upstreams.work.messages import (
@@ -90,10 +90,10 @@
     sessions: dict[WorkerId, WorkerSession] = field(factory=dict)
     effects: list[Effect] = field(factory=list)
     forgot_at: float = 0
-    # Jobs whose end is in the log of events.
-    logged_ends: set[JobId] = field(factory=set)
     inherited: InheritedRuns = field(factory=lambda: InheritedRuns(0))
     unstarted: UnstartedJobs = field(factory=UnstartedJobs, init=False)
+    effort: PlacementEffort = field(factory=PlacementEffort, init=False)
+    job_log: JobLog = field(init=False)
     run_log: RunLog = field(init=False)
     waiting: WaitingJobs = field(init=False)
     waiting_log: WaitingLog = field(init=False)
@@ -109,8 +109,13 @@
             ObjectiveOrder(),
         )
         self.waiting_log = WaitingLog(self.waiting)
+        self.job_log = JobLog(state.manifest)
         self.run_log = RunLog(self.fencing_token)
-        self.starts = StartPlanner(self.waiting, self.run_log)
+        self.starts = StartPlanner(
+            self.waiting,
+            self.run_log,
+            self.effort,
+        )
         self.ends = EndRecorder(
             state.jobs,
             state.manifest,
@@ -263,7 +268,8 @@
         """Start what is ready as far as there is room."""
         records: list[Record] = []
         for service, jobs in self.waiting.get_waiting(now.wall).items():
-            placement = Placement(self.get_usable(service, now))
+            usable = self.get_usable(service, now)
+            placement = Placement(usable, self.effort)
             for waiting in jobs:
                 records.extend(self.starts.place_job(waiting, placement, now))
         if records:
@@ -348,6 +354,7 @@
         return self.state.jobs.jobs.get(get_job(task))
 
     def _order_start(self, record: RunStarted, now: Moment) -> None:
+        self.job_log.note_start(get_job(record.task), now.wall)
         self.waiting.in_flight.discard(record.task)
         session = self.sessions.get(record.worker)
         run = None if session is None else session.runs.get(record.task)
@@ -405,11 +412,8 @@
 
     def _log_end(self, job_id: JobId, at: float) -> None:
         job = self.state.jobs.jobs.get(job_id)
-        if job is None or job.is_open or job_id in self.logged_ends:
-            return
-        self.logged_ends.add(job_id)
-        age_ms = to_milliseconds(at - job.accepted_at)
-        log_event(JobEndedEvent(job_id, job.state.value, age_ms))
+        if job is not None and not job.is_open:
+            self.job_log.note_end(job, at)
 
     def _stop_job(self, job_id: JobId) -> None:
         self.waiting.mark((job_id,))
@@ -432,7 +436,7 @@
             if _is_forgettable(job, now)
         )
         if old:
-            self.logged_ends.difference_update(old)
+            self.job_log.forget(old)
             self.effects.append(CommitBatch((JobsForgotten(old),)))
 
 
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -12,6 +12,7 @@
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_core.invariants import check_invariant
 from hornbeamstair_core.moments import Moment
+from hornbeamstair_upstreams.work.effort import PlacementEffort
 from hornbeamstair_upstreams.work.placement import Placement
 from hornbeamstair_upstreams.work.runs import Run, RunState
 from hornbeamstair_upstreams.work.session import WorkerSession
@@ -25,6 +26,7 @@
 
     waiting: WaitingJobs
     run_log: RunLog
+    effort: PlacementEffort
 
     def place_job(
         self,
@@ -35,6 +37,7 @@
         """Place the ready tasks of a job as far as there is room."""
         left: list[ReadyPhase] = []
         for ready in found.phases:
+            self.effort.asked += 1
             tasks = self._get_tasks(ready)
             placed = self._place_phase(found.job, ready, tasks, placement, now)
             rest = tuple(tasks[len(placed) :])
@@ -85,6 +88,7 @@
                 len(tasks) - len(chosen),
                 now,
             )
+        self.effort.placed += len(chosen)
         return [self._record(*pair) for pair in chosen]
 
     def _record(self, session: WorkerSession, run: Run) -> RunStarted:
--- a/packages/core/hornbeamstair_core/metrics.py
+++ b/packages/core/hornbeamstair_core/metrics.py
@@ -23,6 +23,7 @@
     leader_calls: Histogram = field(init=False)
     log_writes: Histogram = field(init=False)
     loop_late: Histogram = field(init=False)
+    placing: Histogram = field(init=False)
     log_lines_left_out: Counter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -74,6 +75,11 @@
             'Time by which the loop was late for a timer.',
             registry=self.registry,
         )
+        self.placing = Histogram(
+            'hornbeamstair_placing_seconds',
+            'Time of the loop that one pass of the placement took.',
+            registry=self.registry,
+        )
         self.log_lines_left_out = Counter(
             'hornbeamstair_log_lines_left_out',
             'Lines of the log left out, by event.',
--- a/packages/upstreams/hornbeamstair_upstreams/work/placement.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field, frozen
 
+from hornbeamstair_upstreams.work.effort import PlacementEffort
 from hornbeamstair_upstreams.work.messages import Room, TaskNeeds
 from hornbeamstair_upstreams.work.runs import Run
 from hornbeamstair_upstreams.work.session import (
@@ -31,6 +32,7 @@
     """Workers of one service that may get new work now."""
 
     sessions: Sequence[WorkerSession]
+    effort: PlacementEffort = field(factory=PlacementEffort)
     # Demands that no worker met since room was last given back.
     unmet: set[_Demand] = field(factory=set, init=False)
 
@@ -44,6 +46,7 @@
         demand = _get_demand(needs, group)
         if demand in self.unmet:
             return None
+        self.effort.examined += len(self.sessions)
         fitting = [
             session for session in self.sessions if fits(session, needs, group)
         ]
--- /dev/null
+++ b/tests/features/backlog.feature
@@ -0,0 +1,12 @@
+Feature: What the holder spends follows what changes, not what waits
+
+  Scenario: What the placement costs shows in the log
+    Given a full pool of 6 workers and 40 jobs for it
+    When runs end and others start for a second
+    Then one line tells of 19 passes and of what they looked at
+
+  Scenario: A late job tells whether it waited or took long
+    Given a work model with seed 3, 3 workers and no faults
+    When 1 seconds pass
+    And a job waits 2.5 seconds for room and then ends
+    Then the line of its end tells that it began 2.5 seconds late
--- /dev/null
+++ b/tests/features/steps/backlog_steps.py
@@ -0,0 +1,101 @@
+"""Steps on what the holder spends while much waits."""
+
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from hornbeamstair_callers.jobs.events import (
+    JobEndedEvent,
+    PlacementLoadEvent,
+)
+from hornbeamstair_callers.jobs.placement_log import PlacementLog
+from hornbeamstair_core.ids import JobId
+from hornbeamstair_core.metrics import Metrics
+from tests.support.backlog import Backlog
+from tests.support.effort import count_lines
+from tests.support.work_model import make_phase
+
+JOBS = 'hornbeamstair_callers.jobs.'
+# A second has 18.2 of them.
+PASS_SECONDS = 0.055
+CYCLES = 10
+# First starts and ends may build what later ones use.
+WARM_UP = 3
+
+
+@given('a full pool of {workers:d} workers and {jobs:d} jobs for it')
+def fill_pool(context: Any, workers: int, jobs: int) -> None:
+    """Make a holder whose jobs do not all find room."""
+    context.backlogs = [Backlog(workers, jobs)]
+
+
+@given('a full pool of {workers:d} workers with {few:d} jobs and with {many:d}')
+def fill_pools(context: Any, workers: int, few: int, many: int) -> None:
+    """Make two holders, one of which has more to do."""
+    context.backlogs = [Backlog(workers, few), Backlog(workers, many)]
+
+
+@given('full pools of {few:d} and of {many:d} workers with {jobs:d} jobs each')
+def fill_sites(context: Any, few: int, many: int, jobs: int) -> None:
+    """Make two holders, one of which has more workers."""
+    context.backlogs = [Backlog(few, jobs), Backlog(many, jobs)]
+
+
+@when('runs end and others start for a second')
+def run_second(context: Any) -> None:
+    """Measure passes on the clock of the model."""
+    backlog = context.backlogs[0]
+    log = PlacementLog(Metrics(), lambda: backlog.model.now)
+    with patch(f'{JOBS}placement_log.log_event') as logged:
+        for _ in range(21):
+            backlog.model.now += PASS_SECONDS
+            log.measure(backlog.end_and_start, backlog.scheduler.effort)
+    context.events = [call.args[0] for call in logged.call_args_list]
+
+
+@then('one line tells of {passes:d} passes and of what they looked at')
+def check_line(context: Any, passes: int) -> None:
+    """Find the figures of the second."""
+    assert len(context.events) == 1
+    event = context.events[0]
+    assert isinstance(event, PlacementLoadEvent)
+    assert event.passes == passes, event
+    assert event.placed >= 1, event
+    assert event.asked >= event.placed, event
+
+
+@when('a job waits {waited:g} seconds for room and then ends')
+def end_job(context: Any, waited: float) -> None:
+    """Have a job of one task start late."""
+    model = context.work
+    with patch(f'{JOBS}job_log.log_event') as logged:
+        model.accept(JobId(f'{1:016x}'), (make_phase(1, 1000),))
+        model.now += waited
+        model.run(5)
+    context.events = [call.args[0] for call in logged.call_args_list]
+
+
+@then('the line of its end tells that it began {waited:g} seconds late')
+def check_begun(context: Any, waited: float) -> None:
+    """Compare the time of the first start."""
+    assert len(context.events) == 1
+    event = context.events[0]
+    assert isinstance(event, JobEndedEvent)
+    assert 0 <= event.begun_ms - waited * 1000 < 200, event
+    assert event.objective_ms > 0, event
+
+
+@then('the end of a run costs at most {factor:g} times as much in the second')
+def compare(context: Any, factor: float) -> None:
+    """Compare the lines executed for ends and the starts after them."""
+    costs = [_get_cost(backlog) for backlog in context.backlogs]
+    assert costs[1] <= costs[0] * factor, costs
+
+
+def _get_cost(backlog: Backlog) -> int:
+    for _ in range(WARM_UP):
+        backlog.end_and_start()
+    return count_lines(
+        lambda: [backlog.end_and_start() for _ in range(CYCLES)],
+    )
--- /dev/null
+++ b/tests/support/backlog.py
@@ -0,0 +1,97 @@
+"""Holder with a backlog: its pool is full and many jobs wait."""
+
+from random import Random
+
+from attrs import define, field
+
+from hornbeamstair_callers.jobs.effects import CommitBatch
+from hornbeamstair_callers.jobs.scheduler import Scheduler
+from hornbeamstair_core.ids import JobId
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_upstreams.work.messages import (
+    EndReport,
+    HoldAnswer,
+    OrderOutcome,
+    RunEnd,
+)
+from hornbeamstair_upstreams.work.session import WorkerSession
+from tests.support.work_model import WorkModel, make_phase
+
+TASKS = 8
+# Sizes differ from job to job, and some fit where others do not.
+SMALLEST_CPU = 1200
+LARGEST_CPU = 2400
+
+
+@define(eq=False)
+class Backlog:
+    """Model whose runs end only when they are told to."""
+
+    workers: int
+    jobs: int
+    model: WorkModel = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Fill the pool and have jobs wait."""
+        self.model = WorkModel(
+            Random(1),
+            worker_count=self.workers,
+            lost_share=0,
+            late_share=0,
+            fail_share=0,
+            refuse_share=0,
+        )
+        self.model.run(1)
+        rng = Random(2)
+        for number in range(self.jobs):
+            cpu = rng.randint(SMALLEST_CPU, LARGEST_CPU)
+            phases = (make_phase(TASKS, cpu), make_phase(TASKS, cpu, (0,)))
+            self.model.accept(JobId(f'{number:016x}'), phases)
+        self.place()
+        for session in self.scheduler.sessions.values():
+            for run in session.runs.values():
+                session.settle(run, run.state.running, self.model.now)
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """Scheduler of the holder."""
+        return self.model.scheduler
+
+    def place(self) -> None:
+        """Place what has room and record it."""
+        self.scheduler.place(self.get_moment())
+        self.record()
+
+    def record(self) -> None:
+        """Commit what the scheduler has to record, at once."""
+        for effect in self.scheduler.take_effects():
+            if isinstance(effect, CommitBatch):
+                self.model.apply(effect.records)
+                self.scheduler.note_committed(effect)
+        self.scheduler.take_effects()
+
+    def end_and_start(self) -> None:
+        """Have a worker list an end, and start what finds room by it."""
+        session = self.find_busy()
+        run = next(iter(session.runs.values()))
+        report = EndReport(
+            session.numbers.seen + 1,
+            run.task,
+            run.run,
+            RunEnd.done,
+            '',
+        )
+        now = self.get_moment()
+        answer = HoldAnswer(OrderOutcome.done, now.steady, 1, (), (report,))
+        self.scheduler.note_hold(session, answer, now.steady, now)
+        self.record()
+        self.place()
+
+    def find_busy(self) -> WorkerSession:
+        """Find a worker that runs something."""
+        sessions = self.scheduler.sessions.values()
+        return next(found for found in sessions if found.runs)
+
+    def get_moment(self) -> Moment:
+        """Get the present time."""
+        return self.model.get_moment()
