Reproduce the starved queues: an end costs more the more waits

A holder with a full pool takes the end of a run and starts what finds room by it; the lines that the interpreter executes for that are counted, on any machine the same.

--- a/tests/features/backlog.feature
+++ b/tests/features/backlog.feature
@@ -10,3 +10,11 @@
     When 1 seconds pass
     And a job waits 2.5 seconds for room and then ends
     Then the line of its end tells that it began 2.5 seconds late
+
+  Scenario: The end of a run costs no more while many jobs wait
+    Given a full pool of 12 workers with 60 jobs and with 960
+    Then the end of a run costs at most 1.5 times as much in the second
+
+  Scenario: The end of a run costs no more in a large pool
+    Given full pools of 20 and of 200 workers with 900 jobs each
+    Then the end of a run costs at most 1.5 times as much in the second
