--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -7,12 +7,12 @@
 from attrs import Factory, define, field
 from expression import Error, Result
 
+from hornbeamstair_callers.endpoints.looking import WorkerLooks
 from hornbeamstair_callers.jobs.effects import (
     CommitBatch,
     SendStart,
     SendStop,
 )
-from hornbeamstair_callers.jobs.looking import WorkerLooks
 from hornbeamstair_callers.jobs.placement_log import PlacementLog
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
