Order jobs with the same key by their identifier

With the place by number, jobs of one key came in the order of a set, another in each process, and a job that was ranked again went behind the others.

--- a/packages/callers/hornbeamstair_callers/jobs/waiting.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting.py
@@ -3,7 +3,6 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from heapq import heappop, heappush
-from itertools import count
 
 from attrs import define, field
 
@@ -33,17 +32,13 @@
     queues: defaultdict[ServiceName, WaitingQueue] = field(
         factory=lambda: defaultdict(WaitingQueue),
     )
-    stale: set[JobId] = field(factory=set)
+    stale: dict[JobId, None] = field(factory=dict)
     # Services that got work since they were last placed.
     changed: set[ServiceName] = field(factory=set)
     # Wall-clock times since when phases have ready tasks.
     since: dict[JobId, dict[str, float]] = field(factory=dict)
     # Times after which the keys of jobs change by themselves, as a heap.
-    changes: list[tuple[float, int, WaitingJob]] = field(
-        factory=list,
-        init=False,
-    )
-    numbers: 'count[int]' = field(factory=count, init=False)
+    changes: list[tuple[float, JobId]] = field(factory=list, init=False)
     # Manifest by which the jobs were ranked.
     ranked_by: Manifest | None = field(default=None, init=False)
     # Tasks of which a start or an end is being recorded.
@@ -51,7 +46,7 @@
 
     def mark(self, jobs: Iterable[JobId]) -> None:
         """Have the ready tasks of jobs worked out again."""
-        self.stale.update(jobs)
+        self.stale.update(dict.fromkeys(jobs))
 
     def mark_due(self) -> None:
         """Have the jobs worked out again that become due by time."""
@@ -108,10 +103,10 @@
     def _refresh(self, wall: float) -> None:
         if self.ranked_by is not self.manifest.manifest:
             self.ranked_by = self.manifest.manifest
-            self.stale.update(self.ready)
+            self.mark(self.ready)
         while self.changes and self.changes[0][0] < wall:
-            waiting = heappop(self.changes)[-1]
-            if self.has(waiting):
+            waiting = self.ready.get(heappop(self.changes)[-1])
+            if waiting is not None and waiting.until < wall:
                 self._rank(waiting.job, waiting.phases, wall)
         for job_id in self.stale:
             job = self.jobs.jobs.get(job_id)
@@ -131,7 +126,7 @@
             self.changed.add(waiting.service)
             self.queues[waiting.service].put(waiting)
         if waiting.until < _FOR_GOOD:
-            heappush(self.changes, (waiting.until, waiting.number, waiting))
+            heappush(self.changes, (waiting.until, job.spec.job))
 
     def _make(
         self,
@@ -139,14 +134,12 @@
         phases: list[ReadyPhase],
         wall: float,
     ) -> WaitingJob:
-        number = next(self.numbers)
         queue = self.manifest.find_known(job.queue)
         if queue is None:
-            return WaitingJob(_NO_KEY, _FOR_GOOD, number, None, job, phases)
+            return WaitingJob(_NO_KEY, _FOR_GOOD, None, job, phases)
         return WaitingJob(
             self.order.get_key(job, queue, wall),
             self.order.get_change(job, queue, wall),
-            number,
             queue.service,
             job,
             phases,
--- a/packages/callers/hornbeamstair_callers/jobs/waiting_queue.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting_queue.py
@@ -6,12 +6,12 @@
 
 from hornbeamstair_callers.jobs.ready import ReadyPhase
 from hornbeamstair_callers.jobs.table import Job
-from hornbeamstair_core.ids import ServiceName
+from hornbeamstair_core.ids import JobId, ServiceName
 
 __all__ = ('WaitingJob', 'WaitingQueue')
 
-# Sort key of a job, then its place among those with the same.
-_Place = tuple[tuple[float, ...], int]
+# Sort key of a job, then what tells it from others with the same.
+_Place = tuple[tuple[float, ...], JobId]
 
 
 @define(eq=False)
@@ -21,15 +21,13 @@
     key: tuple[float, ...]
     # Wall-clock time up to which the key holds.
     until: float
-    # Tells jobs with the same key apart.
-    number: int
     service: ServiceName | None
     job: Job
     phases: list[ReadyPhase]
 
     def get_place(self) -> _Place:
         """Get the place in the order."""
-        return self.key, self.number
+        return self.key, self.job.spec.job
 
 
 @define(eq=False)
