--- a/packages/callers/hornbeamstair_callers/jobs/effects.py
+++ b/packages/callers/hornbeamstair_callers/jobs/effects.py
@@ -7,7 +7,7 @@
 from hornbeamstair_upstreams.work.messages import StartOrder, StopOrder
 from hornbeamstair_upstreams.work.session import WorkerSession
 
-__all__ = ('CommitBatch', 'SendStart', 'SendStop')
+__all__ = ('CommitBatch', 'SendStart', 'SendStop', 'WatchWorker')
 
 
 @frozen
@@ -38,3 +38,10 @@
 
     session: WorkerSession
     order: StopOrder
+
+
+@frozen
+class WatchWorker(Effect):
+    """Look at a worker for as long as the scheduler knows it."""
+
+    session: WorkerSession
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -12,6 +12,7 @@
     CommitBatch,
     SendStart,
     SendStop,
+    WatchWorker,
 )
 from hornbeamstair_callers.jobs.placement_log import PlacementLog
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
@@ -134,6 +135,9 @@
             if scheduler is not None:
                 self._measure_pass(scheduler.tick, scheduler)
                 self._carry_out(scheduler)
+                for session in scheduler.sessions.values():
+                    # A look that failed begins again.
+                    self.looks.keep(session)
             await sleep(_TICK_SECONDS)
 
     def _follow_role(self) -> None:
@@ -187,9 +191,10 @@
 
     def _carry_out(self, scheduler: Scheduler) -> None:
         for effect in scheduler.take_effects():
-            self._begin(self._get_work(scheduler, effect))
-        for session in scheduler.sessions.values():
-            self.looks.keep(session)
+            if isinstance(effect, WatchWorker):
+                self.looks.keep(effect.session)
+            else:
+                self._begin(self._get_work(scheduler, effect))
 
     def _has_session(self, session: WorkerSession) -> bool:
         scheduler = self.scheduler
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -9,6 +9,7 @@
     CommitBatch,
     SendStart,
     SendStop,
+    WatchWorker,
 )
 from hornbeamstair_callers.jobs.ends import EndRecorder
 from hornbeamstair_callers.jobs.events import (
@@ -372,6 +373,7 @@
         session.watcher = self.index
         session.tell_freed()
         self.sessions[announced.worker] = session
+        self.effects.append(WatchWorker(session))
         for run in runs:
             session.add_run(run)
             if run.is_stop_wanted:
--- a/tests/features/holder.feature
+++ b/tests/features/holder.feature
@@ -20,3 +20,8 @@
     Given a holder with a worker
     When its term is over and a start of the next leader is applied
     Then it says nothing of that run for 0.3 seconds
+
+  Scenario: An event costs no more on a large site
+    Given a holder with a worker
+    When it has nothing to carry out with 1 and then with 500 more workers
+    Then that costs at most 1.5 times as much with more workers
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -61,6 +61,26 @@
     context.loop.run(_give_up(context.holder))
 
 
+@when(
+    'it has nothing to carry out with {few:d} and then with {many:d} '
+    'more workers',
+)
+def carry_out_nothing(context: Any, few: int, many: int) -> None:
+    """Count what an event costs as workers join."""
+    context.costs = [
+        context.loop.run(context.holder.count_event(count))
+        for count in (few, many)
+    ]
+
+
+@then('that costs at most {factor:g} times as much with more workers')
+def check_costs(context: Any, factor: float) -> None:
+    """Compare the counts."""
+    context.loop.run(context.holder.stop())
+    few, many = context.costs
+    assert many <= few * factor, context.costs
+
+
 @then('the worker runs the task within {seconds:d} seconds')
 def check_run(context: Any, seconds: int) -> None:
     """Check that the worker got the order."""
--- a/tests/support/holder.py
+++ b/tests/support/holder.py
@@ -39,6 +39,7 @@
 )
 from hornbeamstair_upstreams.work.sender import WorkerSender
 from hornbeamstair_upstreams.work.table import WorkerTable
+from tests.support.effort import count_lines
 from tests.support.work_model import (
     LONGEST_LEASE,
     QUEUE,
@@ -163,6 +164,16 @@
             ForwardRequest(1, payload),
         )
 
+    async def count_event(self, joining: int) -> int:
+        """Have workers join, then count the lines of an event."""
+        scheduler = self.runner.find_scheduler()
+        assert scheduler is not None
+        for number in range(joining):
+            name = WorkerId(f'w{len(scheduler.sessions)}.{number}')
+            scheduler.note_announced(make_announced(name, 1), get_moment())
+        self.runner._carry_out(scheduler)
+        return count_lines(lambda: self.runner._carry_out(scheduler))
+
     def find_job(self) -> Job | None:
         """Find the job of the scenario."""
         return self.state.jobs.jobs.get(JOB)
