--- a/packages/callers/hornbeamstair_callers/jobs/waiting.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting.py
@@ -102,10 +102,7 @@
         if self.ranked_by is not self.manifest.manifest:
             self.ranked_by = self.manifest.manifest
             self.mark(self.ready)
-        while self.changes and self.changes[0][0] < wall:
-            waiting = self.ready.get(heappop(self.changes)[-1])
-            if waiting is not None and waiting.until < wall:
-                self._rank(waiting.job, waiting.phases, wall)
+        self._rank_due(wall)
         for job_id in self.stale:
             job = self.jobs.jobs.get(job_id)
             self._note_repeating(job_id, job)
@@ -117,6 +114,13 @@
                 self._rank(job, phases, wall)
         self.stale.clear()
 
+    def _rank_due(self, wall: float) -> None:
+        """Rank the jobs again whose keys have changed by time."""
+        while self.changes and self.changes[0][0] < wall:
+            waiting = self.ready.get(heappop(self.changes)[-1])
+            if waiting is not None and waiting.until < wall:
+                self._rank(waiting.job, waiting.phases, wall)
+
     def _rank(self, job: Job, phases: list[ReadyPhase], wall: float) -> None:
         self._take_out(job.spec.job)
         waiting = self._make(job, phases, wall)
