--- a/packages/upstreams/hornbeamstair_upstreams/work/placement.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -78,7 +78,7 @@
         needs: TaskNeeds,
         group: str,
     ) -> Iterator[WorkerSession]:
-        for session in order.find_with(get_taken_room(needs).cpu):
+        for session in order.find_with(get_taken_room(needs)):
             self.effort.examined += 1
             if _fits(session, needs, group) and session.may_start(self.now):
                 yield session
--- a/packages/upstreams/hornbeamstair_upstreams/work/room_order.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/room_order.py
@@ -2,11 +2,13 @@
 
 from bisect import bisect_left, insort
 from collections.abc import Iterator
+from itertools import islice
 from typing import Final
 
 from attrs import define, field
 
 from hornbeamstair_core.ids import WorkerId
+from hornbeamstair_upstreams.work.messages import Room
 from hornbeamstair_upstreams.work.session import WorkerSession
 
 __all__ = ('RoomOrder',)
@@ -41,14 +43,16 @@
         if place is not None:
             self.places.pop(bisect_left(self.places, place))
 
-    def find_with(self, cpu: int) -> Iterator[WorkerSession]:
-        """Find the workers with so much processor left, the best first."""
+    def find_with(self, room: Room) -> Iterator[WorkerSession]:
+        """Find the workers with so much room left, the best first."""
         places = self.places
         for bond in _BONDS:
-            at = bisect_left(places, (bond, cpu))
-            while at < len(places) and places[at][0] == bond:
-                yield places[at][-1]
-                at += 1
+            begin = bisect_left(places, (bond, room.cpu))
+            for place in islice(places, begin, None):
+                if place[0] != bond:
+                    break
+                if place[2] >= room.memory:
+                    yield place[-1]
 
 
 def _get_place(session: WorkerSession) -> _Place:
--- a/tests/features/steps/placement_steps.py
+++ b/tests/features/steps/placement_steps.py
@@ -23,6 +23,15 @@
     assert len(context.work.scheduler.waiting.ready) > count // 2
 
 
+@when('{count:d} jobs that fill the memory alone are accepted')
+def accept_large(context: Any, count: int) -> None:
+    """Accept jobs that leave processor which nobody can use."""
+    for number in range(count):
+        phase = make_phase(SLOTS, SLOTS, memory=ROOM.memory // SLOTS)
+        context.work.accept(JobId(f'{number:016}'), (phase,))
+    context.work.scheduler.place(context.work.get_moment())
+
+
 @then('a pass without room examines {limit:d} workers')
 def check_examined(context: Any, limit: int) -> None:
     """Count what one pass over all waiting jobs looks at."""
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -173,6 +173,12 @@
     And 100 jobs alike are accepted, more than there is room for
     Then a pass without room examines 0 workers
 
+  Scenario: Jobs that wait for memory do not ask every worker anew
+    Given a work model with seed 16, 36 workers and no faults
+    When 1 seconds pass
+    And 100 jobs that fill the memory alone are accepted
+    Then a pass without room examines 0 workers
+
   Scenario: A job counts as pending until a worker has started a task of it
     Given a work model with seed 18, 3 workers and no faults
     When 1 seconds pass
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -597,10 +597,11 @@
     *,
     lasts: bool = False,
     max_away: int | None = None,
+    memory: int = 100,
 ) -> Phase:
     """Make a phase."""
     needs = TaskNeeds(
-        Room(cpu, 100),
+        Room(cpu, memory),
         1.0,
         lasts=lasts,
         max_away=max_away,
