--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -282,5 +282,5 @@
     """Tell whether a term goes on, be its lease in force or not."""
     voter = group.node.voter
     is_same = voter.state.term == scheduler.fencing_token
-    is_leader = voter.find_leader_role().is_ok()
+    is_leader = voter.leading is not None
     return is_same and is_leader and group.failure is None
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -117,7 +117,7 @@
         """Write a batch of proposals, or pass them on to the leader."""
         self._schedule()
         voter = self.node.voter
-        led = voter.state.term if voter.find_leader_role().is_ok() else None
+        led = None if voter.leading is None else voter.state.term
         standing = refuse_former(proposals, led)
         if not standing:
             return
@@ -161,12 +161,12 @@
         What an earlier leader committed is committed again by the first
         entry of the term, and counts here only once it is applied.
         """
-        role = self.node.voter.find_leader_role()
-        if role.is_error() or self.failure is not None:
+        role = self.node.voter.leading
+        if role is None or self.failure is not None:
             return False
-        if self.node.applied_index < role.ok.first_index:
+        if self.node.applied_index < role.first_index:
             return False
-        return role.ok.can_read(self.get_time())
+        return role.can_read(self.get_time())
 
     async def stop(self) -> None:
         """Commit what is pending and release the storage."""
--- a/packages/replicas/hornbeamstair_replicas/voting/voter.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/voter.py
@@ -130,11 +130,16 @@
             lambda leader: leader.propose(payloads, now),
         )
 
+    @property
+    def leading(self) -> LeaderRole | None:
+        """Role of this voter while it leads."""
+        return self.role if isinstance(self.role, LeaderRole) else None
+
     def find_leader_role(self) -> Result[LeaderRole, Failure]:
         """Find the role of a leader, or name the voter that leads."""
-        if isinstance(self.role, LeaderRole):
-            return Result.Ok(self.role)
-        return Error(NotLeaderFailure(self.state.leader))
+        if self.leading is None:
+            return Error(NotLeaderFailure(self.state.leader))
+        return Result.Ok(self.leading)
 
     def take_outputs(self) -> Outputs:
         """Take the writes and messages since the last call."""
