--- a/packages/upstreams/hornbeamstair_upstreams/work/placement.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -36,6 +36,8 @@
     effort: PlacementEffort = field(factory=PlacementEffort)
     # Rooms that no worker had left, by the kind of task.
     unmet: dict[_Kind, list[Room]] = field(factory=dict, init=False)
+    # Workers that may get no work, as they were found.
+    closed: set[WorkerSession] = field(factory=set, init=False)
 
     def is_unmet(self, needs: TaskNeeds, group: str) -> bool:
         """Tell whether a task that needs no more found no room."""
@@ -79,8 +81,12 @@
         group: str,
     ) -> Iterator[WorkerSession]:
         for session in order.find_with(get_taken_room(needs)):
+            if session in self.closed:
+                continue
             self.effort.examined += 1
-            if _fits(session, needs, group) and session.may_start(self.now):
+            if not session.may_start(self.now):
+                self.closed.add(session)
+            elif _fits(session, needs, group):
                 yield session
 
 
--- a/tests/features/steps/placement_steps.py
+++ b/tests/features/steps/placement_steps.py
@@ -32,6 +32,32 @@
     context.work.scheduler.place(context.work.get_moment())
 
 
+@when('{count:d} workers are kept free of new work')
+def keep_free(context: Any, count: int) -> None:
+    """Reserve workers."""
+    scheduler = context.work.scheduler
+    for session in list(scheduler.sessions.values())[:count]:
+        session.is_reserved = True
+
+
+@when('{count:d} jobs alike are placed')
+def place_alike(context: Any, count: int) -> None:
+    """Have one pass place jobs of one task each."""
+    context.work.scheduler.effort.clear()
+    for number in range(count):
+        phase = make_phase(1, ROOM.cpu // SLOTS)
+        context.work.accept(JobId(f'{number:016}'), (phase,))
+    context.work.scheduler.place(context.work.get_moment())
+
+
+@then('each start examined one worker, besides {closed:d} at most in all')
+def check_closed(context: Any, closed: int) -> None:
+    """Compare the workers examined with the starts."""
+    effort = context.work.scheduler.effort
+    assert effort.placed
+    assert effort.examined <= effort.placed + closed, effort
+
+
 @then('a pass without room examines {limit:d} workers')
 def check_examined(context: Any, limit: int) -> None:
     """Count what one pass over all waiting jobs looks at."""
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -179,6 +179,13 @@
     And 100 jobs that fill the memory alone are accepted
     Then a pass without room examines 0 workers
 
+  Scenario: Workers that are kept free are asked once a pass
+    Given a work model with seed 16, 36 workers and no faults
+    When 1 seconds pass
+    And 30 workers are kept free of new work
+    And 10 jobs alike are placed
+    Then each start examined one worker, besides 30 at most in all
+
   Scenario: A job counts as pending until a worker has started a task of it
     Given a work model with seed 18, 3 workers and no faults
     When 1 seconds pass
