--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
@@ -9,6 +9,7 @@
 from hornbeamstair_upstreams.endpoints.order_client import (
     HttpOrder,
     OrderClient,
+    make_worker_client,
 )
 from hornbeamstair_upstreams.work.messages import (
     HoldAnswer,
@@ -39,12 +40,18 @@
 
     name: ClassVar[str] = 'http'
 
-    client: OrderClient = field(factory=OrderClient)
+    client: OrderClient = field(factory=make_worker_client)
 
     async def hold(self, order: HoldOrder) -> HoldAnswer:
         """Renew the lease and look at the runs and their ends."""
         seconds = _ORDER_SECONDS + order.wait_seconds
-        answer = await self._post(order, LOOK_PATH, HoldAnswer, seconds)
+        answer = await self._post(
+            order,
+            LOOK_PATH,
+            HoldAnswer,
+            seconds,
+            is_waiting=True,
+        )
         return answer or HoldAnswer(OrderOutcome.unknown)
 
     async def start(self, order: StartOrder) -> OrderAnswer:
@@ -67,6 +74,8 @@
         path: str,
         answer_class: type[Answer],
         seconds: float = _ORDER_SECONDS,
+        *,
+        is_waiting: bool = False,
     ) -> Answer | None:
         try:
             reply = await self.client.send(
@@ -78,6 +87,7 @@
                     (('Content-Type', 'application/json'),),
                     json_converter.dumps(order).encode(),
                     seconds,
+                    is_waiting,
                 ),
             )
             if reply.status != _OK:
--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
@@ -7,6 +7,7 @@
 from asyncio import (
     Future,
     Protocol,
+    Semaphore,
     Transport,
     get_running_loop,
     timeout,
@@ -14,13 +15,17 @@
 from collections.abc import Callable
 from socket import IPPROTO_TCP
 from typing import Any, Final
+from weakref import WeakValueDictionary
 
 from attrs import define, field, frozen
 from httptools import HttpParserError, HttpResponseParser
 
-__all__ = ('HttpOrder', 'HttpReply', 'OrderClient')
+__all__ = ('HttpOrder', 'HttpReply', 'OrderClient', 'make_worker_client')
 
 _CONNECT_SECONDS: Final = 0.6
+# Orders to one worker that are on their way together. An order takes some
+# milliseconds; to open a connection costs more than the order itself.
+_WORKER_ORDERS: Final = 2
 # Shorter than the time after which anything between may forget the channel.
 _IDLE_SECONDS: Final = 8.0
 
@@ -36,6 +41,8 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     timeout: float
+    # The reply waits for something to happen; no other order waits for it.
+    is_waiting: bool = False
 
 
 @frozen
@@ -132,7 +139,12 @@
 class OrderClient:
     """Kept connections to many addresses."""
 
+    # Orders to one address on their way together; None for any number.
+    at_a_time: int | None = None
     idle: dict[tuple[str, int], list[_Connection]] = field(factory=dict)
+    turns: WeakValueDictionary[tuple[str, int], Semaphore] = field(
+        factory=WeakValueDictionary,
+    )
 
     async def send(self, order: HttpOrder) -> HttpReply:
         """Send an order once.
@@ -141,6 +153,29 @@
         other OSError or TimeoutError it may be carried out.
         """
         place = (order.address, order.port)
+        if order.is_waiting or self.at_a_time is None:
+            return await self._exchange(place, order)
+        turn = self.turns.get(place) or Semaphore(self.at_a_time)
+        self.turns[place] = turn
+        # Whoever waits for a turn has no more time than who has it at once.
+        async with timeout(_CONNECT_SECONDS + order.timeout), turn:
+            return await self._exchange(place, order)
+
+    def forget(self, place: tuple[str, int]) -> None:
+        """Close the idle connections to an address."""
+        for connection in self.idle.pop(place, ()):
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for place in list(self.idle):
+            self.forget(place)
+
+    async def _exchange(
+        self,
+        place: tuple[str, int],
+        order: HttpOrder,
+    ) -> HttpReply:
         connection = await self._take(place)
         try:
             async with timeout(order.timeout):
@@ -153,16 +188,6 @@
         self._give_back(place, connection)
         return reply
 
-    def forget(self, place: tuple[str, int]) -> None:
-        """Close the idle connections to an address."""
-        for connection in self.idle.pop(place, ()):
-            connection.close()
-
-    def close(self) -> None:
-        """Close the idle connections."""
-        for place in list(self.idle):
-            self.forget(place)
-
     async def _take(self, place: tuple[str, int]) -> _Connection:
         oldest = get_running_loop().time() - _IDLE_SECONDS
         kept = self.idle.get(place, [])
@@ -198,6 +223,11 @@
                 kept.remove(connection)
 
 
+def make_worker_client() -> OrderClient:
+    """Make a client for orders to workers, which come in groups."""
+    return OrderClient(_WORKER_ORDERS)
+
+
 def _write(order: HttpOrder) -> bytes:
     lines = [
         f'{order.method} {order.path} HTTP/1.1',
