Have a look wait for the record of its ends instead of asking for it

Now the record wakes it; the tick every 50 ms finds looks whose worker began another life or whose lease lapsed.

holder.feature, 'A look that waits for the record of an end does not ask for it': failed before, at most 20 questions a second now, which is the rate of the ticks.

--- a/packages/callers/hornbeamstair_callers/endpoints/looking.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/looking.py
@@ -1,7 +1,7 @@
 """Looks at the workers of one holder."""
 
-from asyncio import Task, create_task, sleep
-from collections.abc import Callable
+from asyncio import Future, Task, create_task, get_running_loop, sleep
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from attrs import define, field
@@ -14,14 +14,14 @@
 __all__ = ('WorkerLooks',)
 
 _RETRY_SECONDS: Final = 0.25
-_COMMIT_PAUSE_SECONDS: Final = 0.01
-# The lease of a leader that lapsed for a moment may be renewed.
-_LEASE_PAUSE_SECONDS: Final = 0.05
 
 
 @define(eq=False)
 class WorkerLooks:
-    """Looks without a pause, one at a time for each worker."""
+    """Looks one at a time for each worker, the next once its ends are recorded.
+
+    A look before that would list the same ends again.
+    """
 
     sender: WorkerSender
     metrics: Metrics
@@ -30,6 +30,11 @@
     is_known: Callable[[WorkerSession], bool]
     note: Callable[[WorkerSession, HoldAnswer, float], None]
     tasks: 'dict[WorkerSession, Task[None]]' = field(factory=dict, init=False)
+    # Looks that wait for a record, or for the lease of the leader.
+    pauses: 'dict[WorkerSession, Future[None]]' = field(
+        factory=dict,
+        init=False,
+    )
 
     def keep(self, session: WorkerSession) -> None:
         """Look at a worker from now on, if nothing does so."""
@@ -38,6 +43,19 @@
             self.tasks[session] = looking
             looking.add_done_callback(lambda _: self.tasks.pop(session, None))
 
+    def keep_all(self, sessions: Iterable[WorkerSession]) -> None:
+        """Look at workers, and go on where looks wait for what has come."""
+        for session in sessions:
+            self.keep(session)
+        for waiting in list(self.pauses):
+            self.go_on(waiting)
+
+    def go_on(self, session: WorkerSession) -> None:
+        """Have a look that waits find out whether it may begin."""
+        pause = self.pauses.get(session)
+        if pause is not None and not pause.done():
+            pause.set_result(None)
+
     def drop(self) -> None:
         """Look at no worker any more."""
         for looking in list(self.tasks.values()):
@@ -45,17 +63,18 @@
 
     async def _keep_looking(self, session: WorkerSession) -> None:
         while self.is_known(session):
-            pause = self._get_pause(session)
-            if pause:
-                await sleep(pause)
-            else:
+            if session.numbers.is_recorded() and self.leads():
                 await self._look(session)
+            else:
+                await self._pause(session)
 
-    def _get_pause(self, session: WorkerSession) -> float:
-        if not self.leads():
-            return _LEASE_PAUSE_SECONDS
-        # A look before the commit would list the same ends again.
-        return 0 if session.numbers.is_recorded() else _COMMIT_PAUSE_SECONDS
+    async def _pause(self, session: WorkerSession) -> None:
+        pause = get_running_loop().create_future()
+        self.pauses[session] = pause
+        try:
+            await pause
+        finally:
+            self.pauses.pop(session)
 
     async def _look(self, session: WorkerSession) -> None:
         began = self.get_time()
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -135,9 +135,7 @@
             if scheduler is not None:
                 self._measure_pass(scheduler.tick, scheduler)
                 self._carry_out(scheduler)
-                for session in scheduler.sessions.values():
-                    # A look that failed begins again.
-                    self.looks.keep(session)
+                self.looks.keep_all(scheduler.sessions.values())
             await sleep(_TICK_SECONDS)
 
     def _follow_role(self) -> None:
@@ -245,6 +243,8 @@
             )
             if outcome.is_ok():
                 scheduler.note_committed(batch)
+                if batch.session is not None:
+                    self.looks.go_on(batch.session)
                 return
             # A handover that fails refuses records of a term that goes on.
             await sleep(_RETRY_SECONDS)
--- a/tests/features/holder.feature
+++ b/tests/features/holder.feature
@@ -25,3 +25,8 @@
     Given a holder with a worker
     When it has nothing to carry out with 1 and then with 500 more workers
     Then that costs at most 1.5 times as much with more workers
+
+  Scenario: A look that waits for the record of an end does not ask for it
+    Given a holder with a worker
+    When the end of a run takes 0.5 seconds to be recorded
+    Then its look asks at most 20 times a second whether it may go on
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -73,6 +73,24 @@
     ]
 
 
+@when('the end of a run takes {seconds:g} seconds to be recorded')
+def record_slowly(context: Any, seconds: float) -> None:
+    """Have a run end while the log is slow."""
+    holder = context.holder
+    accepted = (make_accepted(get_moment()),)
+    context.loop.run(holder.runner.commit(accepted))
+    assert context.loop.run(holder.wait_for_run(seconds=2))
+    asked = context.loop.run(holder.count_questions(seconds))
+    context.rate = asked / seconds
+
+
+@then('its look asks at most {rate:d} times a second whether it may go on')
+def check_rate(context: Any, rate: int) -> None:
+    """Compare with the ticks of the holder."""
+    context.loop.run(context.holder.stop())
+    assert context.rate <= rate, context.rate
+
+
 @then('that costs at most {factor:g} times as much with more workers')
 def check_costs(context: Any, factor: float) -> None:
     """Compare the counts."""
--- a/tests/support/holder.py
+++ b/tests/support/holder.py
@@ -3,6 +3,8 @@
 from asyncio import sleep
 from random import Random
 from time import monotonic
+from typing import Any
+from unittest.mock import patch
 
 from attrs import define, field
 
@@ -28,10 +30,12 @@
 from hornbeamstair_replicas.voting.timing import Timing
 from hornbeamstair_upstreams.work.leases import get_lease_terms
 from hornbeamstair_upstreams.work.messages import (
+    EndReport,
     HoldAnswer,
     HoldOrder,
     OrderAnswer,
     OrderOutcome,
+    RunEnd,
     RunReport,
     StartOrder,
     StopOrder,
@@ -65,14 +69,22 @@
 
     runs: dict[TaskId, int] = field(factory=dict)
     starts: list[StartOrder] = field(factory=list)
+    ends: list[EndReport] = field(factory=list)
+
+    def end(self, task: TaskId) -> None:
+        """Have a run end as done."""
+        number = len(self.ends) + 1
+        run = self.runs.pop(task)
+        self.ends.append(EndReport(number, task, run, RunEnd.done, ''))
 
     async def hold(self, order: HoldOrder) -> HoldAnswer:
-        """List the runs."""
+        """List the runs, and the ends that are not to be forgotten."""
         await sleep(LOOK_SECONDS)
         running = tuple(
             RunReport(task, run, '', 0, 0) for task, run in self.runs.items()
         )
-        return HoldAnswer(OrderOutcome.done, monotonic(), 1, running)
+        ended = tuple(self.ends[order.cursor :])
+        return HoldAnswer(OrderOutcome.done, monotonic(), 1, running, ended)
 
     async def start(self, order: StartOrder) -> OrderAnswer:
         """Start a run."""
@@ -178,6 +190,30 @@
         """Find the job of the scenario."""
         return self.state.jobs.jobs.get(JOB)
 
+    async def count_questions(self, seconds: float) -> int:
+        """End the run, and count what its look asks until it is recorded."""
+        questions: list[float] = []
+        leads = self.runner.looks.leads
+        propose = self.group.propose_once
+
+        def ask() -> bool:
+            questions.append(monotonic())
+            return leads()
+
+        async def propose_late(*proposal: Any) -> Any:
+            questions.clear()
+            await sleep(seconds)
+            asked.append(len(questions))
+            return await propose(*proposal)
+
+        asked: list[int] = []
+        self.runner.looks.leads = ask
+        self.sender.end(TASK)
+        with patch.object(VotingGroup, 'propose_once', propose_late):
+            while not asked:
+                await sleep(LOOK_SECONDS)
+        return asked[0]
+
     async def wait_for_record(self) -> None:
         """Wait until the start of the task is in the log."""
         while True:
