Share the room of a fleet among pools that need more than it has

Now the pools share what there is once they need more together: what they could use now first, small pools before large ones, then the rest by what they expect.

fleet.feature, two scenarios: no host moved before, one does now.

What is free in the donor is spread over hosts that run something, and its rise is still overrated.

--- a/packages/fleet/hornbeamstair_fleet/moves/needs.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/needs.py
@@ -31,6 +31,8 @@
 
     samples: list[tuple[float, int]] = field(factory=list)
     needs: list[tuple[float, int]] = field(factory=list)
+    # Processor that the pool could use lately.
+    used: float = 0
 
     def note(self, usable: int, largest: int, now: float) -> None:
         """Note what the pool, and the largest job of it, could use."""
@@ -54,6 +56,7 @@
 
     def _get_need(self, largest: int, now: float) -> int:
         latest = self._get_mean(now - _MEAN_SECONDS, now, 0)
+        self.used = latest
         begin = now - _RISE_SECONDS - _MEAN_SECONDS
         # Without a sample from before nothing tells a rise.
         former = self._get_mean(begin, now - _RISE_SECONDS, latest)
--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Final
 
 from attrs import define, field, frozen
@@ -12,6 +12,7 @@
 from hornbeamstair_fleet.events import PoolRoomEvent
 from hornbeamstair_fleet.moves.messages import Move, PoolDemand
 from hornbeamstair_fleet.moves.needs import RoomNeed
+from hornbeamstair_fleet.moves.shares import RoomClaim, share_room
 from hornbeamstair_fleet.waves.messages import HostState, ListedHost
 from hornbeamstair_fleet.waves.planner import HostLoad
 
@@ -47,7 +48,7 @@
 
     # Numbers of hosts of those that keep more than any pool does.
     hosts: Mapping[PoolName, int]
-    get_room: Callable[[RoomNeed], int]
+    rooms: Mapping[PoolName, float]
 
 
 @define(eq=False)
@@ -155,7 +156,7 @@
         )
         rooms = {pool: demand.room for pool, demand in view.demands.items()}
         for host in serving:
-            needed = reserve.get_room(self.needs[host.pool])
+            needed = reserve.rooms[host.pool]
             left = rooms[host.pool] - view.demands[host.pool].host_room
             kept = reserve.hosts.get(host.pool, _MIN_HOSTS)
             if sizes[host.pool] > kept and left >= needed:
@@ -170,12 +171,13 @@
         now: float,
     ) -> Iterator[Move]:
         """Plan moves to the pools that need more than they have."""
-        reserve = Reserve({}, RoomNeed.get_latest)
         coming = Counter(view.bound.values())
         coming.update(self._get_joining(view, now))
-        left = self._get_spare(view, idle, reserve)
+        shares = self._share_room(view, coming)
+        left = self._get_spare(view, idle, Reserve({}, shares))
         for demand in sorted(view.demands.values(), key=self._get_surplus_room):
-            wanted = self._count_wanted(demand) - coming[demand.pool]
+            wanted = _count_wanted(demand, shares[demand.pool])
+            wanted -= coming[demand.pool]
             chosen = [
                 host for host in left if self._may_move(host, demand.pool)
             ][: max(wanted, 0)]
@@ -195,7 +197,8 @@
         standby = [
             demand.pool for demand in view.demands.values() if demand.is_standby
         ]
-        reserve = Reserve(self._get_rest_sizes(view), RoomNeed.get_kept)
+        kept = {pool: need.get_kept() for pool, need in self.needs.items()}
+        reserve = Reserve(self._get_rest_sizes(view), kept)
         for host in self._get_spare(view, idle, reserve):
             if now - self.idle_since[host.host] <= _IDLE_SECONDS:
                 continue
@@ -203,6 +206,19 @@
             if pools and host.pool not in standby:
                 yield _make_move(host, pools[0])
 
+    def _share_room(
+        self,
+        view: PoolView,
+        coming: Mapping[PoolName, int],
+    ) -> dict[PoolName, float]:
+        claims = {
+            pool: RoomClaim(
+                self.needs[pool].used, self.needs[pool].get_latest()
+            )
+            for pool in view.demands
+        }
+        return share_room(claims, _get_total_room(view, coming))
+
     def _get_joining(self, view: PoolView, now: float) -> 'Counter[PoolName]':
         """Count the hosts whose workers have yet to announce themselves."""
         joining = [
@@ -243,17 +259,33 @@
     def _get_surplus_room(self, demand: PoolDemand) -> int:
         return demand.room - self.needs[demand.pool].get_latest()
 
-    def _count_wanted(self, demand: PoolDemand) -> int:
-        """Count the hosts that a pool lacks."""
-        if demand.is_standby or demand.host_room <= 0:
-            return 0
-        missing = -self._get_surplus_room(demand)
-        return max(math.ceil(missing / demand.host_room), demand.homeless)
-
     def _may_move(self, host: ListedHost, pool: PoolName) -> bool:
         return host.pool != pool and (host.host, pool) not in self.refused
 
 
+def _get_total_room(view: PoolView, coming: Mapping[PoolName, int]) -> int:
+    """Get the room that there is, with hosts on standby and on their way."""
+    demands = view.demands.values()
+    switched_off = sum(
+        host.state == HostState.up and _is_standing_by(view, host)
+        for host in view.hosts.values()
+        if host.pool in view.demands
+    )
+    # Hosts that are down for maintenance go to no pool.
+    on_way = sum(count for pool, count in coming.items() if pool)
+    host_room = max((demand.host_room for demand in demands), default=0)
+    room = sum(demand.room for demand in demands)
+    return room + host_room * (switched_off + on_way)
+
+
+def _count_wanted(demand: PoolDemand, share: float) -> int:
+    """Count the hosts that a pool lacks."""
+    if demand.is_standby or demand.host_room <= 0:
+        return 0
+    missing = share - demand.room
+    return max(math.ceil(missing / demand.host_room), demand.homeless)
+
+
 def _is_standing_by(view: PoolView, host: ListedHost) -> bool:
     return view.demands[host.pool].is_standby
 
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -21,6 +21,18 @@
     Then 4 hosts move to the busy pool
     And the quiet pool keeps 2 hosts
 
+  Scenario: A pool keeps no idle hosts for later while another needs them now
+    Given a standby pool with 0 hosts and a busy pool with 2
+    And a quiet pool with 5 idle hosts
+    When the busy pool lacks 2 hosts and the quiet one could use 3.25
+    Then 1 hosts move to the busy pool
+
+  Scenario: Pools that could use more than there is share it evenly
+    Given a standby pool with 0 hosts and a busy pool with 2
+    And a quiet pool with 5 idle hosts
+    When the busy pool lacks 60 hosts and the quiet one could use 4.5
+    Then 1 hosts move to the busy pool
+
   Scenario: Idle hosts that no pool needs are switched off
     Given a standby pool with 1 hosts and a busy pool with 2
     And a quiet pool with 5 idle hosts
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -195,6 +195,15 @@
     context.plan = context.moves.plan(_view(context, count * 16000), NOW)
 
 
+@when(
+    'the busy pool lacks {count:d} hosts and the quiet one could use {quiet:g}',
+)
+def make_demands(context: Any, count: int, quiet: float) -> None:
+    """Plan with work for two pools."""
+    view = _view(context, count * 16000, quiet=round(quiet * 16000))
+    context.plan = context.moves.plan(view, NOW)
+
+
 @when('they have arrived and nothing waits for {seconds:d} seconds')
 def arrive_idle(context: Any, seconds: int) -> None:
     """Let the moved hosts be idle."""
