--- a/packages/replicas/hornbeamstair_replicas/groups/node.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/node.py
@@ -34,8 +34,8 @@
 __all__ = ('AppliedEntry', 'Flushed', 'LogNode', 'open_node')
 
 _SNAPSHOT_ENTRIES: Final = 10000
-# Entries grow with the load; to apply so much again takes about a second.
-_SNAPSHOT_BYTES: Final = 3 * MIB
+# Entries grow with the load; a core applies so much again in about a second.
+_SNAPSHOT_BYTES: Final = 8 * MIB
 # The log may grow so much while a peer is being brought up to date.
 _HELD_FACTOR: Final = 2
 
