Ask the log for the outcome of a keyed call that another process claimed

Cause: a resend was answered by what the entry process itself had applied. One that has the claim but not yet the outcome took the claim of another process for a call whose outcome is lost. Under load the log of a process lags for as long.

Evidence: calls.feature, 'A resend through a process that lags gets the recorded answer': the same table gave KeyOutcomeUnknownFailure before. Why it works: the claim is proposed, which changes nothing of a taken key and brings back what the log holds of it; a key that was freed meanwhile is freed again, and claimed once the call has a slot.

An outcome that cannot be recorded was swallowed; the event key_outcome_lost tells of it.

--- a/packages/callers/hornbeamstair_callers/key_keeper.py
+++ b/packages/callers/hornbeamstair_callers/key_keeper.py
@@ -7,6 +7,7 @@
 from attrs import field, frozen
 from expression import Error, Ok, Result
 
+from hornbeamstair_callers.events import KeyOutcomeLostEvent
 from hornbeamstair_callers.failures import (
     AnswerNotKeptFailure,
     KeyInProgressFailure,
@@ -26,6 +27,7 @@
     ReleaseKey,
 )
 from hornbeamstair_callers.messages import CallRequest
+from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_replicas.groups.base import ReplicaGroup
 from hornbeamstair_upstreams.messages import UpstreamAnswer
@@ -45,10 +47,18 @@
     get_wall_time: Callable[[], float]
     unsent: set[KeyId] = field(factory=set)
 
-    def find(self, call: CallRequest) -> CallResult | None:
-        """Find what a resend of a keyed call is answered."""
+    async def find(self, call: CallRequest) -> CallResult | None:
+        """Find what a resend of a keyed call is answered.
+
+        A claim of another process may have an outcome that this process has
+        not heard of yet: the log tells.
+        """
         known = self.state_machine.table.records.get(_get_key_id(call))
-        return None if known is None else self._replay(call, known)
+        if known is None:
+            return None
+        if known.phase == KeyPhase.claimed and known.owner != self.owner:
+            return await self._find_newest(call)
+        return self._replay(call, known)
 
     async def claim(self, call: CallRequest) -> CallResult | None:
         """Claim the key of a call; return an answer if it is taken.
@@ -57,13 +67,7 @@
         refused as not run, and a resend through this process takes it over.
         """
         key_id = _get_key_id(call)
-        command = ClaimKey(
-            key_id,
-            _get_digest(call),
-            self.owner,
-            self.get_wall_time(),
-        )
-        committed = await self._propose(command)
+        committed = await self._propose(self._make_claim(call))
         if committed.is_error():
             self.unsent.add(key_id)
             return Error(KeyNotClaimedFailure(committed.error.name))
@@ -74,8 +78,42 @@
         return answer
 
     async def record(self, call: CallRequest, outcome: CallResult) -> None:
-        """Record the outcome of a claimed call, or free its key."""
-        await self._propose(self._get_outcome_command(call, outcome))
+        """Record the outcome of a claimed call, or free its key.
+
+        Without the record a resend is told that the outcome is not known.
+        """
+        command = self._get_outcome_command(call, outcome)
+        recorded = await self._propose(command)
+        if recorded.is_error():
+            log_event(
+                KeyOutcomeLostEvent(
+                    call.idempotency_key,
+                    command.kind,
+                    recorded.error.name,
+                ),
+            )
+
+    async def _find_newest(self, call: CallRequest) -> CallResult | None:
+        """Ask the log; a claim changes nothing of a key that is taken."""
+        key_id = _get_key_id(call)
+        committed = await self._propose(self._make_claim(call))
+        if committed.is_error():
+            self.unsent.add(key_id)
+            return Error(KeyOutcomeUnknownFailure())
+        if committed.ok is not None:
+            return self._replay(call, committed.ok)
+        # It was free again; the call claims it once it has a slot.
+        self.unsent.add(key_id)
+        await self._propose(ReleaseKey(key_id, self.owner))
+        return None
+
+    def _make_claim(self, call: CallRequest) -> ClaimKey:
+        return ClaimKey(
+            _get_key_id(call),
+            _get_digest(call),
+            self.owner,
+            self.get_wall_time(),
+        )
 
     def _get_outcome_command(
         self,
--- a/packages/callers/hornbeamstair_callers/runner.py
+++ b/packages/callers/hornbeamstair_callers/runner.py
@@ -68,7 +68,7 @@
         hang_up: HangUp,
     ) -> AsyncIterator[CallResult]:
         """Run a call; its slot is held until the context ends."""
-        admitted = self._admit(call)
+        admitted = await self._admit(call)
         if admitted.is_error():
             yield self._count(call, Error(admitted.error))
             return
@@ -90,14 +90,14 @@
         """Start queued calls of a service that gained slots."""
         self._carry_out(self.dispatcher.fill(service, self.get_time()))
 
-    def _admit(
+    async def _admit(
         self,
         call: CallRequest,
     ) -> Result[ActiveCall | UpstreamAnswer, Failure]:
         if self.is_stopping:
             return Error(StoppingFailure())
         if call.idempotency_key:
-            known = self.keys.find(call)
+            known = await self.keys.find(call)
             if known is not None:
                 return known.map(lambda answer: answer)
         return self.dispatcher.admit(
--- a/tests/features/calls.feature
+++ b/tests/features/calls.feature
@@ -30,3 +30,28 @@
     Given a retry budget of 2 a second
     When 1000 retries are asked for within 10 seconds
     Then at most 40 retries are allowed
+
+  Scenario: A resend through a process that lags gets the recorded answer
+    Given a keyed call that was answered through "entry-1"
+    And "entry-2" has heard of its claim alone
+    When the call is sent again through "entry-2"
+    Then it gets the recorded answer
+
+  Scenario: A resend through a process that lags may run if the key was freed
+    Given a keyed call that "entry-1" claimed and did not run
+    And "entry-2" has heard of its claim alone
+    When the call is sent again through "entry-2"
+    Then it has no answer yet and may claim its key
+
+  Scenario: A resend is told nothing for sure while nothing can be recorded
+    Given a keyed call that was answered through "entry-1"
+    And "entry-2" has heard of its claim alone
+    And nothing can be recorded
+    When the call is sent again through "entry-2"
+    Then it is told that the outcome is not known
+
+  Scenario: An outcome that could not be recorded shows in the log
+    Given a keyed call that "entry-1" claimed and did not run
+    And nothing can be recorded
+    When its outcome is recorded through "entry-1"
+    Then an event names its key
--- /dev/null
+++ b/tests/features/steps/key_steps.py
@@ -0,0 +1,86 @@
+"""Steps with request keys and processes whose log lags."""
+
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+from expression import Error, Ok
+
+from hornbeamstair_callers.events import KeyOutcomeLostEvent
+from hornbeamstair_callers.failures import KeyOutcomeUnknownFailure
+from hornbeamstair_core.failures import StoppingFailure
+from tests.support.keys import ANSWER, CALL, KeyProcesses
+
+KEEPER = 'hornbeamstair_callers.key_keeper'
+
+
+@given('a keyed call that was answered through "{name}"')
+def answer_call(context: Any, name: str) -> None:
+    """Claim the key and record an answer."""
+    context.keys = KeyProcesses()
+    assert context.keys.claim(name) is None
+    context.keys.record(name, Ok(ANSWER))
+
+
+@given('a keyed call that "{name}" claimed and did not run')
+def free_key(context: Any, name: str) -> None:
+    """Claim the key and free it."""
+    context.keys = KeyProcesses()
+    assert context.keys.claim(name) is None
+    context.keys.record(name, Error(StoppingFailure()))
+
+
+@given('"{name}" has heard of its claim alone')
+def lag(context: Any, name: str) -> None:
+    """Add a process whose log lags."""
+    context.keys.add_late(name)
+
+
+@given('nothing can be recorded')
+def stick(context: Any) -> None:
+    """Have the log commit nothing any more."""
+    context.keys.log.is_stuck = True
+
+
+@when('the call is sent again through "{name}"')
+def send_again(context: Any, name: str) -> None:
+    """Find what the resend is answered."""
+    context.name = name
+    context.found = context.keys.find(name)
+
+
+@when('its outcome is recorded through "{name}"')
+def record_outcome(context: Any, name: str) -> None:
+    """Record an answer and catch what is logged."""
+    with patch(f'{KEEPER}.log_event') as logged:
+        context.keys.record(name, Ok(ANSWER))
+    context.events = [call.args[0] for call in logged.call_args_list]
+
+
+@then('it gets the recorded answer')
+def check_recorded(context: Any) -> None:
+    """Compare the answers."""
+    assert context.found is not None
+    assert context.found == Ok(ANSWER), context.found
+
+
+@then('it has no answer yet and may claim its key')
+def check_free(context: Any) -> None:
+    """Claim the key through the same process."""
+    assert context.found is None, context.found
+    assert context.keys.claim(context.name) is None
+
+
+@then('it is told that the outcome is not known')
+def check_unknown(context: Any) -> None:
+    """Check the refusal."""
+    assert context.found == Error(KeyOutcomeUnknownFailure()), context.found
+
+
+@then('an event names its key')
+def check_event(context: Any) -> None:
+    """Check the event of the lost outcome."""
+    assert len(context.events) == 1
+    event = context.events[0]
+    assert isinstance(event, KeyOutcomeLostEvent)
+    assert event.key == CALL.idempotency_key
--- /dev/null
+++ b/tests/support/keys.py
@@ -0,0 +1,82 @@
+"""Processes that keep request keys, each with its own view of one log."""
+
+from asyncio import run
+
+from attrs import define, field
+from expression import Error, Ok, Result
+
+from hornbeamstair_callers.key_codec import KeyStateMachine
+from hornbeamstair_callers.key_keeper import KeyKeeper
+from hornbeamstair_callers.messages import CallRequest
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.ids import CustomerId, ServiceName
+from hornbeamstair_replicas.failures import NotCommittedFailure
+from hornbeamstair_upstreams.messages import UpstreamAnswer, UpstreamRequest
+
+CALL = CallRequest(
+    CustomerId('grinders'),
+    ServiceName('fees'),
+    'fee-1',
+    UpstreamRequest('POST', '/fees/post', (), b'5'),
+)
+ANSWER = UpstreamAnswer(200, (), b'settled')
+NOW = 1000.0
+
+
+@define(eq=False)
+class KeyLog:
+    """Log of which the first process has applied everything."""
+
+    machine: KeyStateMachine = field(factory=KeyStateMachine)
+    payloads: list[bytes] = field(factory=list)
+    is_stuck: bool = False
+
+    async def propose(self, payload: bytes) -> Result[object, Failure]:
+        """Commit a command."""
+        if self.is_stuck:
+            return Error(NotCommittedFailure('no quorum in time'))
+        self.payloads.append(payload)
+        return Ok(self.machine.apply(len(self.payloads), payload))
+
+
+@define(eq=False)
+class KeyProcesses:
+    """Keepers of request keys over one log."""
+
+    log: KeyLog = field(factory=KeyLog)
+    keepers: dict[str, KeyKeeper] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Start a process that follows the log at once."""
+        self.add('entry-1', self.log.machine)
+
+    def add(self, name: str, machine: KeyStateMachine) -> None:
+        """Add a process that has applied what its machine holds."""
+        self.keepers[name] = KeyKeeper(
+            self.log,
+            machine,
+            name,
+            lambda: NOW,
+        )
+
+    def add_late(self, name: str) -> None:
+        """Add a process that has applied the first command alone."""
+        machine = KeyStateMachine()
+        machine.apply(1, self.log.payloads[0])
+        self.add(name, machine)
+
+    def find(self, name: str) -> Result[UpstreamAnswer, Failure] | None:
+        """Find what a process answers the call."""
+        return run(self.keepers[name].find(CALL))
+
+    def claim(self, name: str) -> Result[UpstreamAnswer, Failure] | None:
+        """Claim the key of the call."""
+        return run(self.keepers[name].claim(CALL))
+
+    def record(
+        self,
+        name: str,
+        outcome: Result[UpstreamAnswer, Failure],
+    ) -> None:
+        """Record the outcome of the call."""
+        run(self.keepers[name].record(CALL, outcome))
