--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -14,6 +14,7 @@
 from hornbeamstair_core.ids import JobId, TaskId, WorkerId
 from hornbeamstair_upstreams.work.messages import WorkerGone
 from hornbeamstair_upstreams.work.session import WorkerSession
+from tests.support.random_plays import RandomPlay
 from tests.support.random_work import WorkMachine, get_work_settings
 from tests.support.work_model import (
     QUEUE,
@@ -395,6 +396,19 @@
     )
 
 
+@given('random plays of work with seeds from {first:d} to {last:d}')
+def draw_plays(context: Any, first: int, last: int) -> None:
+    """Note the seeds."""
+    context.seeds = range(first, last + 1)
+
+
+@then('each of them breaks no promise and leaves no job stuck')
+def run_plays(context: Any) -> None:
+    """Run each play with the oracle of the model."""
+    for seed in context.seeds:
+        RandomPlay(seed).run()
+
+
 def _forget_busy(work: WorkModel) -> WorkerId:
     while not any(worker.runs for worker in work.workers.values()):
         work.step()
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -236,3 +236,13 @@
   Scenario: Random faults in any order
     Given the work machine with 40 examples
     Then no promise is broken
+
+  Scenario Outline: Random plays of work, faults and holders break no promise
+    Given random plays of work with seeds from <first> to <last>
+    Then each of them breaks no promise and leaves no job stuck
+
+    Examples:
+      | first | last |
+      | 0     | 9    |
+      | 10    | 19   |
+      | 215   | 219  |
