Take an answer about a host only while its order is open

A late one of a former holder that the platform had refused made a host that was down wait again, so that more than the limit of the wave could go down; one of a maintained host began its maintenance anew. Records that the next leader commits may come so. Now only an open order is answered; what is over stays over.

fleet.feature, 'A late refusal counts no host as up that is down' and 'A late answer takes no host down again whose maintenance is over': both failed before.

--- a/packages/fleet/hornbeamstair_fleet/waves/table.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/table.py
@@ -128,11 +128,11 @@
             progress.workers[record.host] = record.worker
 
     def _take_done(self, record: MaintenanceDone) -> None:
+        """Take what became of an order; a former holder's may be late."""
+        steps = self.waves[record.wave].steps
         if record.is_over:
-            step = HostStep.over
-        elif record.is_taken:
-            step = HostStep.taken
-        else:
-            # The platform refused: the host waits again.
-            step = HostStep.waiting
-        self.waves[record.wave].steps[record.host] = step
+            steps[record.host] = HostStep.over
+        elif steps.get(record.host) == HostStep.ordered:
+            # A host that the platform refused to take down waits again.
+            taken = record.is_taken
+            steps[record.host] = HostStep.taken if taken else HostStep.waiting
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -200,6 +200,28 @@
     And the maintenance of hosts "m0" is begun
     Then no host of the table may be down
 
+  Scenario: A late refusal counts no host as up that is down
+    Given a table of a wave of 4 hosts with at most 2 down
+    When the maintenance of hosts "m0 m1" is begun
+    And the order about host m0 is taken
+    And the order about host m0 is refused
+    Then hosts "m0 m1" may be down
+
+  Scenario: A late answer takes no host down again whose maintenance is over
+    Given a table of a wave of 4 hosts with at most 2 down
+    When the maintenance of hosts "m0" is begun
+    And the maintenance of host m0 is over
+    And the order about host m0 is taken
+    And the order about host m0 is refused
+    Then no host of the table may be down
+    And 3 hosts of the table wait
+
+  Scenario: A host whose order is refused waits again
+    Given a table of a wave of 4 hosts with at most 2 down
+    When the maintenance of hosts "m0" is begun
+    And the order about host m0 is refused
+    Then 4 hosts of the table wait
+
   Scenario: A record of a former holder does not turn a move round
     Given a table in which host m0 moves to pool p
     When a record says that host m0 moves to pool q
--- a/tests/features/steps/late_record_steps.py
+++ b/tests/features/steps/late_record_steps.py
@@ -13,7 +13,7 @@
     Wave,
     WaveDeclared,
 )
-from hornbeamstair_fleet.waves.table import WaveTable
+from hornbeamstair_fleet.waves.table import HostStep, WaveTable
 
 
 @given('a table of a wave of {count:d} hosts with at most {limit:d} down')
@@ -37,6 +37,19 @@
     context.late_table.apply(done)
 
 
+@when('the order about host {host} is {outcome}')
+def _answer(context: Any, host: str, outcome: str) -> None:
+    is_taken = outcome == 'taken'
+    done = MaintenanceDone(1, HostId(host), is_taken=is_taken, is_over=False)
+    context.late_table.apply(done)
+
+
+@then('{count:d} hosts of the table wait')
+def _check_waiting(context: Any, count: int) -> None:
+    found = context.late_table.waves[1].get_hosts(HostStep.waiting)
+    assert len(found) == count, found
+
+
 @then('hosts "{hosts}" may be down')
 def _check_down(context: Any, hosts: str) -> None:
     found = context.late_table.waves[1].get_down()
