--- a/tests/support/random_plays.py
+++ b/tests/support/random_plays.py
@@ -6,12 +6,13 @@
 from attrs import define, field
 
 from hornbeamstair_core.ids import JobId
-from hornbeamstair_upstreams.work.runs import RunState
 from tests.support.work_model import (
     ModelWorker,
     WorkModel,
+    finish,
     make_phase,
     replace_worker,
+    stop_all,
 )
 
 STEPS = 60
@@ -56,10 +57,7 @@
         for name in self.rng.choices(names, WEIGHTS.values(), k=STEPS):
             step: Callable[[], None] = getattr(self, name)
             step()
-        self._mend()
-        self.model.run(60)
-        left = [job.spec.job for job in self.model.tables.jobs.get_open()]
-        assert not left, f'{left} are stuck'
+        finish(self.model)
 
     def accept(self) -> None:
         """Accept a job of some phases, one after the other."""
@@ -93,11 +91,7 @@
 
     def free(self) -> None:
         """Have all that runs on a worker stopped."""
-        name = self._draw_worker().worker
-        session = self.model.scheduler.sessions.get(name)
-        for run in () if session is None else session.runs.values():
-            if run.state == RunState.running:
-                session.want_stop(run)
+        stop_all(self.model, self._draw_worker().worker)
 
     def replace(self) -> None:
         """Have another worker take the place of one that crashed."""
@@ -114,15 +108,5 @@
         if found is not None and found.is_open:
             self.model.cancel(job)
 
-    def _mend(self) -> None:
-        for worker in self.model.workers.values():
-            worker.is_cut = False
-        self.model.lost_share = 0
-        self.model.late_share = 0
-        self.model.refuse_share = 0
-        for lasting in list(self.model.tables.jobs.get_open()):
-            if lasting.spec.lasts:
-                self.model.cancel(lasting.spec.job)
-
     def _draw_worker(self) -> ModelWorker:
         return self.rng.choice(list(self.model.workers.values()))
--- a/tests/support/random_work.py
+++ b/tests/support/random_work.py
@@ -8,8 +8,13 @@
 
 from hornbeamstair_callers.jobs.messages import JobState
 from hornbeamstair_core.ids import JobId
-from hornbeamstair_upstreams.work.runs import RunState
-from tests.support.work_model import WorkModel, make_phase, replace_worker
+from tests.support.work_model import (
+    WorkModel,
+    finish,
+    make_phase,
+    replace_worker,
+    stop_all,
+)
 
 _workers = st.integers(0, 2)
 
@@ -63,12 +68,7 @@
     @rule(worker=_workers)
     def free(self, worker: int) -> None:
         """Have all that runs on a worker stopped."""
-        name = self._get_worker(worker).worker
-        session = self.model.scheduler.sessions.get(name)
-        if session is not None:
-            for run in session.runs.values():
-                if run.state == RunState.running:
-                    session.want_stop(run)
+        stop_all(self.model, self._get_worker(worker).worker)
 
     @rule(worker=_workers)
     def replace(self, worker: int) -> None:
@@ -97,17 +97,7 @@
 
     def teardown(self) -> None:
         """Mend everything and check that the work goes on."""
-        for worker in self.model.workers.values():
-            worker.is_cut = False
-        self.model.lost_share = 0
-        self.model.late_share = 0
-        self.model.refuse_share = 0
-        for lasting in list(self.model.tables.jobs.get_open()):
-            if lasting.spec.lasts:
-                self.model.cancel(lasting.spec.job)
-        self.model.run(60)
-        left = [job.spec.job for job in self.model.tables.jobs.get_open()]
-        assert not left, f'{left} are stuck'
+        finish(self.model)
 
     def _get_worker(self, number: int):
         return list(self.model.workers.values())[number]
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -54,6 +54,7 @@
     TaskNeeds,
     WorkerSeen,
 )
+from hornbeamstair_upstreams.work.runs import RunState
 from hornbeamstair_upstreams.work.session import WorkerSession
 from hornbeamstair_upstreams.work.table import WorkerTable
 
@@ -69,6 +70,8 @@
 MAX_ATTEMPTS = 3
 # Longer than any scenario.
 LONG_SECONDS = 1000.0
+# Leases lapse and all jobs of a random play end in this time.
+FINISH_SECONDS = 60
 
 
 @define(eq=False)
@@ -547,6 +550,29 @@
     model.workers[found.worker] = found
 
 
+def stop_all(model: WorkModel, worker: WorkerId) -> None:
+    """Have all that runs on a worker stopped."""
+    session = model.scheduler.sessions.get(worker)
+    for run in () if session is None else session.runs.values():
+        if run.state == RunState.running:
+            session.want_stop(run)
+
+
+def finish(model: WorkModel) -> None:
+    """Mend everything and check that the work goes on."""
+    for worker in model.workers.values():
+        worker.is_cut = False
+    model.lost_share = 0
+    model.late_share = 0
+    model.refuse_share = 0
+    for lasting in list(model.tables.jobs.get_open()):
+        if lasting.spec.lasts:
+            model.cancel(lasting.spec.job)
+    model.run(FINISH_SECONDS)
+    left = [job.spec.job for job in model.tables.jobs.get_open()]
+    assert not left, f'{left} are stuck'
+
+
 def get_percent(model: WorkModel, run: ModelRun) -> float:
     """Get the progress that a run reports."""
     return 100 if model.get_phase(run.task).needs.lasts else 50
