Propose the claim of a keyed call by one function

The claim and the question for the newest outcome had the same proposal and the same note of a claim without an answer. make check, calls.feature and path.feature pass.

--- a/packages/callers/hornbeamstair_callers/key_keeper.py
+++ b/packages/callers/hornbeamstair_callers/key_keeper.py
@@ -66,15 +66,13 @@
         A claim that was not confirmed may still be committed: the call is
         refused as not run, and a resend through this process takes it over.
         """
-        key_id = _get_key_id(call)
-        committed = await self._propose(self._make_claim(call))
+        committed = await self._propose_claim(call)
         if committed.is_error():
-            self.unsent.add(key_id)
             return Error(KeyNotClaimedFailure(committed.error.name))
         known = committed.ok
         answer = None if known is None else self._replay(call, known)
         if answer is None:
-            self.unsent.discard(key_id)
+            self.unsent.discard(_get_key_id(call))
         return answer
 
     async def record(self, call: CallRequest, outcome: CallResult) -> None:
@@ -95,25 +93,33 @@
 
     async def _find_newest(self, call: CallRequest) -> CallResult | None:
         """Ask the log; a claim changes nothing of a key that is taken."""
-        key_id = _get_key_id(call)
-        committed = await self._propose(self._make_claim(call))
+        committed = await self._propose_claim(call)
         if committed.is_error():
-            self.unsent.add(key_id)
             return Error(KeyOutcomeUnknownFailure())
         if committed.ok is not None:
             return self._replay(call, committed.ok)
         # It was free again; the call claims it once it has a slot.
+        key_id = _get_key_id(call)
         self.unsent.add(key_id)
         await self._propose(ReleaseKey(key_id, self.owner))
         return None
 
-    def _make_claim(self, call: CallRequest) -> ClaimKey:
-        return ClaimKey(
-            _get_key_id(call),
+    async def _propose_claim(
+        self,
+        call: CallRequest,
+    ) -> Result[KeyRecord | None, Failure]:
+        """Propose a claim; one without an answer may still be committed."""
+        key_id = _get_key_id(call)
+        claim = ClaimKey(
+            key_id,
             _get_digest(call),
             self.owner,
             self.get_wall_time(),
         )
+        committed = await self._propose(claim)
+        if committed.is_error():
+            self.unsent.add(key_id)
+        return committed
 
     def _get_outcome_command(
         self,
