Refuse odd entries of other writers, and go on after unexpected errors

What peers could cause: an entry with a number beyond the range of a float, a port out of range, a host name, a lone surrogate or nested labels raised OverflowError, ValueError or UnicodeEncodeError in the decoders or later, in the loop that met it. The loops of the scheduler, of waves and moves, of the membership and of the probes were bare tasks: one unexpected error ended them for good, without a log line, while the process went on leading. One odd entry in the list of hosts hid all of them, so that no wave and no move went on. An announcement with a start time in the future, or of another service under the identifier of a worker in use, replaced that worker. A job of 500 million tasks, or of a million occurrences, was accepted.

Change: announcements and jobs are checked where they are decided upon, so for both front ends; numbers in the adapter are finite and exact in JSON, texts can be encoded, addresses are IP addresses; entries of the list of hosts stand alone (6005); an order to an odd address is certainly not delivered; a step of background work that fails is logged (1004) and followed by the next; a record that cannot be applied is refused alike by every process (5010).

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -1,6 +1,6 @@
 """Endpoint that executes maintenance waves while this process leads."""
 
-from asyncio import Task, create_task, gather, sleep
+from asyncio import Task, create_task, gather
 from collections.abc import Callable, Sequence
 from types import MappingProxyType
 from typing import Final
@@ -12,6 +12,7 @@
 from hornbeamstair_callers.jobs.draining import drain_workers, get_loads
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import Scheduler
+from hornbeamstair_core.background import repeat
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import HostId, WorkerId
 from hornbeamstair_core.moments import Moment
@@ -66,7 +67,7 @@
 
     def start(self) -> None:
         """Start to execute waves whenever this process leads."""
-        self.task = create_task(self._run())
+        self.task = create_task(repeat('waves and moves', self._run_pass))
 
     def stop(self) -> None:
         """Stop sending orders."""
@@ -89,12 +90,11 @@
         if scheduler is self.runner.find_scheduler():
             await self.moves.reconcile(scheduler)
 
-    async def _run(self) -> None:
-        while True:
-            scheduler = self.runner.find_scheduler()
-            if scheduler is not None:
-                await self.reconcile(scheduler)
-            await sleep(_PASS_SECONDS)
+    async def _run_pass(self) -> float:
+        scheduler = self.runner.find_scheduler()
+        if scheduler is not None:
+            await self.reconcile(scheduler)
+        return _PASS_SECONDS
 
     async def _execute_waves(
         self,
--- a/packages/callers/hornbeamstair_callers/front_ends/system.py
+++ b/packages/callers/hornbeamstair_callers/front_ends/system.py
@@ -46,7 +46,14 @@
 
 _ANSWER_SECONDS: Final = 2.5
 _MAX_BODY_BYTES: Final = 8 * MIB
-_DECODE_ERRORS: Final = (BaseValidationError, KeyError, TypeError, ValueError)
+_DECODE_ERRORS: Final = (
+    BaseValidationError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 Message = TypeVar('Message')
 Reader = Callable[[Request], Awaitable[Result[LeaderRequest, Failure]]]
--- a/packages/callers/hornbeamstair_callers/jobs/ready.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ready.py
@@ -1,6 +1,7 @@
 """Tasks of a job that can start now."""
 
 from collections.abc import Iterator
+from itertools import takewhile
 
 from attrs import frozen
 
@@ -29,10 +30,13 @@
     """Find the tasks that can start at a wall-clock time."""
     if not job.is_open:
         return []
+    due = takewhile(
+        lambda occurrence: job.spec.get_due(occurrence) <= wall,
+        range(job.spec.occurrences),
+    )
     return [
         ready
-        for occurrence in range(job.spec.occurrences)
-        if job.spec.get_due(occurrence) <= wall
+        for occurrence in due
         for ready in _find_in_occurrence(job, occurrence)
     ]
 
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -1,6 +1,6 @@
 """Endpoint of the scheduler; commits its records and sends its orders."""
 
-from asyncio import Task, create_task, get_running_loop, sleep
+from asyncio import Task, create_task, get_running_loop
 from collections.abc import Callable, Collection, Coroutine, Sequence
 from typing import Any, Final
 
@@ -21,6 +21,7 @@
 from hornbeamstair_callers.jobs.placement_event_log import PlacementEventLog
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
+from hornbeamstair_core.background import log_step_failure, repeat
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.metrics import Metrics
@@ -99,7 +100,7 @@
 
     def start(self) -> None:
         """Start the ticks; they schedule whenever this process leads."""
-        self.tick_task = create_task(self._run_ticks())
+        self.tick_task = create_task(repeat('scheduler ticks', self._tick))
 
     async def stop(self) -> None:
         """Stop scheduling and sending orders."""
@@ -136,21 +137,24 @@
         if scheduler is None or not self._is_in_term(scheduler):
             # The record may be of the next leader, which handles it itself.
             return
-        scheduler.handle_applied(record, self.get_moment())
+        try:
+            scheduler.handle_applied(record, self.get_moment())
+        except Exception as error:
+            # The log goes on: the record is applied on every voter.
+            log_step_failure('scheduling of applied records', error)
         self._schedule_pass()
         if not self.is_execution_scheduled:
             self.is_execution_scheduled = True
             get_running_loop().call_soon(self._execute_applied_effects)
 
-    async def _run_ticks(self) -> None:
-        while True:
-            self._follow_leadership()
-            scheduler = self.find_scheduler()
-            if scheduler is not None:
-                self._measure_pass(scheduler.tick, scheduler)
-                self._execute_effects(scheduler)
-                self.poller.poll_all(scheduler.sessions.values())
-            await sleep(_TICK_SECONDS)
+    async def _tick(self) -> float:
+        self._follow_leadership()
+        scheduler = self.find_scheduler()
+        if scheduler is not None:
+            self._measure_pass(scheduler.tick, scheduler)
+            self._execute_effects(scheduler)
+            self.poller.poll_all(scheduler.sessions.values())
+        return _TICK_SECONDS
 
     def _is_in_term(self, scheduler: Scheduler) -> bool:
         return is_in_term(self.group, scheduler.fencing_token)
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from attrs import define, field, frozen
+from expression import Error, Ok, Result
 
 from hornbeamstair_callers.jobs.effects import (
     CommitBatch,
@@ -38,6 +39,7 @@
 from hornbeamstair_callers.jobs.waiting_queue import WaitingQueue
 from hornbeamstair_core.effects import Effect
 from hornbeamstair_core.events import log_event
+from hornbeamstair_core.failures import Failure, InvalidFieldFailure
 from hornbeamstair_core.ids import JobId, ServiceName, TaskId, WorkerId
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
@@ -188,6 +190,19 @@
                 self.unstarted.discard(job)
                 self._log_job_end(job, at)
 
+    def check_identity(
+        self, announced: WorkerAnnouncement
+    ) -> Result[WorkerAnnouncement, Failure]:
+        """Refuse an announcement that contradicts its incarnation.
+
+        An incarnation of a worker never changes its service or its address.
+        """
+        session = self.sessions.get(announced.worker)
+        if session is not None and session.is_contradicted_by(announced):
+            reason = 'is in use by another worker'
+            return Error(InvalidFieldFailure('worker', reason))
+        return Ok(announced)
+
     def handle_announcement(
         self, announced: WorkerAnnouncement, now: Moment
     ) -> bool:
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -1,4 +1,4 @@
-"""Handling of requests about jobs and workers on the leader."""
+"""Handling of requests about jobs on the leader."""
 
 from abc import abstractmethod
 from collections.abc import Callable
@@ -7,6 +7,7 @@
 from attrs import define
 from expression import Error, Ok, Result
 
+from hornbeamstair_callers.jobs.checks import check_job
 from hornbeamstair_callers.jobs.events import JobAcceptedEvent
 from hornbeamstair_callers.jobs.failures import (
     AdviceUnsupportedFailure,
@@ -43,13 +44,8 @@
 from hornbeamstair_operators.failures import NoManifestFailure
 from hornbeamstair_operators.manifest.messages import Queue
 from hornbeamstair_replicas.failures import NotLeaderFailure
-from hornbeamstair_upstreams.work.messages import WorkerAnnouncement, WorkerSeen
-from hornbeamstair_upstreams.work.requests import (
-    AnnounceWorker,
-    WithdrawWorker,
-)
 
-__all__ = ('JobRequestHandler', 'RecordCommitter', 'WorkerRequestHandler')
+__all__ = ('JobRequestHandler', 'RecordCommitter')
 
 
 class RecordCommitter(Committer, RecordListener):
@@ -93,6 +89,9 @@
         queue = self._find_queue(request.place)
         if queue.is_error():
             return Error(queue.error)
+        checked = check_job(request.spec)
+        if checked.is_error():
+            return Error(checked.error)
         if queue.ok.advice is not None:
             return Error(AdviceUnsupportedFailure(queue.ok.queue))
         job_id = request.spec.job
@@ -162,39 +161,5 @@
         return Ok(PendingReply(scheduler.unstarted.count(queue.queue)))
 
 
-@define(eq=False)
-class WorkerRequestHandler(RequestHandler):
-    """Handles the requests of workers."""
-
-    requests: ClassVar[tuple[type[Request], ...]] = (
-        AnnounceWorker,
-        WithdrawWorker,
-    )
-    replies: ClassVar[tuple[type[Reply], ...]] = (DoneReply,)
-
-    committer: RecordCommitter
-    get_moment: Callable[[], Moment]
-
-    async def handle(self, request: Request) -> Result[Reply, Failure]:
-        """Handle a request."""
-        scheduler = self.committer.find_scheduler()
-        if scheduler is None:
-            return Error(NotLeaderFailure(''))
-        now = self.get_moment()
-        match request:
-            case AnnounceWorker(announced):
-                if scheduler.handle_announcement(announced, now):
-                    return await self._record(announced)
-            case WithdrawWorker(worker):
-                scheduler.handle_withdrawal(worker, now)
-        return Ok(DoneReply())
-
-    async def _record(
-        self, announced: WorkerAnnouncement
-    ) -> Result[Reply, Failure]:
-        committed = await self.committer.commit((WorkerSeen(announced),))
-        return committed.map(lambda _: DoneReply())
-
-
 def _show(job: Job) -> Reply:
     return JobReply(job.spec.job, job.state)
--- a/packages/core/hornbeamstair_core/codec.py
+++ b/packages/core/hornbeamstair_core/codec.py
@@ -33,7 +33,17 @@
 
 Message = TypeVar('Message')
 
+
+def _structure_text(found: object, _: object) -> str:
+    """Refuse other types, and texts that cannot be encoded as UTF-8."""
+    if not isinstance(found, str):
+        raise TypeError('must be a string')
+    found.encode()
+    return found
+
+
 json_converter: Final = make_json_converter()
+json_converter.register_structure_hook(str, _structure_text)
 
 
 def make_union_converter(
--- a/packages/core/hornbeamstair_core/units.py
+++ b/packages/core/hornbeamstair_core/units.py
@@ -6,6 +6,7 @@
     'DAY',
     'HOUR',
     'KIB',
+    'MAX_EXACT_INTEGER',
     'MIB',
     'MILLISECOND',
     'MINUTE',
@@ -20,6 +21,9 @@
 KIB: Final = 1024
 MIB: Final = 1024 * 1024
 
+# Largest integer that every JSON library represents exactly.
+MAX_EXACT_INTEGER: Final = 9007199254740991
+
 
 def to_milliseconds(seconds: float) -> int:
     """Round a time span to whole milliseconds."""
--- a/packages/daemon/hornbeamstair_daemon/system/lifetime.py
+++ b/packages/daemon/hornbeamstair_daemon/system/lifetime.py
@@ -9,11 +9,13 @@
 )
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 from signal import SIGHUP, SIGINT, SIGTERM
 from typing import Any, Final
 
 from expression import Result
 
+from hornbeamstair_core.background import repeat
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.invariants import InvariantError, abort
@@ -51,7 +53,7 @@
     settings = process.settings
     log_event(DaemonStartedEvent(settings.label, settings.zone, 0))
     reload_task = create_task(
-        _reload_periodically(process, read_settings, reload)
+        repeat('settings', partial(_reload, process, read_settings, reload))
     )
     await stop.wait()
     log_event(DaemonStoppingEvent(settings.grace_seconds))
@@ -60,18 +62,18 @@
     log_event(DaemonStoppedEvent(settings.label))
 
 
-async def _reload_periodically(
+async def _reload(
     process: SystemProcess,
     read_settings: SettingsReader,
     reload: Event,
-) -> None:
-    while True:
-        with suppress(TimeoutError):
-            async with timeout(_RELOAD_INTERVAL_SECONDS):
-                await reload.wait()
-        is_requested = reload.is_set()
-        reload.clear()
-        _apply_reloaded(process, read_settings(), is_requested=is_requested)
+) -> float:
+    with suppress(TimeoutError):
+        async with timeout(_RELOAD_INTERVAL_SECONDS):
+            await reload.wait()
+    is_requested = reload.is_set()
+    reload.clear()
+    _apply_reloaded(process, read_settings(), is_requested=is_requested)
+    return 0
 
 
 def _apply_reloaded(
--- a/packages/daemon/hornbeamstair_daemon/system/process.py
+++ b/packages/daemon/hornbeamstair_daemon/system/process.py
@@ -9,6 +9,7 @@
 
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceController
 from hornbeamstair_callers.jobs.runner import WorkRunner
+from hornbeamstair_core.background import repeat
 from hornbeamstair_core.clock import get_monotonic_time
 from hornbeamstair_core.front_end import FrontEnd
 from hornbeamstair_core.loop_monitor import LoopMonitor
@@ -101,7 +102,7 @@
 
     async def start_role(self) -> None:
         """Start to probe the leader."""
-        self.probe_task = create_task(self._probe_leader())
+        self.probe_task = create_task(repeat('probe', self._probe_leader))
 
     async def stop_role(self) -> None:
         """Wait until the load balancer has dropped this process."""
@@ -111,10 +112,9 @@
         if self.probe_task is not None:
             self.probe_task.cancel()
 
-    async def _probe_leader(self) -> None:
-        while True:
-            await self.channel.ask(b'', _PROBE_TIMEOUT_SECONDS)
-            await sleep(_PROBE_INTERVAL_SECONDS)
+    async def _probe_leader(self) -> float:
+        await self.channel.ask(b'', _PROBE_TIMEOUT_SECONDS)
+        return _PROBE_INTERVAL_SECONDS
 
 
 @define(eq=False)
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -7,11 +7,11 @@
 from hornbeamstair_callers.endpoints.listing import ListingHandler
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceController
 from hornbeamstair_callers.endpoints.moves import MoveController
+from hornbeamstair_callers.endpoints.worker_requests import WorkerRequestHandler
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import SchedulerState
 from hornbeamstair_callers.jobs.service import (
     JobRequestHandler,
-    WorkerRequestHandler,
 )
 from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_core.clock import get_moment, get_monotonic_time
--- a/packages/fleet/hornbeamstair_fleet/events.py
+++ b/packages/fleet/hornbeamstair_fleet/events.py
@@ -5,6 +5,7 @@
 from hornbeamstair_core.events import Event, EventLevel, register_event
 
 __all__ = (
+    'HostEntryRefusedEvent',
     'HostListEvent',
     'HostOrderedEvent',
     'PoolCapacityEvent',
@@ -81,3 +82,16 @@
     needed: int
     waiting_tasks: int
     oldest_wait_ms: int
+
+
+@register_event
+@frozen
+class HostEntryRefusedEvent(Event):
+    """Entry of the list of hosts that names no host to use."""
+
+    number = 6005
+    name = 'host_entry_refused'
+    summary = 'An entry of the list of hosts cannot be read; the others hold.'
+    level = EventLevel.warning
+
+    reason: str
--- a/packages/replicas/hornbeamstair_replicas/events.py
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -12,6 +12,7 @@
     'LogLoadEvent',
     'LogOpenedEvent',
     'PeerRefusedEvent',
+    'RecordRefusedEvent',
     'SnapshotWrittenEvent',
     'StorageFailedEvent',
     'TornTailCutEvent',
@@ -161,3 +162,18 @@
     silent_ms: int
     # Time spent on attempts, by their result.
     waited: Mapping[str, int]
+
+
+@register_event
+@frozen
+class RecordRefusedEvent(Event):
+    """Committed record that the tables cannot apply."""
+
+    number = 5010
+    name = 'record_refused'
+    summary = 'A committed record cannot be applied; every process refuses it.'
+    level = EventLevel.error
+
+    index: int
+    record: str
+    reason: str
--- a/packages/replicas/hornbeamstair_replicas/membership/runner.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/runner.py
@@ -1,11 +1,12 @@
 """Control loop that reports to the leader or, as leader, changes voters."""
 
-from asyncio import Task, create_task, sleep
+from asyncio import Task, create_task
 from collections.abc import Callable
 from typing import Final
 
 from attrs import define
 
+from hornbeamstair_core.background import repeat
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import ZoneName
 from hornbeamstair_replicas.calls.endpoints.channel import LeaderChannel
@@ -40,22 +41,20 @@
     def start(self) -> None:
         """Start the control loop."""
         self.group.transport.add_receiver(_CHANNEL, self._receive)
-        self.control_loop = create_task(self._run())
+        self.control_loop = create_task(repeat('membership', self._run_pass))
 
     def stop(self) -> None:
         """Stop the control loop."""
         if self.control_loop is not None:
             self.control_loop.cancel()
 
-    async def _run(self) -> None:
-        while True:
-            role = self.group.node.voter.find_leader_role()
-            if role.is_ok():
-                self._reconcile(role.ok)
-                await sleep(_RECONCILE_SECONDS)
-            else:
-                await self._report()
-                await sleep(_REPORT_SECONDS)
+    async def _run_pass(self) -> float:
+        role = self.group.node.voter.find_leader_role()
+        if role.is_ok():
+            self._reconcile(role.ok)
+            return _RECONCILE_SECONDS
+        await self._report()
+        return _REPORT_SECONDS
 
     async def _report(self) -> None:
         state = self.group.node.voter.state
--- a/packages/replicas/hornbeamstair_replicas/tables/codec.py
+++ b/packages/replicas/hornbeamstair_replicas/tables/codec.py
@@ -10,7 +10,9 @@
     encode_cbor,
     make_union_converter,
 )
+from hornbeamstair_core.events import log_event
 from hornbeamstair_core.records import Record, RecordTable
+from hornbeamstair_replicas.events import RecordRefusedEvent
 from hornbeamstair_replicas.state_machine import StateMachine
 
 __all__ = ('RecordCodec', 'TableStateMachine')
@@ -53,9 +55,13 @@
         self.codec = RecordCodec(tuple(self.tables_by_record))
 
     def apply(self, index: int, payload: bytes) -> object:
-        """Apply a batch of records; return their answers in order."""
+        """Apply a batch of records; return their answers in order.
+
+        Every process refuses the same records, so that their tables stay
+        equal.
+        """
         return [
-            self.tables_by_record[type(record)].apply(record)
+            self._apply_record(index, record)
             for record in self.codec.decode(payload)
         ]
 
@@ -75,6 +81,13 @@
             fields = states.get(table.name)
             table.restore_state(self._decode_state(table, fields))
 
+    def _apply_record(self, index: int, record: Record) -> object:
+        try:
+            return self.tables_by_record[type(record)].apply(record)
+        except (LookupError, TypeError, ValueError) as error:
+            log_event(RecordRefusedEvent(index, record.kind, repr(error)))
+            return None
+
     def _decode_state(self, table: RecordTable, fields: Any) -> Any:
         if fields is None:
             return None
--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
@@ -30,6 +30,12 @@
 # A healthy worker answers within milliseconds.
 _ORDER_TIMEOUT_SECONDS: Final = 0.8
 _HTTP_OK: Final = 200
+_NO_ANSWER_ERRORS: Final = (
+    BaseValidationError,
+    OSError,
+    RecursionError,
+    ValueError,
+)
 
 Answer = TypeVar('Answer', PollAnswer, OrderAnswer)
 
@@ -93,6 +99,6 @@
             if reply.status != _HTTP_OK:
                 return None
             return json_converter.loads(reply.body, answer_class)
-        except (OSError, ValueError, BaseValidationError):
+        except _NO_ANSWER_ERRORS:
             # No answer or an unreadable one: the outcome is unknown.
             return None
--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
@@ -20,6 +20,8 @@
 from attrs import define, field, frozen
 from httptools import HttpParserError, HttpResponseParser
 
+from hornbeamstair_core.addresses import is_ip_address, is_port
+
 __all__ = ('HttpOrder', 'HttpReply', 'OrderClient', 'make_worker_client')
 
 _CONNECT_SECONDS: Final = 0.6
@@ -201,6 +203,8 @@
                 return connection
             connection.close()
         address, port = endpoint
+        if not is_ip_address(address) or not is_port(port):
+            raise ConnectionRefusedError(f'invalid address: {address}:{port}')
         async with timeout(_CONNECT_SECONDS):
             _, opened = await get_running_loop().create_connection(
                 lambda: _Connection(self._remove_idle),
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -214,6 +214,21 @@
             current.sequence,
         )
 
+    def is_contradicted_by(self, announced: WorkerAnnouncement) -> bool:
+        """Return whether an announcement is from another writer.
+
+        An incarnation that was learned from an answer has announced nothing
+        yet; its sequence number is 0.
+        """
+        current = self.announced
+        if announced.incarnation != current.incarnation or not current.sequence:
+            return False
+        return (announced.service, announced.address, announced.port) != (
+            current.service,
+            current.address,
+            current.port,
+        )
+
     def handle_announcement(
         self,
         announced: WorkerAnnouncement,
