--- a/packages/tools/hornbeamstair_tools/run_tests.py
+++ b/packages/tools/hornbeamstair_tools/run_tests.py
@@ -15,7 +15,7 @@
 _KNOWN_RED: Final = Path('KNOWN-RED.txt')
 _KNOWN_RED_ENTRY: Final = re.compile('^test: (.+)$', re.MULTILINE)
 _FAILED_STATUSES: Final = frozenset(
-    ('failed', 'error', 'undefined', 'hook_error')
+    ('failed', 'error', 'undefined', 'hook_error', 'cleanup_error')
 )
 
 
@@ -24,9 +24,11 @@
     paths = [] if _has_feature_argument() else [_FEATURES]
     with TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
+        errors = Path(folder) / 'errors'
         exit_code = run_behave(
             [
                 *sys.argv[1:],
+                f'--define=errors={errors}',
                 '--no-capture-log',
                 '--logging-level=ERROR',
                 '--format=progress',
@@ -36,6 +38,7 @@
                 *paths,
             ]
         )
+        _print_errors(errors)
         statuses = _get_statuses(json.loads(report.read_text()))
     sys.exit(_print_totals(statuses, exit_code))
 
@@ -44,6 +47,12 @@
     return any(_FEATURES in argument for argument in sys.argv[1:])
 
 
+def _print_errors(errors: Path) -> None:
+    """Print the errors of all steps, whatever the formatters have shown."""
+    if errors.exists():
+        print(errors.read_text())
+
+
 def _get_statuses(features: list[dict[str, Any]]) -> dict[str, str]:
     return {
         f'{feature["name"]}: {element["name"]}': element['status']
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,6 +1,6 @@
 """Hooks of the behave suite."""
 
-import sys
+from pathlib import Path
 from traceback import print_exception
 from typing import Any
 
@@ -20,10 +20,16 @@
 
 
 def after_step(context: Any, step: Any) -> None:
-    """Print the exception of a failed step, whatever the formatter shows."""
-    if step.exception is not None:
-        print(f'\n{step.location}: {step.name}', file=sys.__stdout__)
-        print_exception(step.exception, file=sys.__stdout__)
+    """Keep the exception of a failed step, whatever the formatter shows.
+
+    Standard output may be a pipe that takes no more: an error of this hook
+    would hide the failure of the step.
+    """
+    path = context.config.userdata.get('errors')
+    if step.exception is not None and path:
+        with Path(path).open('a') as errors:
+            print(f'\n{step.location}: {step.name}', file=errors)
+            print_exception(step.exception, file=errors)
 
 
 def after_scenario(context: Any, scenario: Any) -> None:
