--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -10,6 +10,7 @@
     JobState,
     PhaseKey,
     TaskPosition,
+    get_job_id,
     make_task_id,
     parse_task_id,
 )
@@ -157,6 +158,11 @@
         """Get the jobs that have not ended."""
         return (job for job in self.jobs.values() if job.is_open)
 
+    def find_text(self, task: TaskId) -> str | None:
+        """Find the text of the job of a task; None unless the job is open."""
+        job = self.jobs.get(get_job_id(task))
+        return job.spec.text if job is not None and job.is_open else None
+
     def get_state(self) -> JobTableState:
         """Get the state for a snapshot."""
         return JobTableState(tuple(self.jobs.values()))
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to workers that other processes send for the leader."""
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
@@ -0,0 +1,203 @@
+"""Sender of the leader's orders through other processes."""
+
+from asyncio import Future, get_running_loop
+from collections.abc import Callable, Mapping
+from random import randrange
+from typing import ClassVar, Final
+
+from attrs import define, field, frozen
+
+from hornbeamstair_callers.relay.choice import RelayChoice
+from hornbeamstair_callers.relay.codec import decode_answers, encode_orders
+from hornbeamstair_callers.relay.endpoints.batches import MessageBatches
+from hornbeamstair_callers.relay.messages import (
+    RelayedOrder,
+    RelayFailure,
+    WorkerOrder,
+)
+from hornbeamstair_core.ids import WorkerId, ZoneName
+from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.units import MAX_EXACT_INTEGER
+from hornbeamstair_replicas.calls.messages import (
+    RelayedAnswers,
+    RelayedOrders,
+)
+from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
+from hornbeamstair_replicas.transport.base import PeerTransport
+from hornbeamstair_upstreams.work.messages import (
+    OrderAnswer,
+    OrderOutcome,
+    PollAnswer,
+    PollOrder,
+    StartOrder,
+    StopOrder,
+)
+from hornbeamstair_upstreams.work.sender import WorkerSender
+
+__all__ = ('ANSWERS_CHANNEL', 'ORDERS_CHANNEL', 'RelayingSender')
+
+ORDERS_CHANNEL: Final = 'orders'
+ANSWERS_CHANNEL: Final = 'order_answers'
+# A relay gives up an order after about one second.
+_ORDER_SECONDS: Final = 1.4
+_CHECK_SECONDS: Final = 0.05
+_FIRST_NUMBERS: Final = MAX_EXACT_INTEGER // 2
+
+RelayOutcome = OrderAnswer | PollAnswer | RelayFailure
+RelayMap = Mapping[ZoneName, VoterId]
+
+
+@frozen
+class _Pending:
+    """Order whose answer is awaited from a relay."""
+
+    relay: VoterId
+    answer: 'Future[RelayOutcome]'
+
+
+@define(eq=False)
+class RelayingSender(WorkerSender):
+    """Sender that has a process in the zone of a worker send its orders.
+
+    An order is sent directly if it has no relay or its relay has not sent it.
+    """
+
+    name: ClassVar[str] = 'relaying'
+
+    direct: WorkerSender
+    transport: PeerTransport
+    metrics: Metrics
+    get_time: Callable[[], float]
+    find_zone: Callable[[WorkerId], ZoneName | None]
+    get_worker_count: Callable[[], int]
+    # Relays that answer this leader, by zone.
+    get_relays: Callable[[], RelayMap]
+    choice: RelayChoice = field(factory=RelayChoice, init=False)
+    checked_at: float = field(default=0, init=False)
+    is_check_scheduled: bool = field(default=False, init=False)
+    pending: dict[int, _Pending] = field(factory=dict, init=False)
+    batches: MessageBatches[RelayedOrder] = field(init=False)
+    # Answers to a previous process at this address have other numbers.
+    last_number: int = field(
+        factory=lambda: randrange(_FIRST_NUMBERS),
+        init=False,
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Receive the answers of the relays."""
+        self.batches = MessageBatches(self._send_batch)
+        self.transport.add_receiver(ANSWERS_CHANNEL, self._receive)
+
+    async def poll(self, order: PollOrder) -> PollAnswer:
+        """Poll a worker; a poll can be repeated if its relay falls silent."""
+        seconds = _ORDER_SECONDS + order.wait_seconds
+        answer = await self._relay(order, seconds)
+        if isinstance(answer, PollAnswer):
+            return answer
+        return await self.direct.poll(order)
+
+    async def start(self, order: StartOrder) -> OrderAnswer:
+        """Start a run."""
+        answer = await self._relay(order, _ORDER_SECONDS)
+        if isinstance(answer, OrderAnswer):
+            return answer
+        if answer == RelayFailure.lost:
+            return OrderAnswer(OrderOutcome.unknown)
+        return await self.direct.start(order)
+
+    async def stop(self, order: StopOrder) -> OrderAnswer:
+        """Stop a run."""
+        answer = await self._relay(order, _ORDER_SECONDS)
+        if isinstance(answer, OrderAnswer):
+            return answer
+        if answer == RelayFailure.lost:
+            return OrderAnswer(OrderOutcome.unknown)
+        return await self.direct.stop(order)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.direct.close()
+
+    async def _relay(self, order: WorkerOrder, seconds: float) -> RelayOutcome:
+        now = self.get_time()
+        self._update_relays(now)
+        zone = self.find_zone(order.worker)
+        relay = self.choice.choose(order.worker, zone, now)
+        if relay is None:
+            return RelayFailure.unsent
+        outcome = await self._ask(relay, order, seconds)
+        if _is_unanswered(outcome):
+            self.metrics.count_retry('relayed_order')
+            self.choice.avoid(order.worker, self.get_time())
+        return outcome
+
+    async def _ask(
+        self,
+        relay: VoterId,
+        order: WorkerOrder,
+        seconds: float,
+    ) -> RelayOutcome:
+        loop = get_running_loop()
+        self.last_number += 1
+        number = self.last_number
+        answer: Future[RelayOutcome] = loop.create_future()
+        self.pending[number] = _Pending(relay, answer)
+        self.batches.add(relay, RelayedOrder(number, order))
+        self._schedule_check()
+        timer = loop.call_later(seconds, _set_lost, answer)
+        try:
+            return await answer
+        finally:
+            timer.cancel()
+            self.pending.pop(number)
+
+    def _update_relays(self, now: float) -> None:
+        if now - self.checked_at >= _CHECK_SECONDS:
+            self.checked_at = now
+            workers = self.get_worker_count()
+            self.choice.update(self.get_relays(), workers, now)
+
+    def _schedule_check(self) -> None:
+        if not self.is_check_scheduled:
+            self.is_check_scheduled = True
+            loop = get_running_loop()
+            loop.call_later(_CHECK_SECONDS, self._check_relays)
+
+    def _check_relays(self) -> None:
+        """Give up the orders of relays that fell silent."""
+        self.is_check_scheduled = False
+        self._update_relays(self.get_time())
+        for pending in list(self.pending.values()):
+            if not self.choice.is_relay(pending.relay):
+                _set_lost(pending.answer)
+        if self.pending:
+            self._schedule_check()
+
+    def _send_batch(self, relay: VoterId, orders: list[RelayedOrder]) -> None:
+        own = self.transport.own
+        message = RelayedOrders(encode_orders(orders))
+        self.transport.send(Envelope(ORDERS_CHANNEL, own, relay, message))
+
+    def _receive(self, sender: VoterId, message: PeerMessage) -> None:
+        if not isinstance(message, RelayedAnswers):
+            return
+        answers = decode_answers(message.payload)
+        if answers.is_error():
+            self.metrics.count_refusal(answers.error)
+            return
+        for relayed in answers.ok:
+            pending = self.pending.get(relayed.number)
+            if pending is not None and not pending.answer.done():
+                pending.answer.set_result(relayed.answer)
+
+
+def _set_lost(answer: 'Future[RelayOutcome]') -> None:
+    if not answer.done():
+        answer.set_result(RelayFailure.lost)
+
+
+def _is_unanswered(outcome: RelayOutcome) -> bool:
+    if isinstance(outcome, RelayFailure):
+        return outcome == RelayFailure.lost
+    return outcome.outcome == OrderOutcome.unknown
--- a/packages/daemon/hornbeamstair_daemon/system/process.py
+++ b/packages/daemon/hornbeamstair_daemon/system/process.py
@@ -9,6 +9,7 @@
 
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceController
 from hornbeamstair_callers.jobs.runner import WorkRunner
+from hornbeamstair_callers.relay.endpoints.relay import OrderRelay
 from hornbeamstair_core.background import repeat
 from hornbeamstair_core.clock import get_monotonic_time
 from hornbeamstair_core.front_end import FrontEnd
@@ -126,6 +127,7 @@
     group: VotingGroup
     membership: MembershipController
     runner: WorkRunner
+    relay: OrderRelay
     maintenance: MaintenanceController | None = None
 
     async def start_role(self) -> None:
@@ -153,4 +155,5 @@
                 self.group.find_leader_role()
                 await sleep(_TRANSFER_SECONDS)
         await self.runner.stop()
+        self.relay.stop()
         await self.group.stop()
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -14,6 +14,8 @@
     JobRequestHandler,
 )
 from hornbeamstair_callers.jobs.table import JobTable
+from hornbeamstair_callers.relay.endpoints.relay import OrderRelay
+from hornbeamstair_callers.relay.endpoints.sender import RelayingSender
 from hornbeamstair_core.clock import get_moment, get_monotonic_time
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_core.requests import DoneReply
@@ -126,11 +128,35 @@
     group = VotingGroup(_GROUP, node, transport, get_monotonic_time)
     channel = _make_channel(settings, transport, metrics)
     codec = _make_codec()
+    membership = MembershipController(
+        group,
+        channel,
+        settings.zone,
+        get_monotonic_time,
+        MembershipPlanner(settings.losses),
+        is_relay=True,
+    )
+    relaying_sender = RelayingSender(
+        sender,
+        transport,
+        metrics,
+        get_monotonic_time,
+        state.workers.find_zone,
+        lambda: len(state.workers.workers),
+        membership.get_relays,
+    )
+    relay = OrderRelay(
+        transport,
+        sender,
+        metrics,
+        state.jobs.find_text,
+        lambda: node.voter.state.term,
+    )
     runner = WorkRunner(
         group,
         state_machine,
         state,
-        InstrumentedSender(sender, metrics, get_monotonic_time),
+        InstrumentedSender(relaying_sender, metrics, get_monotonic_time),
         settings.lease,
         metrics,
         get_moment,
@@ -164,14 +190,9 @@
         channel,
         LeaderClient(channel, codec, metrics, get_monotonic_time),
         group,
-        MembershipController(
-            group,
-            channel,
-            settings.zone,
-            get_monotonic_time,
-            MembershipPlanner(settings.losses),
-        ),
+        membership,
         runner,
+        relay,
         maintenance,
     )
 
--- a/packages/replicas/hornbeamstair_replicas/calls/messages.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/messages.py
@@ -8,7 +8,13 @@
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import PeerMessage
 
-__all__ = ('LeaderAnswer', 'LeaderCall', 'MemberReport')
+__all__ = (
+    'LeaderAnswer',
+    'LeaderCall',
+    'MemberReport',
+    'RelayedAnswers',
+    'RelayedOrders',
+)
 
 
 @frozen
@@ -42,3 +48,24 @@
 
     voter: VoterId
     zone: ZoneName
+    # Whether it sends orders to workers for the leader; an earlier version
+    # does not.
+    is_relay: bool = False
+
+
+@frozen
+class RelayedOrders(PeerMessage):
+    """Batch of orders to workers that the receiver sends for the leader."""
+
+    kind: ClassVar[str] = 'relayed_orders'
+
+    payload: bytes
+
+
+@frozen
+class RelayedAnswers(PeerMessage):
+    """Batch of answers of workers to relayed orders."""
+
+    kind: ClassVar[str] = 'relayed_answers'
+
+    payload: bytes
--- a/packages/replicas/hornbeamstair_replicas/codec.py
+++ b/packages/replicas/hornbeamstair_replicas/codec.py
@@ -19,6 +19,8 @@
     LeaderAnswer,
     LeaderCall,
     MemberReport,
+    RelayedAnswers,
+    RelayedOrders,
 )
 from hornbeamstair_replicas.peer_messages import (
     Envelope,
@@ -60,6 +62,8 @@
         LeaderAnswer,
         LeaderCall,
         MemberReport,
+        RelayedAnswers,
+        RelayedOrders,
         SnapshotAnswer,
         SnapshotChunk,
         TransferRequest,
--- a/packages/replicas/hornbeamstair_replicas/membership/runner.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/runner.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from attrs import define
+from attrs import define, field
 
 from hornbeamstair_core.background import repeat
 from hornbeamstair_core.events import log_event
@@ -14,6 +14,7 @@
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.membership.planner import MembershipPlanner
 from hornbeamstair_replicas.membership.reconciliation import reconcile_members
+from hornbeamstair_replicas.membership.relays import RelayDirectory
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
 from hornbeamstair_replicas.voting.roles.leader import LeaderRole
@@ -36,6 +37,9 @@
     zone: ZoneName
     get_time: Callable[[], float]
     planner: MembershipPlanner
+    # Whether this process sends orders to workers for the leader.
+    is_relay: bool = False
+    relays: RelayDirectory = field(factory=RelayDirectory)
     control_loop: 'Task[None] | None' = None
 
     def start(self) -> None:
@@ -48,6 +52,20 @@
         if self.control_loop is not None:
             self.control_loop.cancel()
 
+    def get_relays(self) -> dict[ZoneName, VoterId]:
+        """Get a process of each zone that relays orders and answers."""
+        role = self.group.node.voter.leader_role
+        if role is None:
+            return {}
+        now = self.get_time()
+        return self.relays.get_responsive(
+            {
+                peer: role.get_contact_age(peer, now)
+                for peer in role.replicator.peers
+            },
+            now,
+        )
+
     async def _run_pass(self) -> float:
         role = self.group.node.voter.find_leader_role()
         if role.is_ok():
@@ -63,7 +81,7 @@
             await self.channel.ask(b'', _ASK_TIMEOUT_SECONDS)
             leader = self.channel.targets.leader
         if leader:
-            report = MemberReport(state.voter, self.zone)
+            report = MemberReport(state.voter, self.zone, self.is_relay)
             self.group.transport.send(
                 Envelope(_CHANNEL, state.voter, leader, report),
             )
@@ -72,6 +90,8 @@
         if isinstance(message, MemberReport):
             now = self.get_time()
             self.planner.handle_report(message.voter, message.zone, now)
+            if message.is_relay:
+                self.relays.handle_report(message.voter, message.zone, now)
 
     def _reconcile(self, role: LeaderRole) -> None:
         event = reconcile_members(
--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
@@ -104,6 +104,10 @@
             self.transport.write(payload)
         return self.reply
 
+    def expire(self) -> None:
+        """Fail the request in progress, whose reply is late."""
+        self._fail(TimeoutError('no reply in time'))
+
     def close(self) -> None:
         """Abort the connection."""
         self.is_open = False
@@ -163,6 +167,9 @@
             self.max_concurrent,
         )
         self.semaphores[endpoint] = semaphore
+        if not semaphore.locked():
+            async with semaphore:
+                return await self._exchange(endpoint, order)
         # The timeout includes the wait for the semaphore.
         async with timeout(_CONNECT_SECONDS + order.timeout), semaphore:
             return await self._exchange(endpoint, order)
@@ -183,14 +190,17 @@
         order: HttpOrder,
     ) -> HttpReply:
         connection = await self._acquire(endpoint)
+        # A timer costs less than a timeout context, and orders are frequent.
+        timer = get_running_loop().call_later(order.timeout, connection.expire)
         try:
-            async with timeout(order.timeout):
-                reply = await connection.send(_encode(order))
+            reply = await connection.send(_encode(order))
         except BaseException:
             connection.close()
             # Other connections to the address may be broken as well.
             self.close_idle(endpoint)
             raise
+        finally:
+            timer.cancel()
         self._release(endpoint, connection)
         return reply
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/table.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/table.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from hornbeamstair_core.ids import WorkerId
+from hornbeamstair_core.ids import WorkerId, ZoneName
 from hornbeamstair_core.records import Record, RecordTable
 from hornbeamstair_upstreams.work.messages import (
     WorkerAnnouncement,
@@ -43,6 +43,11 @@
                     self.workers.pop(worker)
         return None
 
+    def find_zone(self, worker: WorkerId) -> ZoneName | None:
+        """Find the zone of a worker; None if the worker is not known."""
+        announced = self.workers.get(worker)
+        return None if announced is None else announced.zone
+
     def get_state(self) -> WorkerTableState:
         """Get the workers."""
         return WorkerTableState(tuple(self.workers.values()))
--- /dev/null
+++ b/tests/features/relay.feature
@@ -0,0 +1,68 @@
+Feature: Orders to workers go through a process in the zone of the worker
+
+  On a site with hundreds of workers, the orders and polls take most of the
+  time of the leader's event loop; other processes of its group send them.
+
+  Scenario: A start goes through the relay of the zone, with the text of its own log
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    When the leader starts a run on a worker in zone "b"
+    Then the relay has sent 1 start with the text of the job
+    And the leader has sent 0 orders itself
+    And the outcome is "done"
+
+  Scenario: The leader sends to its own zone and to zones without a relay
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    When the leader starts a run on a worker in zone "a"
+    Then the leader has sent 1 orders itself
+
+  Scenario: On a small site the leader sends all orders
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the site has 30 workers
+    When the leader starts a run on a worker in zone "b"
+    Then the leader has sent 1 orders itself
+
+  Scenario: A start of a job that the relay does not know is sent once by the leader
+    Given a leader in zone "a" and a relay in zone "b" without the job
+    When the leader starts a run on a worker in zone "b"
+    Then the relay has sent 0 starts
+    And the leader has sent 1 orders itself
+    And the outcome is "done"
+
+  Scenario: A relay sends no orders of a previous leader
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the relay knows a newer term
+    When the leader starts a run on a worker in zone "b"
+    Then the relay has sent 0 starts
+
+  Scenario: The outcome of a start through a relay that falls silent is unknown
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the relay falls silent after it got an order
+    When the leader starts a run on a worker in zone "b"
+    Then the outcome is "unknown" after at most 0.3 seconds
+    And the leader has sent 0 orders itself
+    When the leader starts a run on a worker in zone "b"
+    Then the leader has sent 1 orders itself
+
+  Scenario: A poll through a relay that falls silent is repeated by the leader
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the relay falls silent after it got an order
+    When the leader polls a worker in zone "b"
+    Then the outcome is "done"
+    And the leader has sent 1 orders itself
+
+  Scenario: A worker that its relay cannot reach is reached by the leader
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the relay cannot reach its workers
+    When the leader polls a worker in zone "b"
+    Then the outcome is "unknown"
+    When the leader polls a worker in zone "b"
+    Then the outcome is "done"
+
+  Scenario: A process that does not answer the leader is no relay
+    Given a relay that reported at 10.0 and answered at 10.0
+    Then it is a relay at 10.3
+    And it is no relay at 10.4
+
+  Scenario: Orders and answers are the same after they were relayed
+    Then 200 random orders and answers survive the codec
+    And odd batches are refused
