--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 RUN := $(VENV)/bin/python
 PACKAGES := core replicas fleet upstreams operators callers daemon tools
 
-.PHONY: install demo test check format reference lock bench bench-jobs bench-state capacity
+.PHONY: install demo test check format reference lock bench bench-jobs bench-state capacity regression
 
 install: $(VENV)/.installed
 
@@ -49,3 +49,10 @@
 
 lock:
 	uv pip compile --quiet --generate-hashes --no-emit-index-url requirements.in -o requirements.lock
+
+# BENCH: program of the bench; SITES: site files, by default all of the
+# regression under KIT.
+SITES ?= $(addprefix $(KIT)/,further/brandvold-ice.toml further-grown/brandvold-ice-grown.toml large/sanad-grind-large.toml grown/sanad-grind-grown.toml grown/aedln-cluster-grown.toml)
+
+regression: install
+	$(RUN) -m hornbeamstair_tools.regression $(BENCH) $(SITES)
--- a/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
@@ -10,11 +10,13 @@
 from hornbeamstair_callers.relay.choice import RelayChoice
 from hornbeamstair_callers.relay.codec import decode_answers, encode_orders
 from hornbeamstair_callers.relay.endpoints.batches import MessageBatches
+from hornbeamstair_callers.relay.events import RelaysChangedEvent
 from hornbeamstair_callers.relay.messages import (
     RelayedOrder,
     RelayFailure,
     WorkerOrder,
 )
+from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import WorkerId, ZoneName
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_core.units import MAX_EXACT_INTEGER
@@ -153,10 +155,13 @@
             self.pending.pop(number)
 
     def _update_relays(self, now: float) -> None:
-        if now - self.checked_at >= _CHECK_SECONDS:
-            self.checked_at = now
-            workers = self.get_worker_count()
-            self.choice.update(self.get_relays(), workers, now)
+        if now - self.checked_at < _CHECK_SECONDS:
+            return
+        self.checked_at = now
+        relays = self.get_relays()
+        if relays != self.choice.relays:
+            log_event(RelaysChangedEvent(relays, len(self.pending)))
+        self.choice.update(relays, self.get_worker_count(), now)
 
     def _schedule_check(self) -> None:
         if not self.is_check_scheduled:
