--- a/packages/callers/hornbeamstair_callers/relay/choice.py
+++ b/packages/callers/hornbeamstair_callers/relay/choice.py
@@ -10,8 +10,8 @@
 
 __all__ = ('RelayChoice',)
 
-# With fewer workers, the leader sends all orders in less time than the detour
-# over another process takes.
+# With fewer workers, the leader's event loop has time for all orders, and a
+# relay would only delay them.
 _MIN_WORKERS: Final = 64
 # After an order without an answer, the leader sends the orders to this worker
 # itself: the path from the relay to the worker may be cut.
@@ -22,8 +22,8 @@
 class RelayChoice:
     """Relay of each worker: a process in its zone that answers the leader.
 
-    Answers the load of sites with hundreds of workers, whose orders and polls
-    take most of the time of the leader's event loop.
+    Made for sites with hundreds of workers: their orders and polls take most
+    of the time of the leader's event loop.
     """
 
     # Relays that answer the leader, by zone.
--- a/packages/callers/hornbeamstair_callers/relay/codec.py
+++ b/packages/callers/hornbeamstair_callers/relay/codec.py
@@ -1,6 +1,6 @@
 """CBOR codec of batches of relayed orders and answers.
 
-Rows are encoded by position: a batch has hundreds of rows a second.
+Rows are encoded by position, since thousands are sent each second.
 """
 
 from collections.abc import Iterable, Sequence
--- a/packages/fleet/hornbeamstair_fleet/events.py
+++ b/packages/fleet/hornbeamstair_fleet/events.py
@@ -87,11 +87,11 @@
 @register_event
 @frozen
 class HostEntryRefusedEvent(Event):
-    """Entry of the list of hosts that names no host to use."""
+    """Unreadable entry of the list of hosts."""
 
     number = 6005
     name = 'host_entry_refused'
-    summary = 'An entry of the list of hosts cannot be read; the others hold.'
+    summary = 'An unreadable entry of the list of hosts was skipped.'
     level = EventLevel.warning
 
     reason: str
--- a/packages/upstreams/hornbeamstair_upstreams/work/checks.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/checks.py
@@ -30,7 +30,7 @@
     announced: WorkerAnnouncement,
     now: Moment,
 ) -> Result[WorkerAnnouncement, Failure]:
-    """Refuse an announcement that names no worker to use."""
+    """Refuse an announcement with an invalid field, naming the field."""
     problem = next(_find_problems(announced, now), None)
     if problem is not None:
         return Error(InvalidFieldFailure(*problem))
--- a/tests/features/operator_reports.feature
+++ b/tests/features/operator_reports.feature
@@ -18,7 +18,7 @@
     And 90 seconds pass
     Then every job is completed or has failed
 
-  Scenario: A process that was paused sends no orders of a leader that was replaced
+  Scenario: A relay that knows of a newer leader sends no orders of the previous one
     Given a leader in zone "a" and a relay in zone "b" that has the job
     And the relay knows a newer term
     When the leader starts a run on a worker in zone "b"
