--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -232,7 +232,7 @@
         )
 
     def is_contradicted_by(self, announced: WorkerAnnouncement) -> bool:
-        """Return whether an announcement gives the incarnation another identity.
+        """Return whether an announcement contradicts the incarnation.
 
         An incarnation that was learned from an answer has announced nothing
         yet; its sequence number is 0.
