Log starts without an outcome, and backfill tasks that wait

New event starts_unconfirmed; work_waiting counts backfill tasks and serving workers. Both have a scenario in trace.feature.

--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -15,6 +15,7 @@
     'RequestRefusedEvent',
     'RunsEndedEvent',
     'RunsPlacedEvent',
+    'StartsUnconfirmedEvent',
     'WorkWaitingEvent',
     'WorkerBelievedEvent',
     'WorkerQuarantinedEvent',
@@ -173,3 +174,18 @@
     examined: int
     placed: int
     span_ms: int
+
+
+@register_event
+@frozen
+class StartsUnconfirmedEvent(Event):
+    """Runs that no worker has confirmed for a long time."""
+
+    number = 2014
+    name = 'starts_unconfirmed'
+    summary = 'Starts are neither confirmed nor refused; lists the oldest.'
+    level = EventLevel.warning
+
+    fencing_token: int
+    count: int
+    runs: tuple[Mapping[str, Any], ...]
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -33,6 +33,9 @@
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.starts import StartPlanner
 from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_callers.jobs.unconfirmed_event_log import (
+    UnconfirmedEventLog,
+)
 from hornbeamstair_callers.jobs.unstarted import UnstartedJobs
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_event_log import WaitingEventLog
@@ -106,6 +109,7 @@
     run_event_log: RunEventLog = field(init=False)
     waiting: WaitingJobs = field(init=False)
     waiting_event_log: WaitingEventLog = field(init=False)
+    unconfirmed_event_log: UnconfirmedEventLog = field(init=False)
     starts: StartPlanner = field(init=False)
     ends: EndRecorder = field(init=False)
 
@@ -118,6 +122,7 @@
             ObjectiveRanking(),
         )
         self.waiting_event_log = WaitingEventLog(self.waiting)
+        self.unconfirmed_event_log = UnconfirmedEventLog(self.fencing_token)
         self.job_event_log = JobEventLog(state.manifest)
         self.run_event_log = RunEventLog(self.fencing_token)
         self.starts = StartPlanner(
@@ -284,6 +289,7 @@
         self.waiting.mark_repeating()
         self._place_all(now)
         self.waiting_event_log.log_due(self.sessions.values(), now)
+        self.unconfirmed_event_log.log_due(self.sessions.values(), now)
 
     def place(self, now: Moment) -> None:
         """Place ready tasks of services with new work or freed resources."""
--- a/packages/callers/hornbeamstair_callers/jobs/waiting_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting_event_log.py
@@ -59,6 +59,7 @@
                     'jobs': len(jobs),
                     'tasks': sum(count for count, _ in waits),
                     'oldest_ms': to_milliseconds(oldest),
+                    'backfill_tasks': sum(map(_count_backfill_tasks, jobs)),
                     **_describe_workers(service, sessions, now),
                 }
 
@@ -98,4 +99,12 @@
             (resources.cpu for resources in free), default=0
         ),
         'free_memory': sum(resources.memory for resources in free),
+        # Backfill tasks are not placed on these.
+        'serving': sum(session.serves_requests() for session in usable),
     }
+
+
+def _count_backfill_tasks(job: WaitingJob) -> int:
+    return sum(
+        len(phase.tasks) for phase in job.phases if phase.phase.needs.fills
+    )
--- a/packages/upstreams/hornbeamstair_upstreams/work/placement.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -135,7 +135,7 @@
 def _would_interfere(session: WorkerSession, needs: TaskNeeds) -> bool:
     """Return whether a backfill and a serving task would share a worker."""
     if needs.fills:
-        return any(run.needs.target_seconds for run in session.runs.values())
+        return session.serves_requests()
     if needs.target_seconds:
         return any(run.needs.fills for run in session.runs.values())
     return False
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -92,6 +92,10 @@
         """Count the runs of one phase on the worker."""
         return sum(1 for run in self.runs.values() if run.phase_id == phase_id)
 
+    def serves_requests(self) -> bool:
+        """Return whether a run with a limit on its response time is here."""
+        return any(run.needs.target_seconds for run in self.runs.values())
+
     # Runs
 
     def add_run(self, run: Run) -> None:
--- a/tests/features/trace.feature
+++ b/tests/features/trace.feature
@@ -50,6 +50,16 @@
     When a job of 3 tasks has been waiting there for 3 seconds
     Then its log reports no waiting tasks
 
+  Scenario: Starts that no worker confirms are logged
+    Given the log of a modelled leader with 1 workers
+    When its worker ignores the starts of a job of 3 tasks for 3 seconds
+    Then its log reports 2 times 3 unconfirmed starts
+
+  Scenario: Backfill tasks that wait are logged beside the serving workers
+    Given the log of a modelled leader with 2 workers
+    When 2 serving tasks and 3 backfill tasks are accepted there for 4 seconds
+    Then its log reports 3 backfill tasks that wait beside 2 serving workers
+
   Scenario: Dropped lines are counted in the metrics before another line comes
     Given a log with a limited buffer whose reader accepts nothing
     When 1000 jobs are accepted at once
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -55,7 +55,10 @@
     WorkerSeen,
 )
 from hornbeamstair_upstreams.work.runs import RunState
-from hornbeamstair_upstreams.work.session import WorkerSession
+from hornbeamstair_upstreams.work.session import (
+    WorkerSession,
+    get_used_resources,
+)
 from hornbeamstair_upstreams.work.table import WorkerTable
 
 STEP_SECONDS = 0.05
@@ -102,6 +105,8 @@
     # Highest run number of each task that was ordered to start or stop.
     highest_runs: dict[TaskId, int] = field(factory=dict)
     is_partitioned: bool = False
+    # Answers polls, but neither executes nor answers starts.
+    ignores_starts: bool = False
     # Latest time at which the lease was expired.
     lease_expired_at: float = 0
     # Times of the ends of this incarnation, by number.
@@ -273,6 +278,8 @@
     scheduler: Scheduler = field(init=False)
     # Batches being committed, with the time of their commit.
     commits: list[tuple[float, Scheduler, CommitBatch]] = field(factory=list)
+    # Senders of start orders that fail before they have an outcome.
+    failing_senders: int = 0
     # Orders that a worker executes late, possibly after newer ones. They came
     # over a connection of one incarnation and are dropped when it ends.
     delayed_orders: list[tuple[float, int, StartOrder | StopOrder]] = field(
@@ -375,7 +382,7 @@
 
     def get_cpu(self, task: TaskId) -> int:
         """Get the CPU that a task takes."""
-        return self.get_phase(task).needs.room.cpu
+        return get_used_resources(self.get_phase(task).needs).cpu
 
     def get_phase(self, task: TaskId) -> Phase:
         """Get the phase of a task."""
@@ -461,6 +468,8 @@
                 case CommitBatch():
                     due = self.now + COMMIT_SECONDS
                     self.commits.append((due, self.scheduler, effect))
+                case SendStart() if self.failing_senders:
+                    self.failing_senders -= 1
                 case SendStart(session, order):
                     self._start(session, order)
                 case SendStop(session, order):
@@ -536,6 +545,8 @@
     if worker.is_partitioned:
         # The sender resets the connection, so the order never arrives late.
         return OrderOutcome.unknown
+    if worker.ignores_starts and isinstance(order, StartOrder):
+        return OrderOutcome.unknown
     if model.rng.random() < model.delayed_share:
         delay = model.rng.uniform(2, 12)
         model.delayed_orders.append(
@@ -561,6 +572,13 @@
     model.workers[crashed.worker] = crashed
 
 
+def add_worker(model: WorkModel) -> ModelWorker:
+    """Add a worker with a new name."""
+    worker = WorkerId(f'w{len(model.workers)}')
+    model.workers[worker] = ModelWorker(worker, model, clock_offset=model.now)
+    return model.workers[worker]
+
+
 def drain_worker(model: WorkModel, worker: WorkerId) -> None:
     """Request the stop of all runs of a worker."""
     session = model.scheduler.sessions.get(worker)
@@ -648,15 +666,19 @@
     after: tuple[int, ...] = (),
     *,
     lasts: bool = False,
+    fills: bool = False,
     max_away: int | None = None,
     memory: int = 100,
+    target_seconds: float = 0,
 ) -> Phase:
     """Make a phase."""
     needs = TaskNeeds(
         Resources(cpu, memory),
         1.0,
         lasts=lasts,
+        fills=fills,
         max_away=max_away,
-        spread_limit=1 if lasts else 0,
+        spread_limit=1 if lasts and not fills else 0,
+        target_seconds=target_seconds,
     )
     return Phase(count, needs, after)
