--- /dev/null
+++ b/tests/features/steps/stuck_steps.py
@@ -0,0 +1,91 @@
+"""Steps on tasks that could run but are not started."""
+
+from typing import Any
+from unittest.mock import patch
+
+from behave import then, when
+
+from hornbeamstair_callers.jobs.demand import get_demands
+from hornbeamstair_core.ids import JobId, PoolName
+from hornbeamstair_upstreams.work.session import WorkerSession
+from tests.features.steps.unconfirmed_steps import (
+    BACKFILL_JOB,
+    JOB,
+    make_backfill_phase,
+    make_serving_phase,
+)
+from tests.support.work_model import SERVICE, add_worker
+
+
+@when('the senders of the next {count:d} starts fail without an outcome')
+def fail_senders(context: Any, count: int) -> None:
+    """Drop start orders as an unexpected error of their sender does."""
+    context.work.failing_senders = count
+
+
+@when('the first worker ignores starts from now on')
+def ignore_first(context: Any) -> None:
+    """Have the worker that is chosen first answer polls only."""
+    next(iter(context.work.workers.values())).ignores_starts = True
+
+
+@when('the check of the first worker fails once while all are due')
+def fail_check(context: Any) -> None:
+    """Raise an error in a tick; the background work goes on after it."""
+    scheduler = context.work.scheduler
+    for session in scheduler.sessions.values():
+        scheduler.index.on_check_due(session)
+    with patch.object(WorkerSession, 'expire', side_effect=ValueError):
+        try:
+            scheduler.tick(context.work.get_moment())
+        except ValueError:
+            return
+    raise AssertionError('the check has not failed')
+
+
+@when('every worker is partitioned for good and {count:d} others join')
+def replace_all(context: Any, count: int) -> None:
+    """Partition all workers and add others."""
+    for worker in context.work.workers.values():
+        worker.is_partitioned = True
+    context.others = [add_worker(context.work) for _ in range(count)]
+
+
+@then('each of the {count:d} tasks runs on one of the others')
+def check_replaced(context: Any, count: int) -> None:
+    """Check the tasks that run on the workers that joined."""
+    running = {task for worker in context.others for task in worker.runs}
+    assert len(running) == count, running
+
+
+@when(
+    'a job of {serving:d} serving tasks and then one of {backfill:d} '
+    'backfill tasks is accepted'
+)
+def accept_both(context: Any, serving: int, backfill: int) -> None:
+    """Accept backfill tasks once each worker serves."""
+    context.work.accept(JOB, (make_serving_phase(serving),))
+    context.work.run(1)
+    context.work.accept(BACKFILL_JOB, (make_backfill_phase(backfill),))
+
+
+@when('a worker joins')
+def join(context: Any) -> None:
+    """Add a worker."""
+    context.joined = add_worker(context.work)
+
+
+@then('the pool asks for {count:d} hosts')
+@then('the pool asks for {count:d} host')
+def check_demand(context: Any, count: int) -> None:
+    """Check the hosts that tasks without a worker need."""
+    work = context.work
+    demand = get_demands(work.scheduler, work.get_moment())
+    assert demand[PoolName(SERVICE)].unplaced == count, demand
+
+
+@then('both backfill tasks run on it')
+def check_backfill(context: Any) -> None:
+    """Check the runs of the worker that joined."""
+    jobs = [JobId(task.partition('.')[0]) for task in context.joined.runs]
+    assert jobs == [BACKFILL_JOB] * 2, jobs
--- /dev/null
+++ b/tests/features/stuck_tasks.feature
@@ -0,0 +1,38 @@
+Feature: No task waits for good beside workers that could run it
+
+  Scenario: A start whose sender fails without an outcome is sent again
+    Given a work model with seed 21, 3 workers and no faults
+    When 1 seconds pass
+    And the senders of the next 2 starts fail without an outcome
+    And a job of 2 phases with 5 tasks each is accepted
+    And 15 seconds pass
+    Then every job is completed
+
+  Scenario: A task leaves a worker that answers polls but no starts
+    Given a work model with seed 22, 3 workers and no faults
+    When 1 seconds pass
+    And the first worker ignores starts from now on
+    And a job of 2 phases with 5 tasks each is accepted
+    And 20 seconds pass
+    Then every job is completed
+
+  Scenario: A failed check of one worker does not end the checks of others
+    Given a work model with seed 23, 3 workers and no faults
+    When 1 seconds pass
+    And a job of 3 endless tasks with at most 1 unavailable
+    And 1 seconds pass
+    And the check of the first worker fails once while all are due
+    And every worker is partitioned for good and 3 others join
+    And 20 seconds pass
+    Then each of the 3 tasks runs on one of the others
+
+  Scenario: Backfill tasks get a host if every worker of the pool serves
+    Given a work model with seed 24, 3 workers and no faults
+    When 1 seconds pass
+    And a job of 3 serving tasks and then one of 2 backfill tasks is accepted
+    And 2 seconds pass
+    Then the pool asks for 1 host
+    When a worker joins
+    And 2 seconds pass
+    Then both backfill tasks run on it
+    And the pool asks for 0 hosts
