Send a start again whose sender failed without an outcome

Callers would see a task that never starts beside free workers. A run waits in the state ordered for the report of the coroutine that sends its order; if that fails, nobody goes on with it, while polls renew its lease. Class of fault: work that only the coroutine that began it knows.

An order without an outcome for longer than all timeouts of the senders is now sent again with the same run number, which a worker executes once, and the error of the sender is logged.

Test: stuck_tasks.feature, 'A start whose sender fails without an outcome is sent again', failed before: the job was still running after 15 s.

--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -249,6 +249,7 @@
         task = create_task(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(_log_sender_failure)
 
     async def _send_start(
         self,
@@ -277,3 +278,10 @@
         now = self.get_moment()
         scheduler.handle_stop_answer(effect.session, effect.order, answer, now)
         self._execute_effects(scheduler)
+
+
+def _log_sender_failure(task: 'Task[None]') -> None:
+    error = None if task.cancelled() else task.exception()
+    if isinstance(error, Exception):
+        # The scheduler sends orders without an outcome again.
+        log_step_failure('orders to workers', error)
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -1,6 +1,7 @@
 """State that the leader keeps for one worker; performs no I/O."""
 
 from collections.abc import Iterable
+from types import MappingProxyType
 from typing import Final
 
 from attrs import define, evolve, field
@@ -33,12 +34,22 @@
 # A worker is responsive for this time after an answer, plus the poll wait.
 _RESPONSIVE_SECONDS: Final = 2.2
 _START_RETRY_SECONDS: Final = 0.1
+# Longer than the timeouts of all senders, after which an order has an outcome
+# unless its sender failed.
+_OUTCOME_SECONDS: Final = 5.0
 _STOP_RETRY_SECONDS: Final = 0.5
 # Time from the withdrawal of a worker until it has terminated.
 _TERMINATION_SECONDS: Final = 0.5
 # Interval of the checks of a worker without a lease.
 _EXPIRED_CHECK_SECONDS: Final = 0.5
 _LONG_AGO: Final = -1000.0
+# Time after which a start order is due again, by the state of its run.
+_RETRY_SECONDS: Final = MappingProxyType(
+    {
+        RunState.ordered: _OUTCOME_SECONDS,
+        RunState.unanswered: _START_RETRY_SECONDS,
+    },
+)
 
 
 @define(eq=False)
@@ -340,8 +351,8 @@
         return [
             run
             for run in self.runs.values()
-            if run.state == RunState.unanswered
-            and now - run.ordered_at > _START_RETRY_SECONDS
+            if now - run.ordered_at
+            > _RETRY_SECONDS.get(run.state, float('inf'))
         ]
 
     def request_stop(self, run: Run) -> None:
