Start a task elsewhere if its worker answers polls but no starts

Callers would see a task that never starts beside free workers: its run stays unanswered on one worker, whose polls renew the lease of the run for good. Class of fault: a wait without a bound on a peer that answers something else.

After 3 s without an answer the run is stopped, so that the worker rejects the start orders sent so far; the task is placed again once the run is neither listed nor still ending, and the worker is quarantined meanwhile.

Test: stuck_tasks.feature, 'A task leaves a worker that answers polls but no starts', failed before: the job was still running after 20 s.

--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -108,7 +108,9 @@
 
     number = 2006
     name = 'worker_quarantined'
-    summary = 'Runs keep failing on a worker; it gets no new work for a while.'
+    summary = (
+        'Runs fail or do not start on a worker; it gets no work for a while.'
+    )
     level = EventLevel.warning
 
     worker: str
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -73,6 +73,9 @@
 # Callers can query the state of an ended job for this time.
 _ENDED_JOB_SECONDS: Final = 180.0
 _FORGET_INTERVAL_SECONDS: Final = 5.0
+# Time in which a worker has to confirm a start; tasks are placed elsewhere
+# before users notice that they wait, and after several attempts.
+_START_SECONDS: Final = 3.0
 # Unplaced jobs that one scan examines. Beyond this, the scan takes longer
 # than the handling of a run end and a start.
 _MAX_UNPLACED_JOBS: Final = 48
@@ -249,8 +252,7 @@
         _log_responsiveness(session, was_unresponsive=was_unresponsive)
         self._commit_ends(session, ended, now)
         if session.health.quarantine_if_unhealthy(now.monotonic):
-            worker = session.announced.worker
-            log_event(WorkerQuarantinedEvent(worker, 'consecutive runs failed'))
+            _log_quarantine(session, 'consecutive runs failed')
 
     def handle_start_answer(
         self,
@@ -467,14 +469,27 @@
 
     def _resend_starts(self, session: WorkerSession, now: Moment) -> None:
         for run in session.get_unanswered(now.monotonic):
-            job = self._find_job(run.task)
-            if job is None or not job.is_open or run.is_stop_requested:
-                session.request_stop(run)
-                continue
-            order = session.make_start(run, job.spec.text, now.monotonic)
+            order = self._renew_start(session, run, now)
             if order is not None:
                 self.effects.append(SendStart(session, order))
 
+    def _renew_start(
+        self,
+        session: WorkerSession,
+        run: Run,
+        now: Moment,
+    ) -> StartOrder | None:
+        """Make the start order of a run again, or request its stop."""
+        job = self._find_job(run.task)
+        if job is None or not job.is_open or run.is_stop_requested:
+            session.request_stop(run)
+            return None
+        if now.monotonic - run.started_at > _START_SECONDS:
+            session.abandon_start(run, now.monotonic)
+            _log_quarantine(session, 'start orders have no answer')
+            return None
+        return session.make_start(run, job.spec.text, now.monotonic)
+
     def _commit_ends(
         self,
         session: WorkerSession,
@@ -539,6 +554,11 @@
     )
 
 
+def _log_quarantine(session: WorkerSession, reason: str) -> None:
+    worker = session.announced.worker
+    log_event(WorkerQuarantinedEvent(worker, reason))
+
+
 def _discard_recorded_run(
     session: WorkerSession,
     run: Run,
--- a/packages/upstreams/hornbeamstair_upstreams/work/health.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/health.py
@@ -59,11 +59,12 @@
         """Start a quarantine if the failures indicate a bad worker."""
         is_bad = self.failures >= _MAX_FAILURES
         if is_bad and len(self.failed_phases) >= _MIN_FAILED_PHASES:
-            self._quarantine(now)
+            self.quarantine(now)
             return True
         return False
 
-    def _quarantine(self, now: float) -> None:
+    def quarantine(self, now: float) -> None:
+        """Exclude the worker from placement, each time for longer."""
         self.failures = 0
         self.failed_phases.clear()
         self._pause(now, self.next_quarantine_seconds)
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -355,6 +355,14 @@
             > _RETRY_SECONDS.get(run.state, float('inf'))
         ]
 
+    def abandon_start(self, run: Run, now: float) -> None:
+        """Request the stop of a run that the worker does not start.
+
+        After the stop, the worker rejects the start orders sent so far.
+        """
+        self.health.quarantine(now)
+        self.request_stop(run)
+
     def request_stop(self, run: Run) -> None:
         """Request the stop of a tracked run."""
         run.is_stop_requested = True
