Check the other workers though the check of one fails

Callers would see tasks wait for good once a worker falls silent: the workers that were due for a check left the schedule before the first check, and an unexpected error in it left all others without any later one. Their leases did not expire and their starts were not sent again. Class of fault: an unexpected error in one item ends the work for others.

A worker leaves the schedule once its check is done; the failed one comes last.

Test: stuck_tasks.feature, 'A failed check of one worker does not end the checks of others', failed before: no task had a run elsewhere after 20 s.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -282,8 +282,10 @@
 
     def tick(self, now: Moment) -> None:
         """Handle expired leases and due retries, then place ready tasks."""
-        for session in self.index.checks.pop_due(now.monotonic):
-            self._check_session(session, now)
+        self.index.checks.check_due(
+            now.monotonic,
+            lambda session: self._check_session(session, now),
+        )
         self._expire_inherited(now)
         if now.monotonic - self.jobs_forgotten_at > _FORGET_INTERVAL_SECONDS:
             self.jobs_forgotten_at = now.monotonic
--- a/packages/upstreams/hornbeamstair_upstreams/work/check_schedule.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/check_schedule.py
@@ -1,5 +1,7 @@
 """Schedule of the checks of workers for expired leases and due retries."""
 
+from collections import deque
+from collections.abc import Callable, Iterator
 from heapq import heappop, heappush
 
 from attrs import define, field
@@ -30,12 +32,28 @@
         """Remove a worker."""
         self.due_at.pop(session, None)
 
-    def pop_due(self, now: float) -> list[WorkerSession]:
-        """Remove and return the workers that are due."""
-        due: list[WorkerSession] = []
+    def check_due(
+        self,
+        now: float,
+        check: Callable[[WorkerSession], None],
+    ) -> None:
+        """Check the workers that are due.
+
+        If a check fails, its worker and those after it stay due.
+        """
+        due = deque(self._pop_due(now))
+        try:
+            while due:
+                check(due[0])
+                due.popleft()
+        finally:
+            # The worker whose check failed comes last.
+            for session in reversed(due):
+                self.add(session, now)
+
+    def _pop_due(self, now: float) -> Iterator[WorkerSession]:
         while self.queue and self.queue[0][0] <= now:
             at, _, session = heappop(self.queue)
             if self.due_at.get(session) == at:
                 self.due_at.pop(session)
-                due.append(session)
-        return due
+                yield session
