Ask for hosts for backfill tasks that no worker of their pool takes

Callers would see a long-running backfill task that does not run although there are idle hosts: workers with serving runs do not take it, and as it uses no CPU of the pool, nothing asked for another host. Class of fault: a rule of the placement that the demand does not know.

Backfill tasks that wait for 0.5 s now ask for as many hosts as their memory and their spread limit need. Fits the users' report of a task that is to last; not shown to be its cause.

Test: stuck_tasks.feature, 'Backfill tasks get a host if every worker of the pool serves', failed before: the pool asked for no host.

--- a/packages/callers/hornbeamstair_callers/jobs/demand.py
+++ b/packages/callers/hornbeamstair_callers/jobs/demand.py
@@ -1,5 +1,6 @@
 """Waiting work and worker capacity of each service."""
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 from typing import Final
@@ -15,6 +16,8 @@
 
 __all__ = ('get_demands',)
 
+# Backfill tasks that wait longer fit on no worker of their pool.
+_MIN_BACKFILL_WAIT_SECONDS: Final = 0.5
 # Time in which jobs that miss their objective should still be done.
 _OVERDUE_WORK_SECONDS: Final = 5.0
 
@@ -42,6 +45,7 @@
             capacity=sum(map(_get_finite_work_cpu, usable)),
             host_capacity=max(map(_get_total_cpu, usable), default=host_cpu),
             unplaced=sum(map(_count_long_running, jobs))
+            + _count_backfill_hosts(scheduler, jobs, now)
             + sum(_find_blocked_workers(scheduler, name, now)),
             free=sum(session.get_free_resources().cpu for session in usable),
             waiting_tasks=sum(map(_count_tasks, jobs)),
@@ -124,6 +128,42 @@
     )
 
 
+def _count_backfill_hosts(
+    scheduler: Scheduler,
+    waiting: list[WaitingJob],
+    now: Moment,
+) -> int:
+    """Count the hosts that the waiting backfill tasks need.
+
+    They take no CPU of the pool, but no worker with serving runs takes them.
+    """
+    phases = [
+        ready
+        for waiting_job in waiting
+        for ready in waiting_job.phases
+        if ready.phase.needs.fills
+        and scheduler.waiting.get_wait_seconds(ready, now.wall)
+        >= _MIN_BACKFILL_WAIT_SECONDS
+    ]
+    host_memory = max(
+        (
+            session.announced.room.memory
+            for session in scheduler.sessions.values()
+        ),
+        default=0,
+    )
+    memory = sum(
+        ready.phase.needs.room.memory * len(ready.tasks) for ready in phases
+    )
+    spread_hosts = (
+        len(ready.tasks) / ready.phase.needs.spread_limit
+        for ready in phases
+        if ready.phase.needs.spread_limit
+    )
+    hosts = max(memory / max(host_memory, 1), *spread_hosts, bool(phases))
+    return math.ceil(hosts)
+
+
 def _find_blocked_workers(
     scheduler: Scheduler,
     service: ServiceName,
