Pause a worker for longer each time it refuses a start

Callers would see a task that never starts beside idle workers. Occupied workers are preferred; one that refuses starts paused for 0.2 s, and by the time the end and the next start of the task were committed the pause was over and the task came back to it. Class of fault: a retry without backoff that returns to the same peer.

The pause doubles with each refusal up to 5 s, and a started run resets it.

Test: stuck_tasks.feature, 'Tasks are placed on idle workers if the preferred ones refuse them', failed before: neither job was completed after 10 s.

--- a/packages/upstreams/hornbeamstair_upstreams/work/health.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/health.py
@@ -12,8 +12,10 @@
 # quarantine.
 _MAX_FAILURES: Final = 3
 _MIN_FAILED_PHASES: Final = 2
-# Pauses after one refusal and after one unanswered order.
-_REFUSAL_PAUSE_SECONDS: Final = 0.2
+# Pauses after refusals: each is twice as long as the last until a run starts.
+_MIN_REFUSAL_PAUSE_SECONDS: Final = 0.2
+_MAX_REFUSAL_PAUSE_SECONDS: Final = 5.0
+# Pause after one unanswered order.
 _UNANSWERED_PAUSE_SECONDS: Final = 0.5
 # Each quarantine is twice as long as the last until a run succeeds.
 _MIN_QUARANTINE_SECONDS: Final = 2.0
@@ -32,6 +34,7 @@
     failed_phases: set[str] = field(factory=set)
     quarantined_until: float = -1000
     next_quarantine_seconds: float = _MIN_QUARANTINE_SECONDS
+    next_refusal_pause_seconds: float = _MIN_REFUSAL_PAUSE_SECONDS
 
     def is_quarantined(self, now: float) -> bool:
         """Return whether the worker is excluded from placement."""
@@ -48,8 +51,21 @@
             self.failed_phases.add(phase_id)
 
     def handle_refusal(self, now: float) -> None:
-        """Pause placement after the worker refused a run."""
-        self._pause(now, _REFUSAL_PAUSE_SECONDS)
+        """Pause placement after the worker refused a run.
+
+        A refusal during a pause is of a run that was placed before it.
+        """
+        if self.is_quarantined(now):
+            return
+        self._pause(now, self.next_refusal_pause_seconds)
+        self.next_refusal_pause_seconds = min(
+            self.next_refusal_pause_seconds * 2,
+            _MAX_REFUSAL_PAUSE_SECONDS,
+        )
+
+    def handle_start(self) -> None:
+        """Reset the pauses after refusals, since a run has started."""
+        self.next_refusal_pause_seconds = _MIN_REFUSAL_PAUSE_SECONDS
 
     def handle_unanswered(self, now: float) -> None:
         """Pause placement after an unanswered order."""
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -322,6 +322,7 @@
             case OrderOutcome.done | OrderOutcome.old:
                 # For an old number, the next poll lists the end of the run.
                 self.confirm(run, RunState.running, now)
+                self.health.handle_start()
             case OrderOutcome.unknown:
                 self.health.handle_unanswered(now)
                 run.may_start_late = True
--- a/tests/features/steps/stuck_steps.py
+++ b/tests/features/steps/stuck_steps.py
@@ -6,6 +6,7 @@
 from behave import then, when
 
 from hornbeamstair_callers.jobs.demand import get_demands
+from hornbeamstair_callers.jobs.messages import JobState
 from hornbeamstair_core.ids import JobId, PoolName
 from hornbeamstair_upstreams.work.session import WorkerSession
 from tests.features.steps.unconfirmed_steps import (
@@ -14,7 +15,7 @@
     make_backfill_phase,
     make_serving_phase,
 )
-from tests.support.work_model import SERVICE, add_worker
+from tests.support.work_model import SERVICE, add_worker, make_phase
 
 
 @when('the senders of the next {count:d} starts fail without an outcome')
@@ -29,6 +30,31 @@
     next(iter(context.work.workers.values())).ignores_starts = True
 
 
+@when('the workers of these tasks refuse starts from now on')
+def refuse_starts(context: Any) -> None:
+    """Have the workers that are chosen first refuse starts."""
+    for worker in context.work.workers.values():
+        worker.refuses_starts = bool(worker.runs)
+
+
+@when('{count:d} jobs of 1 phases with 1 tasks each are accepted besides')
+def accept_besides(context: Any, count: int) -> None:
+    """Accept jobs of one small task."""
+    context.besides = [
+        JobId(f'{number:016x}') for number in range(8, 8 + count)
+    ]
+    for job in context.besides:
+        context.work.accept(job, (make_phase(1, 2000, memory=896),))
+
+
+@then('both of these jobs are completed')
+def check_besides(context: Any) -> None:
+    """Check the jobs of one small task."""
+    jobs = context.work.tables.jobs.jobs
+    states = {jobs[job].state for job in context.besides}
+    assert states == {JobState.completed}, states
+
+
 @when('the check of the first worker fails once while all are due')
 def fail_check(context: Any) -> None:
     """Raise an error in a tick; the background work goes on after it."""
--- a/tests/features/stuck_tasks.feature
+++ b/tests/features/stuck_tasks.feature
@@ -16,6 +16,16 @@
     And 20 seconds pass
     Then every job is completed
 
+  Scenario: Tasks are placed on idle workers if the preferred ones refuse them
+    Given a work model with seed 25, 12 workers and no faults
+    When 1 seconds pass
+    And a job of 6 endless tasks with at most 1 unavailable
+    And 2 seconds pass
+    And the workers of these tasks refuse starts from now on
+    And 2 jobs of 1 phases with 1 tasks each are accepted besides
+    And 10 seconds pass
+    Then both of these jobs are completed
+
   Scenario: A failed check of one worker does not end the checks of others
     Given a work model with seed 23, 3 workers and no faults
     When 1 seconds pass
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -107,6 +107,8 @@
     is_partitioned: bool = False
     # Answers polls, but neither executes nor answers starts.
     ignores_starts: bool = False
+    # Refuses all starts without any effect.
+    refuses_starts: bool = False
     # Latest time at which the lease was expired.
     lease_expired_at: float = 0
     # Times of the ends of this incarnation, by number.
@@ -477,7 +479,7 @@
 
     def _start(self, session: WorkerSession, order: StartOrder) -> None:
         outcome = find_undelivered_outcome(self, order)
-        if outcome is None and self.rng.random() < self.refuse_share:
+        if outcome is None and refuses_start(self, order):
             outcome = OrderOutcome.refused
         answer = OrderAnswer(outcome or OrderOutcome.unknown)
         if outcome is None:
@@ -556,6 +558,12 @@
     return None
 
 
+def refuses_start(model: WorkModel, order: StartOrder) -> bool:
+    """Return whether a worker refuses a start."""
+    is_unlucky = model.rng.random() < model.refuse_share
+    return is_unlucky or model.workers[order.worker].refuses_starts
+
+
 def drop_randomly(model: WorkModel, answer: OrderAnswer) -> OrderAnswer:
     """Drop a share of the answers."""
     if model.rng.random() < model.lost_share:
