Take a worker back into service that answers after its withdrawal

Callers would see tasks wait beside an idle worker. A withdrawal names no incarnation: one that arrives late, or the answer to a repeated order about a host, puts the next incarnation out of service, and only a further incarnation took that back. Class of fault: a notice about a former life that binds the present one.

An answered poll that was sent later than a worker takes to terminate shows that it lives.

Test: stuck_tasks.feature, 'A late withdrawal does not put a living worker out of service', failed before: the job was still queued after 10 s.

--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -42,6 +42,7 @@
     if session.is_unresponsive or not session.is_synced:
         session.notify_freed()
     session.answered_at = now
+    session.handle_sign_of_life(sent_at)
     if not session.is_synced:
         session.is_synced = True
         # The worker has seen this token, so it rejects later orders of previous
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -225,6 +225,17 @@
             self.terminated_at = now
         self._request_check()
 
+    def handle_sign_of_life(self, sent_at: float) -> None:
+        """Take back a termination that a later poll contradicts.
+
+        The notice of a previous incarnation may arrive late.
+        """
+        terminated_at = self.terminated_at
+        if terminated_at is None:
+            return
+        if terminated_at + _TERMINATION_SECONDS < sent_at:
+            self.terminated_at = None
+
     def get_check_time(self, now: float) -> float:
         """Return when the lease can have expired or a retry is due."""
         is_pending = self.terminated_at is not None or any(
--- a/tests/features/steps/stuck_steps.py
+++ b/tests/features/steps/stuck_steps.py
@@ -55,6 +55,14 @@
     assert states == {JobState.completed}, states
 
 
+@when('the withdrawal of a previous incarnation of its worker arrives late')
+def withdraw_late(context: Any) -> None:
+    """Report the end of a worker that goes on."""
+    work = context.work
+    worker = next(iter(work.workers))
+    work.scheduler.handle_withdrawal(worker, work.get_moment())
+
+
 @when('the check of the first worker fails once while all are due')
 def fail_check(context: Any) -> None:
     """Raise an error in a tick; the background work goes on after it."""
--- a/tests/features/stuck_tasks.feature
+++ b/tests/features/stuck_tasks.feature
@@ -26,6 +26,14 @@
     And 10 seconds pass
     Then both of these jobs are completed
 
+  Scenario: A late withdrawal does not put a living worker out of service
+    Given a work model with seed 26, 1 workers and no faults
+    When 1 seconds pass
+    And the withdrawal of a previous incarnation of its worker arrives late
+    And a job of 1 phases with 2 tasks each is accepted
+    And 10 seconds pass
+    Then every job is completed
+
   Scenario: A failed check of one worker does not end the checks of others
     Given a work model with seed 23, 3 workers and no faults
     When 1 seconds pass
