--- a/packages/callers/hornbeamstair_callers/jobs/run_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/run_event_log.py
@@ -58,6 +58,7 @@
                 'worker': worker,
                 'end': ended.end.value,
                 'last_state': run.state.value,
+                'proven': run.is_proven,
                 'age_ms': to_milliseconds(now.monotonic - run.started_at),
                 'at': round(now.wall, 3),
             },
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -15,6 +15,8 @@
 
 __all__ = ('handle_poll_answer',)
 
+# A task that brings its worker down does so within milliseconds of its start.
+_PROVING_SECONDS: Final = 0.5
 # A worker lists at most so many ends in one answer.
 _MAX_ENDS_PER_POLL: Final = 500
 
@@ -90,6 +92,13 @@
         run.checkpoint = report.checkpoint or run.checkpoint
         run.percent = report.percent
         session.confirm(run, RunState.running, now)
+        if not run.is_proven and _has_outlived_start(run, now):
+            run.is_proven = True
+
+
+def _has_outlived_start(run: Run, now: float) -> bool:
+    confirmed_at = now if run.confirmed_at is None else run.confirmed_at
+    return now - confirmed_at >= _PROVING_SECONDS
 
 
 def _find_missing(
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -58,6 +58,9 @@
     is_stop_requested: bool = False
     # A start order was unanswered, whatever the answers to later ones.
     may_start_late: bool = False
+    # A poll listed the run long enough after its start that the worker has not
+    # gone down because of it.
+    is_proven: bool = False
 
 
 @define(eq=False)
--- a/tests/features/steps/unconfirmed_steps.py
+++ b/tests/features/steps/unconfirmed_steps.py
@@ -6,7 +6,7 @@
 
 from hornbeamstair_core.ids import JobId
 from tests.support.logs import read_log
-from tests.support.work_model import make_phase
+from tests.support.work_model import crash_worker, make_phase
 
 JOB = JobId(f'{1:016x}')
 BACKFILL_JOB = JobId(f'{2:016x}')
@@ -69,6 +69,35 @@
     assert found['serving'] == found['usable'] == workers, found
 
 
+@when('both workers crash 2 seconds after one task and right after another')
+def crash_both(context: Any) -> None:
+    """Crash the workers of an old and of a new run."""
+    work = context.work
+    work.run(1)
+    for job in (JOB, BACKFILL_JOB):
+        work.run(2)
+        work.accept(job, (make_serving_phase(1),))
+    work.run(0.2)
+    for worker in list(work.workers.values()):
+        crash_worker(work, worker)
+    work.run(6)
+
+
+@then('its log reports the first run as proven and the second one as not')
+def check_proven(context: Any) -> None:
+    """Check the ends that the leader has decided on."""
+    ended = [
+        (run['task'], run['end'], run['proven'])
+        for line in read_log(context)
+        if line['event'] == 'runs_ended'
+        for run in line['runs']
+    ]
+    expected = [(JOB, True), (BACKFILL_JOB, False)]
+    assert [
+        (task.partition('.')[0], proven) for task, _, proven in sorted(ended)
+    ] == expected, ended
+
+
 def make_serving_phase(count: int) -> Any:
     """Make a phase of endless tasks, each of which needs its own worker."""
     return make_phase(count, 1000, lasts=True, max_away=1, target_seconds=0.1)
--- a/tests/features/trace.feature
+++ b/tests/features/trace.feature
@@ -60,6 +60,11 @@
     When 2 serving tasks and 3 backfill tasks are accepted there for 4 seconds
     Then its log reports 3 backfill tasks that wait beside 2 serving workers
 
+  Scenario: The log tells whether a lost run had outlived its start
+    Given the log of a modelled leader with 2 workers
+    When both workers crash 2 seconds after one task and right after another
+    Then its log reports the first run as proven and the second one as not
+
   Scenario: Dropped lines are counted in the metrics before another line comes
     Given a log with a limited buffer whose reader accepts nothing
     When 1000 jobs are accepted at once
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -73,6 +73,12 @@
 MAX_ATTEMPTS = 3
 # Duration of endless runs; longer than any scenario.
 ENDLESS_SECONDS = 1000.0
+# Time for which a worker that a task has crashed is down.
+DOWN_SECONDS = 3.0
+# Workers that a task may crash, and starts of it after that, before its starts
+# break the budget.
+MAX_CRASHES = 3
+MAX_LATE_STARTS = 3
 # In this time all leases expire and all jobs of a random simulation end.
 FINISH_SECONDS = 60
 
@@ -193,6 +199,7 @@
         )
         self.runs[order.task] = run
         self.model.check_start(self, run, now)
+        crash_if_deadly(self.model, self, run.task)
         return OrderAnswer(OrderOutcome.done, clock, self.incarnation)
 
     def stop(self, order: StopOrder, now: float) -> OrderAnswer:
@@ -293,7 +300,18 @@
     done: set[TaskId] = field(factory=set)
     cancelled: set[JobId] = field(factory=set)
     starts: int = 0
+    starts_by_task: 'Counter[TaskId]' = field(factory=Counter)
     replaced: int = 0
+    # Tasks that crash each worker that starts them.
+    deadly: set[TaskId] = field(factory=set)
+    # Whether a crashed worker returns under its old name.
+    keeps_names: bool = False
+    crashes: 'Counter[TaskId]' = field(factory=Counter)
+    late_starts: 'Counter[TaskId]' = field(factory=Counter)
+    # Workers that crash with the next step.
+    crashing: list[ModelWorker] = field(factory=list)
+    # Crashed workers, with the time of their return.
+    down: list[tuple[float, ModelWorker]] = field(factory=list)
     phases: dict[str, Phase] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -368,6 +386,7 @@
         self.now += STEP_SECONDS
         for worker in self.workers.values():
             worker.advance(self.now)
+        crash_and_return(self)
         self._deliver_delayed()
         self._apply_due_commits()
         self._announce()
@@ -399,6 +418,7 @@
     ) -> None:
         """Check that a start breaks no guarantee."""
         self.starts += 1
+        self.starts_by_task[run.task] += 1
         others = [
             other.worker
             for other in self.workers.values()
@@ -587,6 +607,42 @@
     return model.workers[worker]
 
 
+def crash_worker(model: WorkModel, worker: ModelWorker) -> None:
+    """Crash a worker, which returns after a while."""
+    worker.crash(model.now)
+    worker.is_partitioned = True
+    model.down.append((model.now + DOWN_SECONDS, worker))
+
+
+def crash_if_deadly(
+    model: WorkModel, worker: ModelWorker, task: TaskId
+) -> None:
+    """Crash the worker of a task that crashes each worker."""
+    if task not in model.deadly:
+        return
+    if model.crashes[task] >= MAX_CRASHES:
+        model.late_starts[task] += 1
+    late_starts = model.late_starts[task]
+    assert late_starts < MAX_LATE_STARTS, f'{task}: {late_starts} more starts'
+    model.crashes[task] += 1
+    model.crashing.append(worker)
+
+
+def crash_and_return(model: WorkModel) -> None:
+    """Crash the workers of deadly tasks, and return those that were down."""
+    for crashing_worker in model.crashing:
+        crash_worker(model, crashing_worker)
+    model.crashing.clear()
+    returning = [worker for at, worker in model.down if at <= model.now]
+    model.down = [(at, worker) for at, worker in model.down if at > model.now]
+    for worker in returning:
+        if model.keeps_names:
+            worker.crash(model.now)
+            worker.is_partitioned = False
+        else:
+            add_worker(model)
+
+
 def drain_worker(model: WorkModel, worker: WorkerId) -> None:
     """Request the stop of all runs of a worker."""
     session = model.scheduler.sessions.get(worker)
