--- /dev/null
+++ b/tests/features/deadly_tasks.feature
@@ -0,0 +1,63 @@
+Feature: A task that crashes its workers is given up
+
+  A task may crash each worker that starts it. The model checks the budget: it
+  must not be started three times more after three workers have crashed.
+
+  Scenario Outline: A task that crashes each worker that starts it is given up
+    Given a work model with seed <seed>, 6 workers and no faults
+    And crashed workers return under <names> names
+    When 1 seconds pass
+    And a job of 4 <kind> tasks is accepted whose first one crashes its workers
+    And 6 jobs of 2 phases with 5 tasks each are accepted
+    And 60 seconds pass
+    Then the job of the first task has failed after at most 3 crashes
+    And every other job is completed
+
+    Examples:
+      | seed | kind         | names |
+      | 31   | short        | new   |
+      | 32   | short        | old   |
+      | 33   | long-running | new   |
+      | 34   | long-running | old   |
+
+  Scenario: Crashes count across changes of the leader
+    Given a work model with seed 35, 6 workers and no faults
+    And crashed workers return under new names
+    When 1 seconds pass
+    And a job of 4 short tasks is accepted whose first one crashes its workers
+    And the leader changes every 6 seconds for 60 seconds
+    Then the job of the first task has failed after at most 5 crashes
+
+  Scenario Outline: Tasks that were lost beside a deadly one are done soon
+    Given a work model with seed <seed>, 6 workers and no faults
+    And crashed workers return under new names
+    When 1 seconds pass
+    And <deadly> deadly jobs and <jobs> jobs of 1 phases with 5 tasks each come
+    And <seconds> seconds pass
+    Then every other job is completed
+    And no other task was started more than 3 times
+
+    Examples:
+      | seed | deadly | jobs | seconds |
+      | 36   | 1      | 1    | 10      |
+      | 37   | 3      | 6    | 20      |
+
+  Scenario Outline: Tasks do not fail because workers crash for other reasons
+    Given a work model with seed <seed>, 6 workers and no faults
+    And crashed workers return under <names> names
+    When a worker crashes each second while a job comes each second, 40 times
+    And 40 seconds pass
+    Then every job is completed
+
+    Examples:
+      | seed | names |
+      | 37   | new   |
+      | 38   | old   |
+
+  Scenario: A worker that leaves as planned does not count as crashed
+    Given a work model with seed 39, 6 workers and no faults
+    When 1 seconds pass
+    And a job of 1 phases with 2 tasks each is accepted
+    And the worker of its first task is withdrawn at once, 4 times
+    And 10 seconds pass
+    Then every job is completed
--- /dev/null
+++ b/tests/features/steps/deadly_steps.py
@@ -0,0 +1,141 @@
+"""Steps on tasks that crash the workers that start them."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from hornbeamstair_callers.jobs.messages import JobState
+from hornbeamstair_core.ids import JobId, TaskId
+from tests.support.work_model import crash_worker, make_phase
+
+# Apart from the jobs that other steps accept.
+FIRST_DEADLY = 1000
+
+
+@given('crashed workers return under {names} names')
+def set_names(context: Any, names: str) -> None:
+    """Set whether a crashed worker keeps its name."""
+    context.work.keeps_names = names == 'old'
+
+
+@when(
+    'a job of {tasks:d} {kind} tasks is accepted '
+    'whose first one crashes its workers'
+)
+def accept_deadly(context: Any, tasks: int, kind: str) -> None:
+    """Accept a job with one deadly task."""
+    phase = make_phase(tasks, 1000, lasts=kind == 'long-running')
+    _accept_deadly(context, FIRST_DEADLY, phase)
+
+
+@when(
+    '{deadly:d} deadly jobs and {count:d} jobs of {phases:d} phases '
+    'with {tasks:d} tasks each come'
+)
+def accept_mixed(
+    context: Any, deadly: int, count: int, phases: int, tasks: int
+) -> None:
+    """Accept deadly jobs among others."""
+    for number in range(deadly):
+        _accept_deadly(context, FIRST_DEADLY + number, make_phase(2, 1000))
+    context.execute_steps(
+        f'when {count} jobs of {phases} phases with {tasks} tasks each '
+        'are accepted'
+    )
+
+
+@when('the leader changes every {pause:d} seconds for {seconds:d} seconds')
+def change_leaders(context: Any, pause: int, seconds: int) -> None:
+    """Replace the leader again and again."""
+    for _ in range(seconds // pause):
+        context.work.run(pause)
+        context.work.change_leader()
+
+
+@when(
+    'a worker crashes each second while a job comes each second, '
+    '{count:d} times'
+)
+def crash_workers(context: Any, count: int) -> None:
+    """Crash the busiest worker each second, two at a time at most."""
+    work = context.work
+    for number in range(1, count + 1):
+        work.accept(JobId(f'{number:016x}'), (make_phase(5, 3000),))
+        work.run(1)
+        up = [
+            worker
+            for worker in work.workers.values()
+            if not worker.is_partitioned
+        ]
+        if len(work.down) < 2:
+            crash_worker(work, max(up, key=_count_runs))
+
+
+@when('the worker of its first task is withdrawn at once, {count:d} times')
+def withdraw(context: Any, count: int) -> None:
+    """Withdraw the worker right after the first task was started there."""
+    work = context.work
+    task = TaskId(f'{1:016x}.0.0.0')
+    for _ in range(count):
+        _run_until_started(work, task)
+        worker = next(
+            found for found in work.workers.values() if task in found.runs
+        )
+        work.scheduler.handle_withdrawal(worker.worker, work.get_moment())
+        crash_worker(work, worker)
+
+
+@then('the job of the first task has failed after at most {count:d} crashes')
+def check_given_up(context: Any, count: int) -> None:
+    """Check the state of the job and the crashed workers."""
+    work = context.work
+    job = work.tables.jobs.jobs[_get_job(FIRST_DEADLY)]
+    assert job.state == JobState.failed, job.state
+    crashes = work.crashes[TaskId(f'{job.spec.job}.0.0.0')]
+    assert crashes <= count, crashes
+
+
+@then('every other job is completed')
+def check_others(context: Any) -> None:
+    """Check the jobs without a deadly task."""
+    deadly = {task.partition('.')[0] for task in context.work.deadly}
+    states = {
+        name: job.state
+        for name, job in context.work.tables.jobs.jobs.items()
+        if name not in deadly
+    }
+    assert set(states.values()) == {JobState.completed}, states
+
+
+@then('no other task was started more than {count:d} times')
+def check_starts(context: Any, count: int) -> None:
+    """Check the starts of the tasks of jobs without a deadly one."""
+    deadly = {task.partition('.')[0] for task in context.work.deadly}
+    starts = {
+        task: count
+        for task, count in context.work.starts_by_task.items()
+        if task.partition('.')[0] not in deadly
+    }
+    assert max(starts.values()) <= count, starts
+
+
+def _accept_deadly(context: Any, number: int, phase: Any) -> None:
+    job = _get_job(number)
+    context.work.deadly.add(TaskId(f'{job}.0.0.0'))
+    context.work.accept(job, (phase,))
+
+
+def _get_job(number: int) -> JobId:
+    return JobId(f'{number:016x}')
+
+
+def _count_runs(worker: Any) -> int:
+    return len(worker.runs)
+
+
+def _run_until_started(work: Any, task: TaskId) -> None:
+    for _ in range(400):
+        if any(task in worker.runs for worker in work.workers.values()):
+            return
+        work.step()
+    raise AssertionError(f'{task} is not started')
