Give up a job whose task crashes worker after worker

The log now counts, by task, the workers that went down right after it had started: unless a poll listed the run half a second after its start, or the worker was to leave. A task with one such crash does not start beside another one; with two, no other run starts on its worker until it has outlived its start, so that a third crash is due to it and its job fails. The count goes over to the next leader; runs that began shortly before the change count as not outlived.

--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -1,14 +1,17 @@
 """Records of ended runs and of the jobs that fail because of them."""
 
 from collections.abc import Iterable, Iterator
+from typing import Final
 
 from attrs import define
 
+from hornbeamstair_callers.jobs.events import JobGivenUpEvent
 from hornbeamstair_callers.jobs.messages import get_job_id, parse_task_id
 from hornbeamstair_callers.jobs.records import JobFailed, RunEnded
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.table import Job, JobTable
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
+from hornbeamstair_core.events import log_event
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
 from hornbeamstair_operators.manifest.table import ManifestTable
@@ -18,6 +21,10 @@
 
 __all__ = ('EndRecorder',)
 
+# Workers that may go down under a task. The first one may have gone down
+# because of another run, and the second one by chance.
+_MAX_CRASHES: Final = 3
+
 
 @define(eq=False)
 class EndRecorder:
@@ -59,6 +66,19 @@
         )
         if ended.end == RunEnd.failed and self._is_last_attempt(run):
             yield JobFailed(get_job_id(run.task), now.wall)
+        if ended.end == RunEnd.crashed and self._is_last_crash(run, now):
+            yield JobFailed(get_job_id(run.task), now.wall)
+
+    def _is_last_crash(self, run: Run, now: Moment) -> bool:
+        """Return whether a crash gives up the job of a task."""
+        job = self.jobs.jobs.get(get_job_id(run.task))
+        if job is None or not job.is_open:
+            return False
+        crashes = 1 + job.count_crashes(run.task, now.wall)
+        if crashes < _MAX_CRASHES:
+            return False
+        log_event(JobGivenUpEvent(job.spec.job, run.task, crashes))
+        return True
 
     def _is_last_attempt(self, run: Run) -> bool:
         """Return whether a failure uses up the attempts of a task."""
--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -11,6 +11,7 @@
     'HolderChangedEvent',
     'JobAcceptedEvent',
     'JobEndedEvent',
+    'JobGivenUpEvent',
     'PlacementLoadEvent',
     'RequestRefusedEvent',
     'RunsEndedEvent',
@@ -191,3 +192,19 @@
     fencing_token: int
     count: int
     runs: tuple[Mapping[str, Any], ...]
+
+
+@register_event
+@frozen
+class JobGivenUpEvent(Event):
+    """Job with a task that keeps crashing its workers."""
+
+    number = 2015
+    name = 'job_given_up'
+    summary = 'A job fails, since workers keep going down as a task starts.'
+    level = EventLevel.warning
+
+    job: str
+    task: str
+    # Workers that went down right after a start of the task.
+    crashes: int
--- a/packages/callers/hornbeamstair_callers/jobs/inheritance.py
+++ b/packages/callers/hornbeamstair_callers/jobs/inheritance.py
@@ -1,16 +1,22 @@
 """Runs that a new leader takes over from the previous one."""
 
 from collections.abc import Iterable, Iterator
+from typing import Final
 
 from attrs import define, field
 
 from hornbeamstair_callers.jobs.messages import parse_task_id
 from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.ids import WorkerId
+from hornbeamstair_core.moments import Moment
 from hornbeamstair_upstreams.work.runs import Run, RunState
 
 __all__ = ('InheritedRuns',)
 
+# A run that started earlier has outlived its start under the previous leader,
+# also if the change of leaders took some seconds.
+_TAKEOVER_SECONDS: Final = 5.0
+
 
 @define(eq=False)
 class InheritedRuns:
@@ -24,7 +30,7 @@
     latest_expiry: float
     runs_by_worker: dict[WorkerId, list[Run]] = field(factory=dict)
 
-    def add_jobs(self, jobs: Iterable[Job], now: float) -> None:
+    def add_jobs(self, jobs: Iterable[Job], now: Moment) -> None:
         """Add the active runs of jobs."""
         for job in jobs:
             for worker, run in _find_runs(job, now):
@@ -43,7 +49,7 @@
         return expired
 
 
-def _find_runs(job: Job, now: float) -> Iterator[tuple[WorkerId, Run]]:
+def _find_runs(job: Job, now: Moment) -> Iterator[tuple[WorkerId, Run]]:
     for task_id, task in job.tasks.items():
         if not task.worker:
             continue
@@ -54,8 +60,10 @@
             job.spec.phases[key.phase].needs,
             key.phase_id,
             RunState.inherited,
-            now,
+            now.monotonic,
             task.checkpoint,
+            is_proven=now.wall - task.started_at > _TAKEOVER_SECONDS,
+            isolation=job.get_isolation(task_id, now.wall),
         )
         run.is_stop_requested = not job.is_open
         yield task.worker, run
--- a/packages/callers/hornbeamstair_callers/jobs/records.py
+++ b/packages/callers/hornbeamstair_callers/jobs/records.py
@@ -79,6 +79,8 @@
     run: int
     worker: WorkerId
     incarnation: int
+    # Wall-clock seconds.
+    at: float = 0
 
 
 @frozen
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -76,6 +76,8 @@
 # Time in which a worker has to confirm a start; tasks are placed elsewhere
 # before users notice that they wait, and after several attempts.
 _START_SECONDS: Final = 3.0
+# Ends of runs that may not have started.
+_ENDS_WITHOUT_START: Final = (RunEnd.lost, RunEnd.crashed)
 # Unplaced jobs that one scan examines. Beyond this, the scan takes longer
 # than the handling of a run end and a start.
 _MAX_UNPLACED_JOBS: Final = 48
@@ -148,7 +150,7 @@
         """
         longest = self.terms.expiry_delay
         self.inherited = InheritedRuns(now.monotonic + longest)
-        self.inherited.add_jobs(self.state.jobs.jobs.values(), now.monotonic)
+        self.inherited.add_jobs(self.state.jobs.jobs.values(), now)
         for announced in self.state.workers.workers.values():
             self._add_session(announced, now, now.monotonic + longest)
         for worker in reserved:
@@ -185,7 +187,7 @@
                 self.waiting.mark_stale((get_job_id(record.task),))
             case RunEnded(task, end=end, at=at):
                 self.waiting.in_flight.discard(task)
-                if end != RunEnd.lost:
+                if end not in _ENDS_WITHOUT_START:
                     self.unstarted.remove_started((task,))
                 job_id = get_job_id(task)
                 self.waiting.mark_stale((job_id,))
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -44,7 +44,7 @@
                 unplaced.append(ready)
                 continue
             is_unchanged = False
-            tasks = self._get_startable_tasks(ready)
+            tasks = self._get_startable_tasks(waiting_job.job, ready, now)
             placed = self._place_phase(
                 waiting_job.job, ready, tasks, placement, now
             )
@@ -59,12 +59,20 @@
         if not is_unchanged:
             self.waiting.keep_unplaced(waiting_job.job.spec.job, unplaced)
 
-    def _get_startable_tasks(self, ready: ReadyPhase) -> list[TaskId]:
+    def _get_startable_tasks(
+        self,
+        job: Job,
+        ready: ReadyPhase,
+        now: Moment,
+    ) -> list[TaskId]:
         in_flight = self.waiting.in_flight
         tasks = [task for task in ready.tasks if task not in in_flight]
         if ready.phase.is_gang and len(tasks) < ready.phase.count:
             # A gang starts as a whole.
             return []
+        if job.crashes:
+            # The others do not wait for tasks that have to be isolated.
+            tasks.sort(key=lambda task: job.count_crashes(task, now.wall))
         return tasks
 
     def _place_phase(
@@ -77,10 +85,16 @@
     ) -> list[RunStarted]:
         chosen: list[tuple[WorkerSession, Run]] = []
         for task in tasks:
-            session = placement.choose(ready.phase.needs, ready.phase_id)
+            isolation = job.get_isolation(task, now.wall)
+            session = placement.choose(
+                ready.phase.needs,
+                ready.phase_id,
+                isolation=isolation,
+            )
             if session is None:
                 break
             run = _make_run(job, ready, task, now)
+            run.isolation = isolation
             check_invariant(
                 job.get_task(task).may_start(run.run),
                 'a task has one run at a time',
@@ -100,9 +114,14 @@
                 now,
             )
         self.stats.placed += len(chosen)
-        return [self._make_record(*pair) for pair in chosen]
+        return [self._make_record(*pair, now) for pair in chosen]
 
-    def _make_record(self, session: WorkerSession, run: Run) -> RunStarted:
+    def _make_record(
+        self,
+        session: WorkerSession,
+        run: Run,
+        now: Moment,
+    ) -> RunStarted:
         self.waiting.in_flight.add(run.task)
         announced = session.announced
         return RunStarted(
@@ -110,6 +129,7 @@
             run.run,
             announced.worker,
             announced.incarnation,
+            now.wall,
         )
 
 
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -31,11 +31,16 @@
     WorkerId,
 )
 from hornbeamstair_core.records import Record, RecordTable
+from hornbeamstair_core.units import MINUTE
+from hornbeamstair_upstreams.work.isolation import Isolation, get_isolation
 from hornbeamstair_upstreams.work.messages import RunEnd
 
-__all__ = ('Job', 'JobTable', 'JobTableState', 'Task')
+__all__ = ('Crashes', 'Job', 'JobTable', 'JobTableState', 'Task')
 
 _NO_WORKER = WorkerId('')
+# A task that crashes its workers is started again within minutes. Host
+# failures right after a start of a task that runs for weeks are unrelated.
+_CRASH_MEMORY_SECONDS = 10 * MINUTE
 
 
 @define(eq=False)
@@ -46,6 +51,8 @@
     # Worker of the active run; empty if there is none.
     worker: WorkerId = _NO_WORKER
     incarnation: int = 0
+    # Wall-clock time of the start of the last run, in seconds.
+    started_at: float = 0
     is_done: bool = False
     failures: int = 0
     checkpoint: str = ''
@@ -55,6 +62,15 @@
         return not self.worker and not self.is_done and run > self.run
 
 
+@frozen
+class Crashes:
+    """Workers that went down right after the start of a task."""
+
+    count: int = 0
+    # Wall-clock time of the last one, in seconds.
+    latest: float = 0
+
+
 @define(eq=False)
 class Job:
     """Accepted job with the state of its tasks."""
@@ -69,6 +85,8 @@
     tasks: dict[TaskId, Task] = field(factory=dict)
     # Number of tasks done, by occurrence and phase.
     done: dict[str, int] = field(factory=dict)
+    # Crashes by task, for tasks that have any.
+    crashes: dict[TaskId, Crashes] = field(factory=dict)
     ended_at: float = 0
 
     @property
@@ -90,6 +108,28 @@
             started.incarnation,
         )
 
+    def count_crashes(self, task: TaskId, wall: float) -> int:
+        """Count the recent crashes under a task at a wall-clock time."""
+        crashes = self.crashes.get(task)
+        if crashes is None or wall - crashes.latest > _CRASH_MEMORY_SECONDS:
+            return 0
+        return crashes.count
+
+    def get_isolation(self, task: TaskId, wall: float) -> Isolation:
+        """Get the isolation in which a task has to start.
+
+        The members of a gang start together, and cannot be isolated.
+        """
+        crashes = self.count_crashes(task, wall)
+        if crashes and self.spec.phases[parse_task_id(task).key.phase].is_gang:
+            return Isolation.none
+        return get_isolation(crashes)
+
+    def add_crash(self, task: TaskId, wall: float) -> None:
+        """Add a crash under a task."""
+        count = self.count_crashes(task, wall) + 1
+        self.crashes[task] = Crashes(count, wall)
+
     def count_done(self, occurrence: int, phase: int) -> int:
         """Count the tasks of a phase that are done."""
         return self.done.get(f'{occurrence}.{phase}', 0)
@@ -117,6 +157,7 @@
         if self.is_open:
             return
         self.spec = evolve(self.spec, text='')
+        self.crashes = {}
         self.tasks = {
             task_id: task for task_id, task in self.tasks.items() if task.worker
         }
@@ -229,6 +270,7 @@
         task.run = record.run
         task.worker = record.worker
         task.incarnation = record.incarnation
+        task.started_at = record.at
         job.state = JobState.running
         return True
 
@@ -244,6 +286,8 @@
         task.checkpoint = record.checkpoint or task.checkpoint
         if record.end == RunEnd.failed:
             task.failures += 1
+        if record.end == RunEnd.crashed:
+            job.add_crash(record.task, record.at)
         if record.end == RunEnd.done:
             self._complete_task(job, position, task, record.at)
         job.trim()
--- a/packages/upstreams/hornbeamstair_upstreams/work/messages.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/messages.py
@@ -135,6 +135,8 @@
     failed = 'failed'
     # Stopped, lease expired, or the worker or the gang was lost.
     lost = 'lost'
+    # The worker went down right after the start, maybe because of the task.
+    crashed = 'crashed'
     # A gang member timed out waiting for the others.
     lonely = 'lonely'
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/placement.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -7,6 +7,7 @@
 from hornbeamstair_core.ids import RackName, ServiceName
 from hornbeamstair_upstreams.work.free_resources import FreeResourcesIndex
 from hornbeamstair_upstreams.work.index import ServiceWorkers, WorkerIndex
+from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.messages import Resources, TaskNeeds
 from hornbeamstair_upstreams.work.runs import Run
 from hornbeamstair_upstreams.work.session import (
@@ -19,7 +20,7 @@
 
 
 # Requirements apart from the resources that decide whether a task fits.
-_Constraints = tuple[str, bool, bool, int, str]
+_Constraints = tuple[str, str, bool, bool, Isolation]
 
 
 @define(eq=False)
@@ -43,9 +44,15 @@
     # Workers found to accept no new work.
     unavailable: set[WorkerSession] = field(factory=set, init=False)
 
-    def is_unplaceable(self, needs: TaskNeeds, phase_id: str) -> bool:
+    def is_unplaceable(
+        self,
+        needs: TaskNeeds,
+        phase_id: str,
+        isolation: Isolation = Isolation.none,
+    ) -> bool:
         """Return whether a request that is no larger has already failed."""
-        failed = self.unplaceable.get(_get_constraints(needs, phase_id))
+        constraints = _get_constraints(needs, phase_id, isolation)
+        failed = self.unplaceable.get(constraints)
         if not failed:
             return False
         resources = get_used_resources(needs)
@@ -56,20 +63,29 @@
         needs: TaskNeeds,
         phase_id: str,
         excluded: WorkerSession | None = None,
+        isolation: Isolation = Isolation.none,
     ) -> WorkerSession | None:
         """Choose a worker; None if no worker fits.
 
         Workers on the preferred rack come first.
         """
-        if self.is_unplaceable(needs, phase_id):
+        if self.is_unplaceable(needs, phase_id, isolation):
             return None
         workers = self.index.get_service_workers(self.service)
         for candidates in _get_candidates(workers, needs, phase_id):
-            for session in self._find_fitting(candidates, needs, phase_id):
-                if session is not excluded:
-                    return session
+            fitting = (
+                session
+                for session in self._find_fitting(candidates, needs, phase_id)
+                if session is not excluded
+                and session.isolated_runs.allow(
+                    isolation, session.runs.values()
+                )
+            )
+            chosen = self._choose_first(fitting, isolation)
+            if chosen is not None:
+                return chosen
         if excluded is None:
-            constraints = _get_constraints(needs, phase_id)
+            constraints = _get_constraints(needs, phase_id, isolation)
             self.unplaceable.setdefault(constraints, []).append(
                 get_used_resources(needs),
             )
@@ -80,6 +96,20 @@
         session.remove_run(run.task)
         self.unplaceable.clear()
 
+    def _choose_first(
+        self,
+        fitting: Iterator[WorkerSession],
+        isolation: Isolation,
+    ) -> WorkerSession | None:
+        """Choose the preferred worker, or the one with the least to lose."""
+        if isolation < Isolation.from_starts:
+            return next(fitting, None)
+        return min(
+            fitting,
+            key=lambda session: (session.is_new(self.now), len(session.runs)),
+            default=None,
+        )
+
     def _find_fitting(
         self,
         candidates: FreeResourcesIndex,
@@ -122,13 +152,18 @@
     return not _would_interfere(session, needs)
 
 
-def _get_constraints(needs: TaskNeeds, phase_id: str) -> _Constraints:
+def _get_constraints(
+    needs: TaskNeeds,
+    phase_id: str,
+    isolation: Isolation,
+) -> _Constraints:
+    spread = f'{needs.spread_limit} {phase_id}' if needs.spread_limit else ''
     return (
         needs.label,
+        spread,
         needs.fills,
         bool(needs.target_seconds),
-        needs.spread_limit,
-        phase_id if needs.spread_limit else '',
+        isolation,
     )
 
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -93,7 +93,7 @@
         run.percent = report.percent
         session.confirm(run, RunState.running, now)
         if not run.is_proven and _has_outlived_start(run, now):
-            run.is_proven = True
+            session.prove_run(run)
 
 
 def _has_outlived_start(run: Run, now: float) -> bool:
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -6,6 +6,7 @@
 from attrs import define
 
 from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.messages import RunEnd, TaskNeeds
 
 __all__ = ('EndedRun', 'Run', 'RunState', 'UNCONFIRMED_STATES')
@@ -35,6 +36,17 @@
 )
 
 
+# The worker may have executed the start order, and was not told to stop.
+_STARTED_STATES: Final = frozenset(
+    (
+        RunState.inherited,
+        RunState.ordered,
+        RunState.unanswered,
+        RunState.running,
+    ),
+)
+
+
 @define(eq=False)
 class Run:
     """Run that uses resources of a worker."""
@@ -61,6 +73,14 @@
     # A poll listed the run long enough after its start that the worker has not
     # gone down because of it.
     is_proven: bool = False
+    isolation: Isolation = Isolation.none
+    # The worker went down before the run was proven, and not as planned.
+    has_gone_down: bool = False
+
+    def mark_gone_down(self) -> None:
+        """Mark a run that may have crashed its worker."""
+        if self.state in _STARTED_STATES and not self.is_proven:
+            self.has_gone_down = True
 
 
 @define(eq=False)
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -4,11 +4,12 @@
 from types import MappingProxyType
 from typing import Final
 
-from attrs import define, evolve, field
+from attrs import Factory, define, evolve, field
 
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_upstreams.work.end_cursor import EndCursor
 from hornbeamstair_upstreams.work.health import WorkerHealth
+from hornbeamstair_upstreams.work.isolation import IsolatedRuns
 from hornbeamstair_upstreams.work.leases import LeaseTerms, WorkerLease
 from hornbeamstair_upstreams.work.messages import (
     OrderAnswer,
@@ -33,6 +34,10 @@
 
 # A worker is responsive for this time after an answer, plus the poll wait.
 _RESPONSIVE_SECONDS: Final = 2.2
+# Isolated runs keep other work off their worker until a poll lists them.
+_ISOLATED_WAIT_SECONDS: Final = 0.25
+# Workers that crash again and again are back for less time than this.
+_NEW_SECONDS: Final = 5.0
 _START_RETRY_SECONDS: Final = 0.1
 # Longer than the timeouts of all senders, after which an order has an outcome
 # unless its sender failed.
@@ -61,6 +66,10 @@
     terms: LeaseTerms
     lease: WorkerLease
     announced_at: float
+    # Time from which the incarnation has been known.
+    joined_at: float = field(
+        default=Factory(lambda session: session.announced_at, takes_self=True),
+    )
     end_cursor: EndCursor = field(factory=EndCursor)
     runs: dict[TaskId, Run] = field(factory=dict)
     # Time of the last stop order by run; confirmed or ended runs are removed.
@@ -79,6 +88,7 @@
     used_resources: Resources = field(factory=Resources)
     # Number of long-running runs.
     long_running_count: int = 0
+    isolated_runs: IsolatedRuns = field(factory=IsolatedRuns)
     observer: SessionObserver | None = None
 
     def may_start(self, now: float) -> bool:
@@ -95,6 +105,10 @@
             return False
         return now - self.answered_at < _RESPONSIVE_SECONDS + self.terms.wait
 
+    def is_new(self, now: float) -> bool:
+        """Return whether the incarnation has not been known for long."""
+        return now - self.joined_at < _NEW_SECONDS
+
     def get_free_resources(self) -> Resources:
         """Return the free resources."""
         return self.announced.room.minus(self.used_resources)
@@ -116,6 +130,7 @@
             get_used_resources(run.needs)
         )
         self.long_running_count += run.needs.lasts
+        self.isolated_runs.add(run)
         if self.observer is not None:
             self.observer.on_changed(self)
 
@@ -127,9 +142,17 @@
                 get_used_resources(run.needs)
             )
             self.long_running_count -= run.needs.lasts
+            self.isolated_runs.discard(task)
             self.notify_freed()
         return run
 
+    def prove_run(self, run: Run) -> None:
+        """Mark that the worker goes on well after the start of a run."""
+        run.is_proven = True
+        if run.isolation:
+            self.isolated_runs.discard(run.task)
+            self.notify_freed()
+
     def notify_freed(self) -> None:
         """Notify the observer that free resources may have grown."""
         if self.observer is not None:
@@ -147,13 +170,16 @@
     def make_poll(self, now: float) -> PollOrder:
         """Make the next poll; it renews the lease of a responsive worker."""
         is_responsive = self.is_synced and self.is_responsive(now)
+        wait = self.terms.wait
+        if self.isolated_runs.levels:
+            wait = min(wait, _ISOLATED_WAIT_SECONDS)
         return PollOrder(
             worker=self.announced.worker,
             address=self.announced.address,
             port=self.announced.port,
             fencing_token=self.fencing_token,
             cursor=self.end_cursor.cursor,
-            wait_seconds=self.terms.wait if is_responsive else 0,
+            wait_seconds=wait if is_responsive else 0,
             lease_end=self.lease.grant(now) if is_responsive else None,
         )
 
@@ -172,8 +198,11 @@
 
         A start order that is unanswered, or was sent by a previous leader,
         may have reached the next incarnation: its run is kept until that
-        incarnation has answered.
+        incarnation has answered, and stopped if the order may have crashed the
+        previous one.
         """
+        self._mark_gone_down()
+        self.joined_at = now
         self.lease.start_incarnation(now)
         self.end_cursor = EndCursor()
         self.is_synced = False
@@ -197,7 +226,7 @@
             ],
         )
         for run in self.runs.values():
-            if run.is_stop_requested:
+            if run.is_stop_requested or run.has_gone_down:
                 self.request_stop(run)
         return ended
 
@@ -211,6 +240,7 @@
                 return self.remove_lost(list(self.runs))
         if now < self.lease.latest_expiry:
             return []
+        self._mark_gone_down()
         return self.remove_lost(
             [
                 task
@@ -439,11 +469,22 @@
         """Remove runs and return them as lost."""
         lost = [self.remove_run(task) for task in tasks]
         return [
-            EndedRun(run, RunEnd.lost, run.checkpoint)
+            EndedRun(
+                run,
+                RunEnd.crashed if run.has_gone_down else RunEnd.lost,
+                run.checkpoint,
+            )
             for run in lost
             if run is not None
         ]
 
+    def _mark_gone_down(self) -> None:
+        """Mark the runs that may have crashed the worker."""
+        is_planned = self.announced.is_leaving or self.is_reserved
+        if not is_planned and self.terminated_at is None:
+            for run in self.runs.values():
+                run.mark_gone_down()
+
     def _set_unanswered(self, run: Run) -> None:
         run.state = RunState.unanswered
         self._request_check()
