Send no start again on resources that its worker no longer has

Placement and a new leader follow the announcements already. A start without an answer, or one still being recorded, was sent whatever the worker had announced meanwhile.

Such a start is now stopped or not sent, and the task placed anew.

Tests: room.feature; 'An unanswered start is not sent again if its resources are gone' failed before, the worker ran 6000 of 4000 thousandths of a core.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -457,9 +457,7 @@
             # The worker's incarnation ended while the start was being recorded.
             self._commit_lost_run(record, now)
             return
-        order = None
-        if job.is_open and not run.is_stop_requested:
-            order = session.make_start(run, job.spec.text, now.monotonic)
+        order = _make_first_start(session, run, job, now)
         if order is None:
             session.remove_run(run.task)
             self._commit_lost_run(record, now)
@@ -485,7 +483,8 @@
     ) -> StartOrder | None:
         """Make the start order of a run again, or request its stop."""
         job = self._find_job(run.task)
-        if job is None or not job.is_open or run.is_stop_requested:
+        is_obsolete = job is None or not job.is_open or run.is_stop_requested
+        if job is None or is_obsolete or session.is_overcommitted():
             session.request_stop(run)
             return None
         if now.monotonic - run.started_at > _START_SECONDS:
@@ -563,6 +562,21 @@
     log_event(WorkerQuarantinedEvent(worker, reason))
 
 
+def _make_first_start(
+    session: WorkerSession,
+    run: Run,
+    job: Job,
+    now: Moment,
+) -> StartOrder | None:
+    """Make the start order of a recorded run; None if it may not start."""
+    if not job.is_open or run.is_stop_requested:
+        return None
+    if session.is_overcommitted():
+        # The worker has announced less since the run was placed.
+        return None
+    return session.make_start(run, job.spec.text, now.monotonic)
+
+
 def _discard_recorded_run(
     session: WorkerSession,
     run: Run,
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -113,6 +113,11 @@
         """Return the free resources."""
         return self.announced.room.minus(self.used_resources)
 
+    def is_overcommitted(self) -> bool:
+        """Return whether the runs take more than the worker has now."""
+        free = self.get_free_resources()
+        return min(free.cpu, free.memory, free.accelerators) < 0
+
     def count_phase_runs(self, phase_id: str) -> int:
         """Count the runs of one phase on the worker."""
         return sum(1 for run in self.runs.values() if run.phase_id == phase_id)
--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -292,8 +292,8 @@
     assert not worker.is_partitioned
 
 
-@when('{seconds:d} seconds pass')
-def wait(context: Any, seconds: int) -> None:
+@when('{seconds:g} seconds pass')
+def wait(context: Any, seconds: float) -> None:
     """Advance the clock."""
     context.work.run(seconds)
 
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from hornbeamstair_callers.jobs.demand import get_demands
 from hornbeamstair_callers.jobs.effects import (
@@ -73,6 +73,8 @@
 MAX_ATTEMPTS = 3
 # Duration of endless runs; longer than any scenario.
 ENDLESS_SECONDS = 1000.0
+# Time after which starts respect the changed resources of a worker.
+NOTICE_SECONDS = 1.0
 # Time for which a worker that a task has crashed is down.
 DOWN_SECONDS = 3.0
 # Workers that a task may crash, and starts of it after that, before its starts
@@ -115,6 +117,10 @@
     ignores_starts: bool = False
     # Refuses all starts without any effect.
     refuses_starts: bool = False
+    room: Resources = RESOURCES
+    # Time of the last change of its resources, and the most runs since then.
+    resized_at: float = 0
+    most_runs: int = 0
     # Latest time at which the lease was expired.
     lease_expired_at: float = 0
     # Times of the ends of this incarnation, by number.
@@ -425,6 +431,7 @@
             if other is not worker and run.task in other.runs
         ]
         assert not others, f'{run.task} runs on {others} and {worker.worker}'
+        check_room(self, worker)
         assert run.task not in self.acknowledged_done, f'{run.task} was done'
         failures = self.acknowledged_failures[run.task]
         lasts = self.get_phase(run.task).needs.lasts
@@ -465,8 +472,9 @@
         for worker in self.workers.values():
             if worker.is_partitioned:
                 continue
-            announced = make_worker_announcement(
-                worker.worker, worker.incarnation
+            announced = evolve(
+                make_worker_announcement(worker.worker, worker.incarnation),
+                room=worker.room,
             )
             if self.scheduler.handle_announcement(announced, self.get_moment()):
                 due = self.now + COMMIT_SECONDS
@@ -607,6 +615,14 @@
     return model.workers[worker]
 
 
+def check_room(model: WorkModel, worker: ModelWorker) -> None:
+    """Check that a start does not exceed the resources of a worker."""
+    if model.now - worker.resized_at > NOTICE_SECONDS:
+        used = sum(run.cpu for run in worker.runs.values())
+        assert used <= worker.room.cpu, f'{worker.worker} runs {used}'
+        worker.most_runs = max(worker.most_runs, len(worker.runs))
+
+
 def crash_worker(model: WorkModel, worker: ModelWorker) -> None:
     """Crash a worker, which returns after a while."""
     worker.crash(model.now)
