Keep hosts that are about to move out of the count that a pool retains

Callers would see tasks wait for hosts at the start of a burst: a pass of the move planner that still saw the hosts of the last one in their old pool counted them as retained and moved the others away as well, so that a pool could be emptied.

Test: fleet.feature, 'Hosts that are about to move do not count as retained', failed before: all nine hosts of the pool moved to standby instead of five.

--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -151,10 +151,11 @@
         serving: Iterable[ListedHost],
         retained: RetainedCapacity,
     ) -> Iterator[ListedHost]:
+        # The list may still show moving hosts as up in their old pool.
         sizes = Counter(
             host.pool
             for host in view.hosts.values()
-            if host.state == HostState.up
+            if host.state == HostState.up and host.host not in view.in_progress
         )
         capacities = {
             pool: demand.capacity for pool, demand in view.demands.items()
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -39,6 +39,14 @@
     When there is no demand for 5 seconds
     Then 2 hosts move to the standby pool
 
+  Scenario: Hosts that are about to move do not count as retained
+    Given a standby pool with 1 hosts and a busy pool with 2
+    And a quiet pool with 9 idle hosts
+    When there is no demand for 5 seconds
+    Then 5 hosts move to the standby pool
+    When the list still shows these hosts as up after 5.2 seconds
+    Then 0 hosts move to the standby pool
+
   Scenario: A rise in demand is extrapolated
     Given a pool with a demand of 20 cores and a second later 30
     Then its forecast requirement is 80 cores
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -86,6 +86,16 @@
     context.plan = context.moves.plan(_view(context, 0), NOW + seconds)
 
 
+@when('the list still shows these hosts as up after {seconds:g} seconds')
+def plan_with_old_list(context: Any, seconds: float) -> None:
+    """Plan again while the list is older than the last moves."""
+    view = evolve(
+        _view(context, 0),
+        in_progress={move.host: move.pool for move in context.plan},
+    )
+    context.plan = context.moves.plan(view, NOW + seconds)
+
+
 @when('the platform refuses to move the standby host to the busy pool')
 def refuse_move(context: Any) -> None:
     """Add a refusal by the platform."""
