Count only workers that stay down, and those that go down later as well

Callers of innocent jobs would be told that they failed: a lease that lapses behind a cut counted as a crash for good, and three cuts right after a start gave a job up. And a task that crashes its workers more than half a second after the start was not given up at all, nor one whose starts fell into changes of the leader.

Each crash is now kept with its worker and incarnation, and taken back by a record once that incarnation answers again. A run that the next incarnation of its worker has answered for is not blamed for the end of the previous one. Job and Task move to jobs/job.

--- a/packages/callers/hornbeamstair_callers/endpoints/listing.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/listing.py
@@ -6,6 +6,7 @@
 from attrs import define
 from expression import Error, Ok, Result
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.listing import (
     HostsReply,
     JobRow,
@@ -18,7 +19,6 @@
 )
 from hornbeamstair_callers.jobs.scheduler import SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.requests import Reply, Request, RequestHandler
--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -1,15 +1,15 @@
 """Records of ended runs and of the jobs that fail because of them."""
 
 from collections.abc import Iterable, Iterator
-from typing import Final
 
 from attrs import define
 
 from hornbeamstair_callers.jobs.events import JobGivenUpEvent
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import get_job_id, parse_task_id
 from hornbeamstair_callers.jobs.records import JobFailed, RunEnded
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
-from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.moments import Moment
@@ -21,10 +21,6 @@
 
 __all__ = ('EndRecorder',)
 
-# Workers that may go down under a task. The first one may have gone down
-# because of another run, and the second one by chance.
-_MAX_CRASHES: Final = 3
-
 
 @define(eq=False)
 class EndRecorder:
@@ -63,6 +59,7 @@
             ended.end,
             ended.checkpoint,
             now.wall,
+            run.is_proven,
         )
         if ended.end == RunEnd.failed and self._is_last_attempt(run):
             yield JobFailed(get_job_id(run.task), now.wall)
@@ -74,10 +71,11 @@
         job = self.jobs.jobs.get(get_job_id(run.task))
         if job is None or not job.is_open:
             return False
-        crashes = 1 + job.count_crashes(run.task, now.wall)
-        if crashes < _MAX_CRASHES:
+        history = job.crash_history
+        if not history.is_last(run.task, now.wall, is_early=not run.is_proven):
             return False
-        log_event(JobGivenUpEvent(job.spec.job, run.task, crashes))
+        workers = [crash.worker for crash in history.crashes[run.task]]
+        log_event(JobGivenUpEvent(job.spec.job, run.task, tuple(workers)))
         return True
 
     def _is_last_attempt(self, run: Run) -> bool:
--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -201,10 +201,10 @@
 
     number = 2015
     name = 'job_given_up'
-    summary = 'A job fails, since workers keep going down as a task starts.'
+    summary = 'A job fails, since its workers keep going down under a task.'
     level = EventLevel.warning
 
     job: str
     task: str
-    # Workers that went down right after a start of the task.
-    crashes: int
+    # Workers that had gone down under the task before.
+    workers: tuple[str, ...]
--- a/packages/callers/hornbeamstair_callers/jobs/inheritance.py
+++ b/packages/callers/hornbeamstair_callers/jobs/inheritance.py
@@ -5,8 +5,8 @@
 
 from attrs import define, field
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import parse_task_id
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_upstreams.work.runs import Run, RunState
--- a/packages/callers/hornbeamstair_callers/jobs/job_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/job_event_log.py
@@ -3,8 +3,8 @@
 from attrs import define, field
 
 from hornbeamstair_callers.jobs.events import JobEndedEvent
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ranking import get_objective
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import JobId
 from hornbeamstair_core.units import to_milliseconds
--- a/packages/callers/hornbeamstair_callers/jobs/ranking.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ranking.py
@@ -6,8 +6,8 @@
 
 from attrs import frozen
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import JobSpec
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_operators.manifest.messages import Queue
 
 __all__ = (
--- a/packages/callers/hornbeamstair_callers/jobs/ready.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ready.py
@@ -5,12 +5,12 @@
 
 from attrs import frozen
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import (
     Phase,
     PhaseKey,
     make_task_id,
 )
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.ids import TaskId
 
 __all__ = ('ReadyPhase', 'find_ready')
--- a/packages/callers/hornbeamstair_callers/jobs/records.py
+++ b/packages/callers/hornbeamstair_callers/jobs/records.py
@@ -24,6 +24,7 @@
     'RecordListener',
     'RunEnded',
     'RunStarted',
+    'WorkerSurvived',
 )
 
 
@@ -94,6 +95,18 @@
     end: RunEnd
     checkpoint: str
     at: float
+    # The worker was known to go on well after the start of the run.
+    is_proven: bool = False
+
+
+@frozen
+class WorkerSurvived(Record):
+    """Record that a worker answers that had seemed to go down."""
+
+    kind: ClassVar[str] = 'worker_survived'
+
+    worker: WorkerId
+    incarnation: int
 
 
 class RecordListener(ABC):
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -19,6 +19,7 @@
     WorkerQuarantinedEvent,
 )
 from hornbeamstair_callers.jobs.inheritance import InheritedRuns
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.job_event_log import JobEventLog
 from hornbeamstair_callers.jobs.messages import get_job_id
 from hornbeamstair_callers.jobs.ranking import ObjectiveRanking
@@ -29,10 +30,11 @@
     JobsForgotten,
     RunEnded,
     RunStarted,
+    WorkerSurvived,
 )
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.starts import StartPlanner
-from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_callers.jobs.unconfirmed_event_log import (
     UnconfirmedEventLog,
 )
@@ -253,6 +255,7 @@
         self.unstarted.remove_started(report.task for report in answer.running)
         _log_responsiveness(session, was_unresponsive=was_unresponsive)
         self._commit_ends(session, ended, now)
+        self._report_survival(session, now)
         if session.health.quarantine_if_unhealthy(now.monotonic):
             _log_quarantine(session, 'consecutive runs failed')
 
@@ -337,6 +340,14 @@
             if session.may_start(now.monotonic)
         ]
 
+    def _report_survival(self, session: WorkerSession, now: Moment) -> None:
+        """Take back the crashes of a worker that answers again."""
+        announced = session.announced
+        incarnation = (announced.worker, announced.incarnation)
+        is_news = incarnation in self.state.jobs.crashed_workers
+        if is_news and session.answered_at == now.monotonic:
+            self.effects.append(CommitBatch((WorkerSurvived(*incarnation),)))
+
     def _check_session(self, session: WorkerSession, now: Moment) -> None:
         self._commit_ends(session, session.expire(now.monotonic), now)
         self._resend_starts(session, now)
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -14,6 +14,7 @@
     JobUnknownFailure,
     QueueUnknownFailure,
 )
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.records import (
     JobAccepted,
     JobCancelled,
@@ -29,7 +30,6 @@
     SubmitJob,
 )
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.committing import Committer
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -4,10 +4,10 @@
 
 from attrs import define
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ready import ReadyPhase
 from hornbeamstair_callers.jobs.records import RunStarted
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_queue import WaitingJob
 from hornbeamstair_core.ids import TaskId
@@ -70,9 +70,9 @@
         if ready.phase.is_gang and len(tasks) < ready.phase.count:
             # A gang starts as a whole.
             return []
-        if job.crashes:
+        if job.crash_history.crashes:
             # The others do not wait for tasks that have to be isolated.
-            tasks.sort(key=lambda task: job.count_crashes(task, now.wall))
+            tasks.sort(key=lambda task: job.get_isolation(task, now.wall))
         return tasks
 
     def _place_phase(
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterator
 from typing import Any, ClassVar
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
+from hornbeamstair_callers.jobs.crashes import Crash
+from hornbeamstair_callers.jobs.job import NO_WORKER, Job, Task
 from hornbeamstair_callers.jobs.messages import (
-    JobSpec,
     JobState,
-    PhaseKey,
     TaskPosition,
     get_job_id,
     make_task_id,
@@ -22,145 +22,13 @@
     RecordListener,
     RunEnded,
     RunStarted,
+    WorkerSurvived,
 )
-from hornbeamstair_core.ids import (
-    JobId,
-    QueueName,
-    ServiceName,
-    TaskId,
-    WorkerId,
-)
+from hornbeamstair_core.ids import JobId, TaskId, WorkerId
 from hornbeamstair_core.records import Record, RecordTable
-from hornbeamstair_core.units import MINUTE
-from hornbeamstair_upstreams.work.isolation import Isolation, get_isolation
 from hornbeamstair_upstreams.work.messages import RunEnd
 
-__all__ = ('Crashes', 'Job', 'JobTable', 'JobTableState', 'Task')
-
-_NO_WORKER = WorkerId('')
-# A task that crashes its workers is started again within minutes. Host
-# failures right after a start of a task that runs for weeks are unrelated.
-_CRASH_MEMORY_SECONDS = 10 * MINUTE
-
-
-@define(eq=False)
-class Task:
-    """Task of a job with its last run and its progress."""
-
-    run: int = 0
-    # Worker of the active run; empty if there is none.
-    worker: WorkerId = _NO_WORKER
-    incarnation: int = 0
-    # Wall-clock time of the start of the last run, in seconds.
-    started_at: float = 0
-    is_done: bool = False
-    failures: int = 0
-    checkpoint: str = ''
-
-    def may_start(self, run: int) -> bool:
-        """Return whether a run would be the only active one of the task."""
-        return not self.worker and not self.is_done and run > self.run
-
-
-@frozen
-class Crashes:
-    """Workers that went down right after the start of a task."""
-
-    count: int = 0
-    # Wall-clock time of the last one, in seconds.
-    latest: float = 0
-
-
-@define(eq=False)
-class Job:
-    """Accepted job with the state of its tasks."""
-
-    spec: JobSpec
-    queue: QueueName
-    service: ServiceName
-    accepted_at: float
-    state: JobState = JobState.queued
-    # Tasks that were started at least once; of an ended job only those with
-    # an active run.
-    tasks: dict[TaskId, Task] = field(factory=dict)
-    # Number of tasks done, by occurrence and phase.
-    done: dict[str, int] = field(factory=dict)
-    # Crashes by task, for tasks that have any.
-    crashes: dict[TaskId, Crashes] = field(factory=dict)
-    ended_at: float = 0
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether tasks of the job may still start."""
-        # Called for each event; a set lookup would hash the state each time.
-        return self.state is JobState.queued or self.state is JobState.running
-
-    def get_task(self, task: TaskId) -> Task:
-        """Get a task, or an empty one if it never started."""
-        return self.tasks.get(task) or Task()
-
-    def is_current_run(self, started: RunStarted) -> bool:
-        """Return whether a recorded run is the current one of its task."""
-        task = self.get_task(started.task)
-        return (task.run, task.worker, task.incarnation) == (
-            started.run,
-            started.worker,
-            started.incarnation,
-        )
-
-    def count_crashes(self, task: TaskId, wall: float) -> int:
-        """Count the recent crashes under a task at a wall-clock time."""
-        crashes = self.crashes.get(task)
-        if crashes is None or wall - crashes.latest > _CRASH_MEMORY_SECONDS:
-            return 0
-        return crashes.count
-
-    def get_isolation(self, task: TaskId, wall: float) -> Isolation:
-        """Get the isolation in which a task has to start.
-
-        The members of a gang start together, and cannot be isolated.
-        """
-        crashes = self.count_crashes(task, wall)
-        if crashes and self.spec.phases[parse_task_id(task).key.phase].is_gang:
-            return Isolation.none
-        return get_isolation(crashes)
-
-    def add_crash(self, task: TaskId, wall: float) -> None:
-        """Add a crash under a task."""
-        count = self.count_crashes(task, wall) + 1
-        self.crashes[task] = Crashes(count, wall)
-
-    def count_done(self, occurrence: int, phase: int) -> int:
-        """Count the tasks of a phase that are done."""
-        return self.done.get(f'{occurrence}.{phase}', 0)
-
-    def is_phase_done(self, occurrence: int, phase: int) -> bool:
-        """Return whether all tasks of a phase are done."""
-        required = self.spec.phases[phase].count
-        return self.count_done(occurrence, phase) >= required
-
-    def is_done(self) -> bool:
-        """Return whether every task of every occurrence is done."""
-        required = sum(phase.count for phase in self.spec.phases)
-        return sum(self.done.values()) >= required * self.spec.occurrences
-
-    def mark_done(self, key: PhaseKey, task: Task) -> None:
-        """Mark a task as done."""
-        if task.is_done:
-            return
-        task.is_done = True
-        name = f'{key.occurrence}.{key.phase}'
-        self.done[name] = self.done.get(name, 0) + 1
-
-    def trim(self) -> None:
-        """Drop the text and the tasks without an active run of an ended job."""
-        if self.is_open:
-            return
-        self.spec = evolve(self.spec, text='')
-        self.crashes = {}
-        self.tasks = {
-            task_id: task for task_id, task in self.tasks.items() if task.worker
-        }
+__all__ = ('JobTable', 'JobTableState')
 
 
 @frozen
@@ -182,10 +50,15 @@
         JobsForgotten,
         RunEnded,
         RunStarted,
+        WorkerSurvived,
     )
     state_class: ClassVar[type[Any]] = JobTableState
 
     jobs: dict[JobId, Job] = field(factory=dict)
+    # Jobs by the incarnations of workers that seem to have gone down.
+    crashed_workers: dict[tuple[WorkerId, int], set[JobId]] = field(
+        factory=dict,
+    )
     record_listener: RecordListener | None = None
 
     def apply(self, record: Record) -> object:
@@ -214,6 +87,10 @@
         for job in jobs:
             job.trim()
         self.jobs = {job.spec.job: job for job in jobs}
+        self.crashed_workers = {}
+        for restored_job in jobs:
+            for crash in restored_job.crash_history.get_all():
+                self._index_crash(restored_job, crash)
 
     def _apply(self, record: Record) -> bool:
         match record:
@@ -229,6 +106,8 @@
                 return self._start_run(record)
             case RunEnded():
                 return self._end_run(record)
+            case WorkerSurvived(worker, incarnation):
+                return self._remove_crashes(worker, incarnation)
         return False
 
     def _accept(self, record: JobAccepted) -> bool:
@@ -282,17 +161,39 @@
             return False
         if not task.worker:
             return False
-        task.worker = _NO_WORKER
+        if record.end == RunEnd.crashed:
+            self._add_crash(job, task, record)
+        task.worker = NO_WORKER
         task.checkpoint = record.checkpoint or task.checkpoint
         if record.end == RunEnd.failed:
             task.failures += 1
-        if record.end == RunEnd.crashed:
-            job.add_crash(record.task, record.at)
         if record.end == RunEnd.done:
             self._complete_task(job, position, task, record.at)
         job.trim()
         return True
 
+    def _add_crash(self, job: Job, task: Task, record: RunEnded) -> None:
+        crash = Crash(
+            task.worker,
+            task.incarnation,
+            record.at,
+            not record.is_proven,
+        )
+        job.crash_history.add(record.task, crash)
+        self._index_crash(job, crash)
+
+    def _index_crash(self, job: Job, crash: Crash) -> None:
+        incarnation = (crash.worker, crash.incarnation)
+        jobs = self.crashed_workers.setdefault(incarnation, set())
+        jobs.add(job.spec.job)
+
+    def _remove_crashes(self, worker: WorkerId, incarnation: int) -> bool:
+        for job_id in self.crashed_workers.pop((worker, incarnation), ()):
+            job = self.jobs.get(job_id)
+            if job is not None:
+                job.crash_history.remove_worker(worker, incarnation)
+        return True
+
     def _complete_task(
         self,
         job: Job,
--- a/packages/callers/hornbeamstair_callers/jobs/unstarted.py
+++ b/packages/callers/hornbeamstair_callers/jobs/unstarted.py
@@ -4,8 +4,8 @@
 
 from attrs import define, field
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import get_job_id
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.ids import JobId, QueueName, TaskId
 
 __all__ = ('UnstartedJobs',)
--- a/packages/callers/hornbeamstair_callers/jobs/waiting.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting.py
@@ -6,9 +6,10 @@
 
 from attrs import define, field
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ranking import JobRankingPolicy
 from hornbeamstair_callers.jobs.ready import ReadyPhase, find_ready
-from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_callers.jobs.waiting_queue import WaitingJob, WaitingQueue
 from hornbeamstair_core.ids import JobId, ServiceName, TaskId
 from hornbeamstair_operators.manifest.messages import Manifest
--- a/packages/callers/hornbeamstair_callers/jobs/waiting_queue.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting_queue.py
@@ -4,8 +4,8 @@
 
 from attrs import define, field
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ready import ReadyPhase
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.ids import JobId, ServiceName
 
 __all__ = ('WaitingJob', 'WaitingQueue')
--- a/packages/upstreams/hornbeamstair_upstreams/work/messages.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/messages.py
@@ -135,7 +135,7 @@
     failed = 'failed'
     # Stopped, lease expired, or the worker or the gang was lost.
     lost = 'lost'
-    # The worker went down right after the start, maybe because of the task.
+    # The worker went down under the run, and not as planned.
     crashed = 'crashed'
     # A gang member timed out waiting for the others.
     lonely = 'lonely'
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -74,12 +74,12 @@
     # gone down because of it.
     is_proven: bool = False
     isolation: Isolation = Isolation.none
-    # The worker went down before the run was proven, and not as planned.
+    # The worker went down under the run, and not as planned.
     has_gone_down: bool = False
 
     def mark_gone_down(self) -> None:
-        """Mark a run that may have crashed its worker."""
-        if self.state in _STARTED_STATES and not self.is_proven:
+        """Mark a run that its worker went down under."""
+        if self.state in _STARTED_STATES:
             self.has_gone_down = True
 
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -198,15 +198,16 @@
         self,
         incarnation: int | None,
         now: float,
+        answered: Run | None = None,
     ) -> list[EndedRun]:
         """End the incarnation and return its runs as lost.
 
         A start order that is unanswered, or was sent by a previous leader,
         may have reached the next incarnation: its run is kept until that
         incarnation has answered, and stopped if the order may have crashed the
-        previous one.
+        previous one. The run whose start the next one has answered has not.
         """
-        self._mark_gone_down()
+        self._mark_gone_down(answered)
         self.joined_at = now
         self.lease.start_incarnation(now)
         self.end_cursor = EndCursor()
@@ -231,7 +232,8 @@
             ],
         )
         for run in self.runs.values():
-            if run.is_stop_requested or run.has_gone_down:
+            is_suspect = run.has_gone_down and not run.is_proven
+            if run.is_stop_requested or is_suspect:
                 self.request_stop(run)
         return ended
 
@@ -360,7 +362,7 @@
             return self.end_incarnation(None, now)
         ended: list[EndedRun] = []
         if self.is_newer_incarnation(answer.incarnation):
-            ended = self.end_incarnation(answer.incarnation, now)
+            ended = self.end_incarnation(answer.incarnation, now, run)
         if run is None or run.run != order.run:
             return ended
         self.update_clock(answer.clock, now)
@@ -483,12 +485,13 @@
             if run is not None
         ]
 
-    def _mark_gone_down(self) -> None:
-        """Mark the runs that may have crashed the worker."""
+    def _mark_gone_down(self, answered: Run | None = None) -> None:
+        """Mark the runs that the worker went down under."""
         is_planned = self.announced.is_leaving or self.is_reserved
         if not is_planned and self.terminated_at is None:
             for run in self.runs.values():
-                run.mark_gone_down()
+                if run is not answered:
+                    run.mark_gone_down()
 
     def _set_unanswered(self, run: Run) -> None:
         run.state = RunState.unanswered
--- a/tests/features/steps/planning_steps.py
+++ b/tests/features/steps/planning_steps.py
@@ -7,11 +7,11 @@
 from attrs import define, evolve
 from behave import given, then, when
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import JobSpec
 from hornbeamstair_callers.jobs.ranking import ObjectiveRanking
 from hornbeamstair_callers.jobs.requests import QueueAddress, SubmitJob
 from hornbeamstair_callers.jobs.service import JobRequestHandler
-from hornbeamstair_callers.jobs.table import Job
 from hornbeamstair_core.ids import (
     JobId,
     ProcessId,
--- a/tests/support/single_leader.py
+++ b/tests/support/single_leader.py
@@ -9,11 +9,12 @@
 
 from attrs import define, field
 
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import JobSpec
 from hornbeamstair_callers.jobs.records import JobAccepted
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import SchedulerState
-from hornbeamstair_callers.jobs.table import Job, JobTable
+from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_core.clock import get_moment, get_monotonic_time
 from hornbeamstair_core.ids import JobId, TaskId, WorkerId
 from hornbeamstair_core.metrics import Metrics
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -16,6 +16,7 @@
     JobAccepted,
     JobCancelled,
     RecordListener,
+    RunEnded,
 )
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.table import JobTable
@@ -267,6 +268,8 @@
 
     def on_applied(self, record: Record) -> None:
         """Pass the record to the scheduler."""
+        if isinstance(record, RunEnded):
+            self.model.ends.append(record)
         self.model.scheduler.handle_applied(record, self.model.get_moment())
 
 
@@ -308,14 +311,20 @@
     starts: int = 0
     starts_by_task: 'Counter[TaskId]' = field(factory=Counter)
     replaced: int = 0
+    # Recorded ends of runs.
+    ends: list[RunEnded] = field(factory=list)
+    # Shortest and longest duration of a run.
+    short_seconds: tuple[float, float] = (0.2, 1.5)
     # Tasks that crash each worker that starts them.
     deadly: set[TaskId] = field(factory=set)
     # Whether a crashed worker returns under its old name.
     keeps_names: bool = False
     crashes: 'Counter[TaskId]' = field(factory=Counter)
     late_starts: 'Counter[TaskId]' = field(factory=Counter)
-    # Workers that crash with the next step.
-    crashing: list[ModelWorker] = field(factory=list)
+    # Time from the start of a deadly task until its worker crashes.
+    deadly_seconds: float = 0
+    # Workers that are about to crash, with their incarnation, and when.
+    crashing: list[tuple[float, ModelWorker, int]] = field(factory=list)
     # Crashed workers, with the time of their return.
     down: list[tuple[float, ModelWorker]] = field(factory=list)
     phases: dict[str, Phase] = field(factory=dict)
@@ -641,14 +650,18 @@
     late_starts = model.late_starts[task]
     assert late_starts < MAX_LATE_STARTS, f'{task}: {late_starts} more starts'
     model.crashes[task] += 1
-    model.crashing.append(worker)
+    model.crashing.append(
+        (model.now + model.deadly_seconds, worker, worker.incarnation)
+    )
 
 
 def crash_and_return(model: WorkModel) -> None:
     """Crash the workers of deadly tasks, and return those that were down."""
-    for crashing_worker in model.crashing:
-        crash_worker(model, crashing_worker)
-    model.crashing.clear()
+    due = [crash for crash in model.crashing if crash[0] <= model.now]
+    model.crashing = [crash for crash in model.crashing if crash not in due]
+    for _, crashing_worker, incarnation in due:
+        if crashing_worker.incarnation == incarnation:
+            crash_worker(model, crashing_worker)
     returning = [worker for at, worker in model.down if at <= model.now]
     model.down = [(at, worker) for at, worker in model.down if at > model.now]
     for worker in returning:
@@ -691,7 +704,12 @@
     """Draw the duration of a run in seconds."""
     needs = model.get_phase(task).needs
     is_endless = needs.lasts and needs.max_away is not None
-    return ENDLESS_SECONDS if is_endless else model.rng.uniform(0.2, 1.5)
+    is_endless = is_endless or task in model.deadly
+    return (
+        ENDLESS_SECONDS
+        if is_endless
+        else model.rng.uniform(*model.short_seconds)
+    )
 
 
 def count_available(model: WorkModel, phase_id: str) -> int:
