Let an isolated task start on a busy worker after two seconds

A task under which two workers have crashed waited for a worker where every other run had outlived its start. On a busy pool of short tasks there is none, and it waited for good. After 2 s it now starts beside other new runs, but not beside another suspect.

--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -1,6 +1,7 @@
 """Placement of waiting tasks and the records of their starts."""
 
 from collections.abc import Iterator
+from typing import Final
 
 from attrs import define
 
@@ -13,6 +14,7 @@
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_core.invariants import check_invariant
 from hornbeamstair_core.moments import Moment
+from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.placement import Placement
 from hornbeamstair_upstreams.work.runs import Run, RunState
 from hornbeamstair_upstreams.work.session import WorkerSession
@@ -20,6 +22,10 @@
 
 __all__ = ('StartPlanner',)
 
+# On a busy worker some run has always just started: a task that has to start
+# apart from others waits no longer than this for a worker where none has.
+_ISOLATION_WAIT_SECONDS: Final = 2.0
+
 
 @define(eq=False)
 class StartPlanner:
@@ -84,8 +90,12 @@
         now: Moment,
     ) -> list[RunStarted]:
         chosen: list[tuple[WorkerSession, Run]] = []
+        wait_seconds = self.waiting.get_wait_seconds(ready, now.wall)
+        most_isolated = Isolation.from_starts
+        if wait_seconds > _ISOLATION_WAIT_SECONDS:
+            most_isolated = Isolation.from_suspects
         for task in tasks:
-            isolation = job.get_isolation(task, now.wall)
+            isolation = min(job.get_isolation(task, now.wall), most_isolated)
             session = placement.choose(
                 ready.phase.needs,
                 ready.phase_id,
@@ -109,7 +119,7 @@
         if chosen:
             self.run_event_log.add_placed(
                 [(session.announced.worker, run) for session, run in chosen],
-                self.waiting.get_wait_seconds(ready, now.wall),
+                wait_seconds,
                 len(tasks) - len(chosen),
                 now,
             )
--- a/tests/features/deadly_tasks.feature
+++ b/tests/features/deadly_tasks.feature
@@ -66,6 +66,19 @@
       | 3    | 0.5 to 1.5 | 4 to 6 |
       | 5    | 2 to 6     | 4 to 8 |
 
+  Scenario Outline: An isolated task does not wait for good on a busy pool
+    Given a work model with seed <seed>, 6 workers and no faults
+    When 80 short tasks come each second for 5 seconds
+    And a task comes under which <crashes> workers have crashed
+    And 80 short tasks come each second for 10 seconds
+    Then the task has started
+
+    Examples:
+      | seed | crashes |
+      | 1    | 1       |
+      | 2    | 2       |
+      | 3    | 2       |
+
   Scenario Outline: Tasks that were lost beside a deadly one are done soon
     Given a work model with seed <seed>, 6 workers and no faults
     And crashed workers return under new names
