Go on with the tick though the checks of a worker keep failing

A failed check is now logged, and repeated after 0.25 s, while the tick goes on. The log of such errors moves out of the module that waits, since decisions use it.

--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -21,12 +21,13 @@
 from hornbeamstair_callers.jobs.placement_event_log import PlacementEventLog
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
-from hornbeamstair_core.background import log_step_failure, repeat
+from hornbeamstair_core.background import repeat
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
+from hornbeamstair_core.step_failures import log_step_failure
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.tables.codec import TableStateMachine
 from hornbeamstair_upstreams.work.leases import LeaseTerms
--- a/packages/replicas/hornbeamstair_replicas/transport/base.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/base.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from hornbeamstair_core.background import log_step_failure
+from hornbeamstair_core.step_failures import log_step_failure
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
 from hornbeamstair_replicas.voter_ids import get_address, get_process
--- a/packages/upstreams/hornbeamstair_upstreams/work/check_schedule.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/check_schedule.py
@@ -1,15 +1,19 @@
 """Schedule of the checks of workers for expired leases and due retries."""
 
-from collections import deque
 from collections.abc import Callable, Iterator
 from heapq import heappop, heappush
+from typing import Final
 
 from attrs import define, field
 
+from hornbeamstair_core.step_failures import log_step_failure
 from hornbeamstair_upstreams.work.session import WorkerSession
 
 __all__ = ('CheckSchedule',)
 
+# Bounds the load of a check that fails each time.
+_REPEAT_SECONDS: Final = 0.25
+
 
 @define(eq=False)
 class CheckSchedule:
@@ -37,19 +41,13 @@
         now: float,
         check: Callable[[WorkerSession], None],
     ) -> None:
-        """Check the workers that are due.
-
-        If a check fails, its worker and those after it stay due.
-        """
-        due = deque(self._pop_due(now))
-        try:
-            while due:
-                check(due[0])
-                due.popleft()
-        finally:
-            # The worker whose check failed comes last.
-            for session in reversed(due):
-                self.add(session, now)
+        """Check the workers that are due; a failed check is repeated."""
+        for session in list(self._pop_due(now)):
+            try:
+                check(session)
+            except Exception as error:
+                log_step_failure('checks of workers', error)
+                self.add(session, now + _REPEAT_SECONDS)
 
     def _pop_due(self, now: float) -> Iterator[WorkerSession]:
         while self.queue and self.queue[0][0] <= now:
