Count the time of an unanswered start from its first order to a reachable worker

The time now counts from the first order without an answer, anew once a silent worker answers; starts that are abandoned together count once, and their pause ends its doubling with the next run that starts.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -75,9 +75,6 @@
 # Callers can query the state of an ended job for this time.
 _ENDED_JOB_SECONDS: Final = 180.0
 _FORGET_INTERVAL_SECONDS: Final = 5.0
-# Time in which a worker has to confirm a start; tasks are placed elsewhere
-# before users notice that they wait, and after several attempts.
-_START_SECONDS: Final = 3.0
 # Ends of runs that may not have started.
 _ENDS_WITHOUT_START: Final = (RunEnd.lost, RunEnd.crashed)
 # Unplaced jobs that one scan examines. Beyond this, the scan takes longer
@@ -498,7 +495,7 @@
         if job is None or is_obsolete or session.is_overcommitted():
             session.request_stop(run)
             return None
-        if now.monotonic - run.started_at > _START_SECONDS:
+        if session.is_start_overdue(run, now.monotonic):
             session.abandon_start(run, now.monotonic)
             _log_quarantine(session, 'start orders have no answer')
             return None
--- a/packages/upstreams/hornbeamstair_upstreams/work/health.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/health.py
@@ -15,6 +15,8 @@
 # Pauses after refusals: each is twice as long as the last until a run starts.
 _MIN_REFUSAL_PAUSE_SECONDS: Final = 0.2
 _MAX_REFUSAL_PAUSE_SECONDS: Final = 5.0
+# Longer than a run takes to be stopped and found missing.
+_MIN_ABANDONED_PAUSE_SECONDS: Final = 2.0
 # Pause after one unanswered order.
 _UNANSWERED_PAUSE_SECONDS: Final = 0.5
 # Each quarantine is twice as long as the last until a run succeeds.
@@ -55,13 +57,22 @@
 
         A refusal during a pause is of a run that was placed before it.
         """
-        if self.is_quarantined(now):
+        if not self.is_quarantined(now):
+            self._pause_longer(now)
+
+    def handle_abandoned(self, now: float) -> None:
+        """Pause placement on a worker that ignores start orders.
+
+        The pause is long enough that its tasks are placed elsewhere first.
+        """
+        if self.is_quarantined(now + _UNANSWERED_PAUSE_SECONDS):
+            # Another start was abandoned just before.
             return
-        self._pause(now, self.next_refusal_pause_seconds)
-        self.next_refusal_pause_seconds = min(
-            self.next_refusal_pause_seconds * 2,
-            _MAX_REFUSAL_PAUSE_SECONDS,
+        self.next_refusal_pause_seconds = max(
+            self.next_refusal_pause_seconds,
+            _MIN_ABANDONED_PAUSE_SECONDS,
         )
+        self._pause_longer(now)
 
     def handle_start(self) -> None:
         """Reset the pauses after refusals, since a run has started."""
@@ -75,12 +86,11 @@
         """Start a quarantine if the failures indicate a bad worker."""
         is_bad = self.failures >= _MAX_FAILURES
         if is_bad and len(self.failed_phases) >= _MIN_FAILED_PHASES:
-            self.quarantine(now)
+            self._quarantine(now)
             return True
         return False
 
-    def quarantine(self, now: float) -> None:
-        """Exclude the worker from placement, each time for longer."""
+    def _quarantine(self, now: float) -> None:
         self.failures = 0
         self.failed_phases.clear()
         self._pause(now, self.next_quarantine_seconds)
@@ -89,5 +99,12 @@
             _MAX_QUARANTINE_SECONDS,
         )
 
+    def _pause_longer(self, now: float) -> None:
+        self._pause(now, self.next_refusal_pause_seconds)
+        self.next_refusal_pause_seconds = min(
+            self.next_refusal_pause_seconds * 2,
+            _MAX_REFUSAL_PAUSE_SECONDS,
+        )
+
     def _pause(self, now: float, seconds: float) -> None:
         self.quarantined_until = max(self.quarantined_until, now + seconds)
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -42,7 +42,7 @@
     if session.is_newer_incarnation(answer.incarnation):
         ended.extend(session.end_incarnation(answer.incarnation, now))
     if session.is_unresponsive or not session.is_synced:
-        session.notify_freed()
+        session.handle_regained()
     session.answered_at = now
     session.handle_sign_of_life(sent_at)
     if not session.is_synced:
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -68,6 +68,9 @@
     percent: float = 0
     ordered_at: float = 0
     is_stop_requested: bool = False
+    # Time of the first order without an answer since the worker last fell
+    # silent; None while no order was sent.
+    unanswered_since: float | None = None
     # A start order was unanswered, whatever the answers to later ones.
     may_start_late: bool = False
     # A poll listed the run long enough after its start that the worker has not
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -42,6 +42,9 @@
 # Longer than the timeouts of all senders, after which an order has an outcome
 # unless its sender failed.
 _OUTCOME_SECONDS: Final = 5.0
+# Time in which a worker has to confirm a start: tasks are placed elsewhere
+# after several attempts, before users notice that they wait.
+_START_SECONDS: Final = 3.0
 _STOP_RETRY_SECONDS: Final = 0.5
 # Time from the withdrawal of a worker until it has terminated.
 _TERMINATION_SECONDS: Final = 0.5
@@ -372,10 +375,7 @@
                 self.confirm(run, RunState.running, now)
                 self.health.handle_start()
             case OrderOutcome.unknown:
-                self.health.handle_unanswered(now)
-                run.may_start_late = True
-                if run.state == RunState.ordered:
-                    self._set_unanswered(run)
+                self._handle_unanswered(run, now)
             case OrderOutcome.fenced:
                 self.is_fenced = True
                 self._set_unanswered(run)
@@ -393,6 +393,12 @@
         if run.state == RunState.ordered:
             self._set_unanswered(run)
 
+    def is_start_overdue(self, run: Run, now: float) -> bool:
+        """Return whether the worker ignores the start orders of a run."""
+        if run.unanswered_since is None:
+            return False
+        return now - run.unanswered_since > _START_SECONDS
+
     def get_unanswered(self, now: float) -> list[Run]:
         """Return the runs whose start order is due to be sent again."""
         if not self.is_synced or not self.is_responsive(now) or self.is_fenced:
@@ -409,9 +415,15 @@
 
         After the stop, the worker rejects the start orders sent so far.
         """
-        self.health.quarantine(now)
+        self.health.handle_abandoned(now)
         self.request_stop(run)
 
+    def handle_regained(self) -> None:
+        """Give the starts that fell into a silence of the worker new time."""
+        for run in self.runs.values():
+            run.unanswered_since = None
+        self.notify_freed()
+
     def request_stop(self, run: Run) -> None:
         """Request the stop of a tracked run."""
         run.is_stop_requested = True
@@ -493,6 +505,14 @@
                 if run is not answered:
                     run.mark_gone_down()
 
+    def _handle_unanswered(self, run: Run, now: float) -> None:
+        self.health.handle_unanswered(now)
+        run.may_start_late = True
+        if run.unanswered_since is None:
+            run.unanswered_since = now
+        if run.state == RunState.ordered:
+            self._set_unanswered(run)
+
     def _set_unanswered(self, run: Run) -> None:
         run.state = RunState.unanswered
         self._request_check()
--- a/tests/features/steps/stuck_steps.py
+++ b/tests/features/steps/stuck_steps.py
@@ -27,6 +27,30 @@
     context.work.failing_senders = count
 
 
+@when('{count:d} tasks are placed while {pause} for {seconds:g} seconds')
+def place_in_pause(
+    context: Any, count: int, pause: str, seconds: float
+) -> None:
+    """Place tasks whose start orders are not sent or not answered."""
+    work = context.work
+    is_cut = pause == 'every worker is partitioned'
+    work.accept(JOB, (make_phase(count, 2000),))
+    work.sends_no_starts = not is_cut
+    if is_cut:
+        work.step()
+    for worker in work.workers.values():
+        worker.is_partitioned = is_cut
+    work.run(0.2)
+    if is_cut:
+        work.run(seconds)
+    else:
+        # The process of the leader stands still.
+        work.now += seconds
+    work.sends_no_starts = False
+    for paused_worker in work.workers.values():
+        paused_worker.is_partitioned = False
+
+
 @when('the first worker ignores starts from now on')
 def ignore_first(context: Any) -> None:
     """Have the worker that is chosen first answer polls only."""
--- a/tests/features/stuck_tasks.feature
+++ b/tests/features/stuck_tasks.feature
@@ -16,6 +16,20 @@
     And 20 seconds pass
     Then every job is completed
 
+  Scenario Outline: Starts that fall into a pause are sent at once after it
+    Given a work model with seed <seed>, 6 workers and no faults
+    When 1 seconds pass
+    And 30 tasks are placed while <pause> for 3.2 seconds
+    And 2.6 seconds pass
+    Then every job is completed
+
+    Examples:
+      | seed | pause                       |
+      | 1    | the leader sends no starts  |
+      | 2    | the leader sends no starts  |
+      | 3    | every worker is partitioned |
+      | 4    | every worker is partitioned |
+
   Scenario: Tasks are placed on idle workers if the preferred ones refuse them
     Given a work model with seed 25, 12 workers and no faults
     When 1 seconds pass
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -296,6 +296,8 @@
     scheduler: Scheduler = field(init=False)
     # Batches being committed, with the time of their commit.
     commits: list[tuple[float, Scheduler, CommitBatch]] = field(factory=list)
+    # The leader has lost its lease, and sends no start orders.
+    sends_no_starts: bool = False
     # Senders of start orders that fail before they have an outcome.
     failing_senders: int = 0
     # Orders that a worker executes late, possibly after newer ones. They came
@@ -507,6 +509,8 @@
                 case CommitBatch():
                     due = self.now + COMMIT_SECONDS
                     self.commits.append((due, self.scheduler, effect))
+                case SendStart(session, order) if self.sends_no_starts:
+                    session.handle_unsent(order)
                 case SendStart() if self.failing_senders:
                     self.failing_senders -= 1
                 case SendStart(session, order):
