Keep the batches of an entry that meets an unexpected error

The entry is now proposed again and each batch handled by itself; a poll that fails is logged before the next tick starts it again, and a waiting job that cannot be refreshed does not keep others from theirs.

Test: commits.feature, 'An unexpected error in one batch loses no other batch', failed before. The other two are by reading.

--- a/packages/callers/hornbeamstair_callers/endpoints/committing.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/committing.py
@@ -9,6 +9,7 @@
 
 from hornbeamstair_callers.jobs.effects import CommitBatch
 from hornbeamstair_callers.jobs.entries import EntryBuilder, EntryCollector
+from hornbeamstair_core.step_failures import log_step_failure
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.tables.codec import RecordCodec
 
@@ -45,21 +46,34 @@
         self.entries.clear()
 
     async def _commit(self, entry: EntryBuilder, term: int) -> None:
-        write = partial(self._write, entry)
         while is_in_term(self.group, term):
-            outcome = await self.group.propose_once(
-                write,
-                _COMMIT_SECONDS,
-                term,
-            )
-            if outcome.is_ok():
-                for batch in entry.batches:
-                    self.on_committed(batch)
+            if await self._propose(entry, term):
+                self._handle_committed(entry)
                 return
             # A failed leadership transfer refuses records although the term
             # continues.
             await sleep(_RETRY_SECONDS)
 
+    async def _propose(self, entry: EntryBuilder, term: int) -> bool:
+        """Propose an entry; return whether it is committed."""
+        try:
+            outcome = await self.group.propose_once(
+                partial(self._write, entry),
+                _COMMIT_SECONDS,
+                term,
+            )
+        except Exception as error:
+            log_step_failure('commits', error)
+            return False
+        return outcome.is_ok()
+
+    def _handle_committed(self, entry: EntryBuilder) -> None:
+        for batch in entry.batches:
+            try:
+                self.on_committed(batch)
+            except Exception as error:
+                log_step_failure('handling of committed records', error)
+
     def _write(self, entry: EntryBuilder) -> bytes:
         return self.codec.encode(entry.close())
 
--- a/packages/callers/hornbeamstair_callers/endpoints/worker_poller.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/worker_poller.py
@@ -2,11 +2,13 @@
 
 from asyncio import Future, Task, create_task, get_running_loop, sleep
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Final
 
 from attrs import define, field
 
 from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.step_failures import log_step_failure
 from hornbeamstair_upstreams.work.messages import OrderOutcome, PollAnswer
 from hornbeamstair_upstreams.work.sender import WorkerSender
 from hornbeamstair_upstreams.work.session import WorkerSession
@@ -42,7 +44,7 @@
         if session not in self.tasks:
             polling = create_task(self._poll_continuously(session))
             self.tasks[session] = polling
-            polling.add_done_callback(lambda _: self.tasks.pop(session, None))
+            polling.add_done_callback(partial(self._finish_polling, session))
 
     def poll_all(self, sessions: Iterable[WorkerSession]) -> None:
         """Poll workers, and wake all polls that wait."""
@@ -62,6 +64,17 @@
         for polling in list(self.tasks.values()):
             polling.cancel()
 
+    def _finish_polling(
+        self,
+        session: WorkerSession,
+        polling: 'Task[None]',
+    ) -> None:
+        self.tasks.pop(session, None)
+        error = None if polling.cancelled() else polling.exception()
+        if isinstance(error, Exception):
+            # The next tick starts it again.
+            log_step_failure('polls of workers', error)
+
     async def _poll_continuously(self, session: WorkerSession) -> None:
         while self.is_known(session):
             if session.end_cursor.is_recorded() and self.leads():
--- a/packages/callers/hornbeamstair_callers/jobs/waiting.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting.py
@@ -106,7 +106,10 @@
             self.ranked_manifest = self.manifest.manifest
             self.mark_stale(self.ready)
         self._rerank_expired(wall)
-        for job_id in self.stale:
+        while self.stale:
+            # A job whose refresh fails does not keep the others from theirs.
+            job_id = next(iter(self.stale))
+            self.stale.pop(job_id)
             job = self.jobs.jobs.get(job_id)
             self._update_repeating(job_id, job)
             phases = [] if job is None else find_ready(job, wall)
@@ -115,7 +118,6 @@
             else:
                 self._update_ready_since(job_id, phases, wall)
                 self._rank(job, phases, wall)
-        self.stale.clear()
 
     def _rerank_expired(self, wall: float) -> None:
         """Recompute the sort keys that have expired."""
--- a/tests/features/commits.feature
+++ b/tests/features/commits.feature
@@ -28,3 +28,8 @@
     Given a group on a disk that takes 6 ms a sync
     When 100 proposals of 100000 bytes are committed
     Then at most 8500000 bytes of entries follow the snapshot
+
+  Scenario: An unexpected error in one batch loses no other batch
+    Given a committer whose first encoding and first handling fail
+    When 3 batches that share an entry are added
+    Then the entry is proposed again and the other 2 batches are handled
