Ask for no host for backfill tasks that need a label

The host that comes may not have the label, and the pool would ask for one more and one more (review).

--- a/packages/callers/hornbeamstair_callers/jobs/demand.py
+++ b/packages/callers/hornbeamstair_callers/jobs/demand.py
@@ -16,7 +16,7 @@
 
 __all__ = ('get_demands',)
 
-# Backfill tasks that wait longer fit on no worker of their pool.
+# Backfill tasks that wait longer do not find a worker in their pool.
 _MIN_BACKFILL_WAIT_SECONDS: Final = 0.5
 # Time in which jobs that miss their objective should still be done.
 _OVERDUE_WORK_SECONDS: Final = 5.0
@@ -136,15 +136,19 @@
     """Count the hosts that the waiting backfill tasks need.
 
     They take no CPU of the pool, but no worker with serving runs takes them.
+    A host of unknown labels would not help a task that needs a label.
     """
     phases = [
         ready
         for waiting_job in waiting
         for ready in waiting_job.phases
         if ready.phase.needs.fills
+        and not ready.phase.needs.label
         and scheduler.waiting.get_wait_seconds(ready, now.wall)
         >= _MIN_BACKFILL_WAIT_SECONDS
     ]
+    if not phases:
+        return 0
     host_memory = max(
         (
             session.announced.room.memory
@@ -160,8 +164,8 @@
         for ready in phases
         if ready.phase.needs.spread_limit
     )
-    hosts = max(memory / max(host_memory, 1), *spread_hosts, bool(phases))
-    return math.ceil(hosts)
+    hosts = max((memory / max(host_memory, 1), *spread_hosts))
+    return max(math.ceil(hosts), 1)
 
 
 def _find_blocked_workers(
