--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -14,11 +14,11 @@
 # A task that crashes its workers is started again within minutes. Losses of
 # hosts under a task that runs for weeks are unrelated.
 _MEMORY_SECONDS: Final = 10 * MINUTE
-# Crashes right after a start. The first worker may have gone down because of
-# another run, and the second one by chance.
+# Crashes right after a start that a job survives no more. The first worker may
+# have gone down because of another run, and the second one by chance.
 _MAX_EARLY_CRASHES: Final = 3
-# Crashes at any time. More seldom ones than this leave a task two starts after
-# three workers have crashed under it.
+# Crashes at any time that a job survives no more: callers are promised that a
+# task starts at most twice after three workers have crashed under it.
 _MAX_CRASHES: Final = 5
 
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/messages.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/messages.py
@@ -133,9 +133,9 @@
     done = 'done'
     # Failed through the task or the worker; counts as an attempt.
     failed = 'failed'
-    # Stopped, lease expired, or the worker or the gang was lost.
+    # Stopped or refused, or the worker left as planned, or the gang was lost.
     lost = 'lost'
-    # The worker went down under the run, and not as planned.
+    # The worker went down, or was cut off until the lease of the run expired.
     crashed = 'crashed'
     # A gang member timed out waiting for the others.
     lonely = 'lonely'
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -15,7 +15,7 @@
 
 __all__ = ('handle_poll_answer',)
 
-# A task that brings its worker down does so within milliseconds of its start.
+# A worker that goes on for this time has most likely survived the start.
 _PROVING_SECONDS: Final = 0.5
 # A worker lists at most so many ends in one answer.
 _MAX_ENDS_PER_POLL: Final = 500
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -73,8 +73,7 @@
     unanswered_since: float | None = None
     # A start order was unanswered, whatever the answers to later ones.
     may_start_late: bool = False
-    # A poll listed the run long enough after its start that the worker has not
-    # gone down because of it.
+    # A poll listed the run long enough after its start.
     is_proven: bool = False
     isolation: Isolation = Isolation.none
     # The worker went down under the run, and not as planned.
