--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -14,11 +14,11 @@
 # A task that crashes its workers is started again within minutes. Losses of
 # hosts under a task that runs for weeks are unrelated.
 _MEMORY_SECONDS: Final = 10 * MINUTE
-# Crashes right after a start that a job survives no more. The first worker may
-# have gone down because of another run, and the second one by chance.
+# Number of crashes right after a start at which the job fails. The first worker
+# may have gone down because of another run, and the second one by chance.
 _MAX_EARLY_CRASHES: Final = 3
-# Crashes at any time that a job survives no more: callers are promised that a
-# task starts at most twice after three workers have crashed under it.
+# Number of crashes at any time at which the job fails. It bounds the damage of a
+# task that crashes its workers late, or around changes of the leader.
 _MAX_CRASHES: Final = 5
 
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -36,7 +36,7 @@
 _RESPONSIVE_SECONDS: Final = 2.2
 # Isolated runs keep other work off their worker until a poll lists them.
 _ISOLATED_WAIT_SECONDS: Final = 0.25
-# Workers that crash again and again are back for less time than this.
+# A worker that crashes again and again is up for less time than this.
 _NEW_SECONDS: Final = 5.0
 _START_RETRY_SECONDS: Final = 0.1
 # Longer than the timeouts of all senders, after which an order has an outcome
