--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -17,7 +17,7 @@
 # Number of crashes right after a start at which the job fails. The first worker
 # may have gone down because of another run, and the second one by chance.
 _MAX_EARLY_CRASHES: Final = 3
-# Number of crashes at any time at which the job fails. It bounds the damage of a
+# Number of crashes at any time at which the job fails. Bounds the damage of a
 # task that crashes its workers late, or around changes of the leader.
 _MAX_CRASHES: Final = 5
 
