--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -53,10 +53,17 @@
             self.file.flush()
 
 
+used_ports = set()
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    while True:
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            port = probe.getsockname()[1]
+        if port not in used_ports:
+            used_ports.add(port)
+            return port
 
 
 def http_call(address, method, path, fields=None, headers=None, timeout=1.0):
@@ -549,7 +556,10 @@
         if 'expires_ms' in fields:
             self._extend(fields['expires_ms'])
         cursor = fields.get('ack_cursor', 0)
-        self.ends = [end for end in self.ends if end[0] > cursor]
+        kept = [end for end in self.ends if end[0] > cursor]
+        if len(kept) < len(self.ends):
+            self.record.add(self.name, f'ends up to {cursor} are taken note of')
+        self.ends = kept
         until = time.monotonic() + min(fields.get('wait_ms', 0), 2000) / 1000
         while not self.ends and self.alive and self.life == life:
             left = until - time.monotonic()
