Bound messages of the log in bytes, not only in entries

Cause: a message to a peer held up to 256 entries of any size, and receivers close the connection on one of more than 4 MiB; the leader sent the same one again for ever, so an empty disk never got the log.

Change: batches of entries, entries in flight, "caught up" and answers to learners are bounded in bytes; processes take messages of 32 MiB, more than front ends read; an entry of over 16 MiB is refused (1003) before it is appended; a message that no process takes is not sent, and logged.

The entries are then sent in batches of 256 KiB, whatever the log holds.

Tests: of the four new scenarios three fail on the code before, and the one on entries in flight errs there for want of the index that it reads.

--- a/packages/replicas/hornbeamstair_replicas/events.py
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -11,6 +11,7 @@
     'LeaderChangedEvent',
     'LogLoadEvent',
     'LogOpenedEvent',
+    'MessageTooLargeEvent',
     'PeerRefusedEvent',
     'RecordRefusedEvent',
     'SnapshotWrittenEvent',
@@ -177,3 +178,18 @@
     index: int
     record: str
     reason: str
+
+
+@register_event
+@frozen
+class MessageTooLargeEvent(Event):
+    """Message to another process that no process would receive."""
+
+    number = 5011
+    name = 'message_too_large'
+    summary = 'A message is larger than other processes accept; not sent.'
+    level = EventLevel.error
+
+    message: str
+    receiver: str
+    size_bytes: int
--- a/packages/replicas/hornbeamstair_replicas/groups/forwarding.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/forwarding.py
@@ -6,8 +6,9 @@
 from attrs import define, field, frozen
 from expression import Error, Result
 
-from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.failures import Failure, PayloadTooLargeFailure
 from hornbeamstair_replicas.failures import NotLeaderFailure
+from hornbeamstair_replicas.limits import MAX_PAYLOAD_BYTES
 
 __all__ = (
     'ProposalOutcome',
@@ -15,6 +16,7 @@
     'Payload',
     'Proposal',
     'PendingEntry',
+    'encode_proposals',
     'refuse_stale',
     'set_outcome',
 )
@@ -90,3 +92,18 @@
         else:
             set_outcome(proposal.future, Error(NotLeaderFailure('')))
     return current
+
+
+def encode_proposals(
+    proposals: Iterable[Proposal],
+) -> list[tuple[Proposal, bytes]]:
+    """Encode proposals and refuse those that no message can replicate."""
+    encoded: list[tuple[Proposal, bytes]] = []
+    for proposal in proposals:
+        payload = proposal.encode()
+        if len(payload) <= MAX_PAYLOAD_BYTES:
+            encoded.append((proposal, payload))
+        else:
+            failure = PayloadTooLargeFailure(MAX_PAYLOAD_BYTES)
+            set_outcome(proposal.future, Error(failure))
+    return encoded
--- a/packages/replicas/hornbeamstair_replicas/groups/learning.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/learning.py
@@ -33,6 +33,7 @@
 from hornbeamstair_replicas.state_machine import StateMachine
 from hornbeamstair_replicas.transport.base import PeerTransport
 from hornbeamstair_replicas.voter_ids import get_address, get_process
+from hornbeamstair_replicas.voting.entry_log import take_batch
 from hornbeamstair_replicas.voting.roles.leader import LeaderRole
 
 __all__ = ('LearnerGroup',)
@@ -144,10 +145,14 @@
         if feed.leader:
             self.leader = feed.leader
             self.voters = feed.voters
-        if feed.applied_index > self.applied_index:
+        known_index = self.applied_index
+        if feed.applied_index > known_index:
             self._apply_feed(feed)
         if feed.applied_index == self.applied_index:
             self.has_caught_up = True
+        elif self.applied_index > known_index:
+            # The rest of the entries did not fit into the answer.
+            self._request_feed(get_address(process))
 
     def _apply_feed(self, feed: FeedAnswer) -> None:
         snapshot = feed.snapshot
@@ -187,7 +192,7 @@
             self._send(sender, self._make_feed(request.applied_index))
 
     def _make_feed(self, applied_index: int) -> FeedAnswer:
-        entries = tuple(
+        entries = take_batch(
             entry for entry in self.entries if entry.index > applied_index
         )
         snapshot = None
--- a/packages/replicas/hornbeamstair_replicas/groups/node.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/node.py
@@ -98,11 +98,11 @@
         self,
         applied_index: int,
     ) -> tuple[Snapshot | None, tuple[LogEntry, ...]]:
-        """Get the entries after an index, with a snapshot if needed."""
+        """Get the next entries after an index, with a snapshot if needed."""
         log = self.voter.state.log
         first_index = max(applied_index, log.snapshot.index)
         count = self.applied_index - first_index
-        entries = log.get_slice(first_index + 1, max(count, 0))
+        entries = log.get_batch(first_index + 1, max(count, 0))
         if applied_index < log.snapshot.index:
             return log.snapshot, entries
         return None, entries
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -28,6 +28,7 @@
     PendingEntry,
     Proposal,
     ProposalOutcome,
+    encode_proposals,
     refuse_stale,
     set_outcome,
 )
@@ -120,17 +121,18 @@
         self._schedule_flush()
         voter = self.node.voter
         leading_term = None if voter.leader_role is None else voter.state.term
-        current = refuse_stale(proposals, leading_term)
-        if not current:
+        encoded = encode_proposals(refuse_stale(proposals, leading_term))
+        if not encoded:
             return
-        payloads = tuple(proposal.encode() for proposal in current)
-        indexes = self.node.voter.propose(payloads, self.get_time())
+        payloads = tuple(payload for _, payload in encoded)
+        indexes = voter.propose(payloads, self.get_time())
         if indexes.is_error():
-            self._forward(current, payloads)
+            self._forward(encoded)
             return
-        term = self.node.voter.state.term
-        for index, proposal in zip(indexes.ok, current, strict=True):
-            self.waiting[index] = PendingEntry(term, proposal.future)
+        for index, (proposal, _) in zip(indexes.ok, encoded, strict=True):
+            self.waiting[index] = PendingEntry(
+                voter.state.term, proposal.future
+            )
 
     def get_applied_index(self) -> int:
         """Get the index of the last applied entry."""
@@ -218,13 +220,9 @@
         self._update_leader()
         self._set_timer()
 
-    def _forward(
-        self,
-        proposals: list[Proposal],
-        payloads: tuple[bytes, ...],
-    ) -> None:
+    def _forward(self, encoded: list[tuple[Proposal, bytes]]) -> None:
         leader = self.node.voter.state.leader
-        for proposal, payload in zip(proposals, payloads, strict=True):
+        for proposal, payload in encoded:
             if leader in {'', self.node.voter.state.voter}:
                 set_outcome(proposal.future, Error(NotLeaderFailure(leader)))
                 continue
--- a/packages/replicas/hornbeamstair_replicas/transport/outbox.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/outbox.py
@@ -8,7 +8,12 @@
 from attrs import define, field
 from websockets.asyncio.connection import Connection
 
+from hornbeamstair_core.events import log_event
 from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_replicas.codec import encode_envelope
+from hornbeamstair_replicas.events import MessageTooLargeEvent
+from hornbeamstair_replicas.limits import MAX_MESSAGE_BYTES
+from hornbeamstair_replicas.peer_messages import Envelope
 
 __all__ = ('Outbox',)
 
@@ -25,6 +30,24 @@
     )
     ready: Event = field(factory=Event)
 
+    def put_envelope(self, envelope: Envelope) -> None:
+        """Queue a message, unless it is larger than its receiver accepts.
+
+        The receiver would close the connection, and lose the other messages.
+        """
+        payload = encode_envelope(envelope)
+        if len(payload) <= MAX_MESSAGE_BYTES:
+            self.put(payload)
+            return
+        self.metrics.count_retry('peer_message_too_large')
+        log_event(
+            MessageTooLargeEvent(
+                envelope.message.kind,
+                envelope.receiver,
+                len(payload),
+            ),
+        )
+
     def put(self, payload: bytes) -> None:
         """Queue a message."""
         if len(self.queue) == _MAX_QUEUED_MESSAGES:
--- a/packages/replicas/hornbeamstair_replicas/transport/websocket.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/websocket.py
@@ -12,8 +12,7 @@
 from hornbeamstair_core.front_end import SocketAddress
 from hornbeamstair_core.ids import ProcessId
 from hornbeamstair_core.metrics import Metrics
-from hornbeamstair_core.units import MIB
-from hornbeamstair_replicas.codec import encode_envelope
+from hornbeamstair_replicas.limits import MAX_MESSAGE_BYTES
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.transport.accepted import (
@@ -42,7 +41,6 @@
 
 __all__ = ('WebsocketTransport',)
 
-_MAX_MESSAGE_BYTES: Final = 4 * MIB
 _OPEN_TIMEOUT_SECONDS: Final = 1.0
 _RECONNECT_SECONDS: Final = 0.2
 # Short enough to replace a dead connection before a partition of a few seconds
@@ -88,7 +86,7 @@
             self.accepted.serve,
             self.listen_address.address,
             self.listen_address.port,
-            max_size=_MAX_MESSAGE_BYTES,
+            max_size=MAX_MESSAGE_BYTES,
             compression=None,
             subprotocols=[ANSWERS],
             select_subprotocol=select_subprotocol,
@@ -114,7 +112,7 @@
         if peer is None:
             return
         peer.last_used_at = get_monotonic_time()
-        peer.outbox.put(encode_envelope(envelope))
+        peer.outbox.put_envelope(envelope)
 
     def answer(self, envelope: Envelope) -> None:
         """Send an answer over the connection of its question, if it is open.
@@ -126,7 +124,7 @@
         if outbox is None:
             self.send(envelope)
         else:
-            outbox.put(encode_envelope(envelope))
+            outbox.put_envelope(envelope)
 
     def is_connected(self, receiver: VoterId) -> bool:
         """Return whether there is a connection to another process."""
@@ -164,7 +162,7 @@
                     proxy=None,
                     compression=None,
                     subprotocols=[ANSWERS],
-                    max_size=_MAX_MESSAGE_BYTES,
+                    max_size=MAX_MESSAGE_BYTES,
                     open_timeout=_OPEN_TIMEOUT_SECONDS,
                     ping_interval=_PING_INTERVAL_SECONDS,
                     ping_timeout=_PONG_TIMEOUT_SECONDS,
--- a/packages/replicas/hornbeamstair_replicas/voting/entry_log.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/entry_log.py
@@ -1,10 +1,13 @@
 """In-memory log of a voter: its snapshot and later entries."""
 
-from collections.abc import Sequence
+from bisect import bisect_right
+from collections.abc import Iterable, Sequence
+from itertools import accumulate
 
 from attrs import define, field
 
 from hornbeamstair_core.invariants import check_invariant
+from hornbeamstair_replicas.limits import MAX_BATCH_BYTES
 from hornbeamstair_replicas.messages import (
     EntryKind,
     LogEntry,
@@ -13,7 +16,7 @@
     VoterId,
 )
 
-__all__ = ('EntryLog', 'open_entry_log')
+__all__ = ('EntryLog', 'open_entry_log', 'take_batch')
 
 
 @define
@@ -23,10 +26,15 @@
     snapshot: Snapshot
     entries: list[LogEntry] = field(factory=list)
     voter_entries: list[LogEntry] = field(factory=list, init=False)
+    # Running total of the payload bytes after each entry.
+    totals: list[int] = field(factory=list, init=False)
+    # The total before the first entry.
+    base_total: int = field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Index the entries that set the voters."""
+        """Index the entries that set the voters, and sum up the payloads."""
         self.voter_entries = _get_voter_entries(self.entries)
+        self.totals = _get_totals(self.entries, self.base_total)
 
     @property
     def first_index(self) -> int:
@@ -56,6 +64,20 @@
         start = first_index - self.first_index
         return tuple(self.entries[start : start + limit])
 
+    def get_batch(self, first_index: int, limit: int) -> tuple[LogEntry, ...]:
+        """Return at most `limit` entries that fit into one message.
+
+        An entry that is too large for that is returned alone.
+        """
+        last_total = self._get_total(first_index - 1) + MAX_BATCH_BYTES
+        start = first_index - self.first_index
+        end = max(bisect_right(self.totals, last_total), start + 1)
+        return self.get_slice(first_index, min(limit, end - start))
+
+    def get_bytes(self, first_index: int, last_index: int) -> int:
+        """Return the payload bytes in memory between two indexes, inclusive."""
+        return self._get_total(last_index) - self._get_total(first_index - 1)
+
     def append(self, entries: Sequence[LogEntry]) -> None:
         """Append entries; their indexes must be contiguous."""
         for entry in entries:
@@ -65,23 +87,30 @@
                 f'{entry.index} after {self.last_index}',
             )
             self.entries.append(entry)
+        self.totals.extend(_get_totals(entries, self._get_last_total()))
         self.voter_entries.extend(_get_voter_entries(entries))
 
     def truncate(self, first_index: int) -> None:
         """Remove the entries from an index on."""
-        self.entries = self.entries[: first_index - self.first_index]
+        kept = first_index - self.first_index
+        self.entries = self.entries[:kept]
+        self.totals = self.totals[:kept]
         self.voter_entries = _get_voter_entries(self.entries)
 
     def compact(self, snapshot: Snapshot) -> None:
         """Replace the entries that a snapshot covers by the snapshot."""
         covered = snapshot.index - self.snapshot.index
+        self.base_total = self._get_total(snapshot.index)
         self.entries = self.entries[covered:]
+        self.totals = self.totals[covered:]
         self.snapshot = snapshot
         self.voter_entries = _get_voter_entries(self.entries)
 
     def reset(self, snapshot: Snapshot) -> None:
         """Replace the whole log by a snapshot."""
         self.entries = []
+        self.totals = []
+        self.base_total = 0
         self.voter_entries = []
         self.snapshot = snapshot
 
@@ -104,6 +133,14 @@
                 return entry.voters
         return self.snapshot.voters
 
+    def _get_total(self, index: int) -> int:
+        """Return the total up to an index; that of the nearest one held."""
+        position = min(index - self.first_index, len(self.totals) - 1)
+        return self.base_total if position < 0 else self.totals[position]
+
+    def _get_last_total(self) -> int:
+        return self.totals[-1] if self.totals else self.base_total
+
 
 def open_entry_log(
     stored_log: StoredLog,
@@ -114,5 +151,22 @@
     return EntryLog(snapshot, list(stored_log.entries))
 
 
+def take_batch(entries: Iterable[LogEntry]) -> tuple[LogEntry, ...]:
+    """Take the first entries that fit into one message, at least one."""
+    batch: list[LogEntry] = []
+    total = 0
+    for entry in entries:
+        total += len(entry.payload)
+        if batch and total > MAX_BATCH_BYTES:
+            break
+        batch.append(entry)
+    return tuple(batch)
+
+
 def _get_voter_entries(entries: Sequence[LogEntry]) -> list[LogEntry]:
     return [entry for entry in entries if entry.kind == EntryKind.voters]
+
+
+def _get_totals(entries: Iterable[LogEntry], base_total: int) -> list[int]:
+    sizes = (len(entry.payload) for entry in entries)
+    return list(accumulate(sizes, initial=base_total))[1:]
--- a/packages/replicas/hornbeamstair_replicas/voting/progress.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/progress.py
@@ -1,6 +1,6 @@
 """Replication progress of a peer, as the leader knows it."""
 
-from attrs import define
+from attrs import Factory, define, field
 
 __all__ = ('PeerProgress',)
 
@@ -11,6 +11,12 @@
 
     next_index: int
     match_index: int = 0
+    # The entries after this index that were sent are in flight.
+    window_index: int = field(
+        default=Factory(
+            lambda progress: progress.next_index - 1, takes_self=True
+        ),
+    )
     started_at: float = 0
     acknowledged_at: float = 0
     sent_at: float = 0
@@ -57,8 +63,10 @@
         """Update the last index at which the log of the peer matches."""
         self.match_index = max(self.match_index, index)
         self.next_index = max(self.next_index, self.match_index + 1)
+        self.window_index = max(self.window_index, self.match_index)
 
     def decrease_next_index(self, hint: int) -> None:
         """Retry from an earlier index after a log mismatch."""
         earlier = min(hint + 1, self.next_index - 1)
         self.next_index = max(self.match_index + 1, earlier)
+        self.window_index = self.next_index - 1
--- a/packages/replicas/hornbeamstair_replicas/voting/replicator.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/replicator.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from hornbeamstair_core.units import KIB
+from hornbeamstair_replicas.limits import MAX_BATCH_BYTES
 from hornbeamstair_replicas.messages import Snapshot, VoterId
 from hornbeamstair_replicas.voting.messages import (
     AppendAnswer,
@@ -21,14 +21,15 @@
 # Limit of unacknowledged entries for a peer that is behind. A busy event loop
 # answers late, and one message per round trip is slower than the load.
 _MAX_IN_FLIGHT_ENTRIES: Final = 8 * _MAX_ENTRIES
-_CHUNK_BYTES: Final = 256 * KIB  # noqa: WPS432
-# Limit of unacknowledged snapshot bytes, because a busy peer answers late.
-_MAX_IN_FLIGHT_BYTES: Final = 4 * _CHUNK_BYTES
+# Limit of unacknowledged bytes of entries or of a snapshot, because a busy
+# peer answers late.
+_MAX_IN_FLIGHT_BYTES: Final = 4 * MAX_BATCH_BYTES
 _RESEND_HEARTBEATS: Final = 3
 # Chunks are large, and resending them delays later messages.
 _CHUNK_RESEND_HEARTBEATS: Final = 10
-# The peer receives this many entries in a fraction of a second.
+# The peer receives this much in a fraction of a second.
 _CAUGHT_UP_ENTRIES: Final = 4 * _MAX_ENTRIES
+_CAUGHT_UP_BYTES: Final = 4 * MAX_BATCH_BYTES
 
 
 @define(eq=False)
@@ -71,10 +72,16 @@
         progress = self.peers.get(peer)
         if progress is None or not progress.match_index:
             return False
-        missing_entries = self.state.commit_index - progress.match_index
+        state = self.state
+        missing_entries = state.commit_index - progress.match_index
+        missing_bytes = state.log.get_bytes(
+            progress.match_index + 1,
+            state.commit_index,
+        )
         return (
             self._is_responsive(peer, now)
             and missing_entries <= _CAUGHT_UP_ENTRIES
+            and missing_bytes <= _CAUGHT_UP_BYTES
         )
 
     def should_send_more(self, peer: VoterId) -> bool:
@@ -82,10 +89,9 @@
         progress = self.peers[peer]
         if progress.is_installing_snapshot:
             return False
-        missing_entries = self.state.log.last_index + 1 - progress.next_index
         if peer in self.learners and not progress.is_probing:
-            return missing_entries >= _MAX_ENTRIES
-        return missing_entries > 0
+            return self._fills_message(progress)
+        return progress.next_index <= self.state.log.last_index
 
     def has_lagging_peer(self) -> bool:
         """Return whether a responsive peer is still catching up.
@@ -173,13 +179,29 @@
     def _can_send_more(self, progress: PeerProgress) -> bool:
         if progress.is_installing_snapshot or progress.is_probing:
             return False
-        missing_entries = self.state.log.last_index + 1 - progress.next_index
-        in_flight = progress.next_index - 1 - progress.match_index
+        return self._fills_message(progress) and self._has_window(progress)
+
+    def _has_window(self, progress: PeerProgress) -> bool:
+        """Return whether more entries may be in flight to a peer."""
+        last_sent = progress.next_index - 1
+        in_flight_bytes = self.state.log.get_bytes(
+            progress.window_index + 1,
+            last_sent,
+        )
         return (
-            missing_entries >= _MAX_ENTRIES
-            and in_flight < _MAX_IN_FLIGHT_ENTRIES
+            last_sent - progress.window_index < _MAX_IN_FLIGHT_ENTRIES
+            and in_flight_bytes < _MAX_IN_FLIGHT_BYTES
         )
 
+    def _fills_message(self, progress: PeerProgress) -> bool:
+        """Return whether the entries still to be sent fill a message."""
+        log = self.state.log
+        missing_entries = log.last_index + 1 - progress.next_index
+        if missing_entries >= _MAX_ENTRIES:
+            return True
+        missing_bytes = log.get_bytes(progress.next_index, log.last_index)
+        return missing_bytes >= MAX_BATCH_BYTES
+
     def _send(self, peer: VoterId, now: float) -> None:
         progress = self.peers[peer]
         progress.sent_at = now
@@ -188,8 +210,9 @@
         if previous_term is None or progress.is_installing_snapshot:
             self._send_snapshot(peer, progress)
             return
-        count = 0 if progress.is_probing else _MAX_ENTRIES
-        entries = self.state.log.get_slice(progress.next_index, count)
+        may_send = self._has_window(progress) and not progress.is_probing
+        count = _MAX_ENTRIES if may_send else 0
+        entries = self.state.log.get_batch(progress.next_index, count)
         # Pipelining: assume that the entries will be accepted.
         progress.next_index += len(entries)
         self.state.send(
@@ -238,7 +261,7 @@
         )
         while progress.sent_offset < end:
             self._send_chunk(peer, progress, snapshot)
-            progress.sent_offset += _CHUNK_BYTES
+            progress.sent_offset += MAX_BATCH_BYTES
 
     def _send_chunk(
         self,
@@ -247,7 +270,7 @@
         snapshot: Snapshot,
     ) -> None:
         offset = progress.sent_offset
-        chunk = snapshot.state[offset : offset + _CHUNK_BYTES]
+        chunk = snapshot.state[offset : offset + MAX_BATCH_BYTES]
         self.state.send(
             peer,
             SnapshotChunk(
--- a/tests/features/steps/transport_steps.py
+++ b/tests/features/steps/transport_steps.py
@@ -11,6 +11,7 @@
 
 from hornbeamstair_core.front_end import SocketAddress
 from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.units import MIB
 from hornbeamstair_replicas.calls.messages import LeaderAnswer, LeaderCall
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope
@@ -61,6 +62,12 @@
     context.server.add_receiver(GROUP, fail_once)
 
 
+@when('a question of {size:d} MiB is sent')
+def ask_large(context: Any, size: int) -> None:
+    """Send a question that no process accepts."""
+    context.world.run(_ask_large(context, bytes(size * MIB)))
+
+
 @when('each of them asks {count:d} times')
 def ask(context: Any, count: int) -> None:
     """Send questions and wait for their answers."""
@@ -164,6 +171,13 @@
     client.send(Envelope(GROUP, client.own, receiver, call))
 
 
+async def _ask_large(context: Any, payload: bytes) -> None:
+    client = context.clients[0]
+    receiver = get_address(get_addressed_process(context.server_socket))
+    call = LeaderCall(0, payload)
+    client.send(Envelope(GROUP, client.own, receiver, call))
+
+
 async def _restart(context: Any) -> None:
     await context.server.stop()
     context.server = await _start_server(context.server_socket)
--- a/tests/features/steps/voting_steps.py
+++ b/tests/features/steps/voting_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from hypothesis.stateful import run_state_machine_as_test
 
-from hornbeamstair_core.units import KIB
+from hornbeamstair_core.units import KIB, MIB
 from hornbeamstair_replicas.groups.node import LogNode, open_node
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.messages import VoterId
@@ -73,6 +73,14 @@
         network.start(voter)
     network.run(3)
     context.network = network
+    context.first_leader = network.find_leaders()[0]
+    context.count = 0
+
+
+@given('the links carry messages of at most {size:d} MiB')
+def limit_messages(context: Any, size: int) -> None:
+    """Drop larger messages, as a connection that closes does."""
+    context.network.max_message_bytes = size * MIB
 
 
 @when(
@@ -138,6 +146,58 @@
     network.run(2)
 
 
+@when('{count:d} payloads of {size:d} bytes are proposed')
+def propose_large(context: Any, count: int, size: int) -> None:
+    """Propose large payloads and wait until they can be committed."""
+    network: VoterNetwork = context.network
+    for _ in range(count):
+        context.count += 1
+        network.propose(str(context.count).encode().ljust(size))
+        network.run(STEP_SECONDS)
+    network.run(1)
+    assert len(network.accepted) == count, len(network.accepted)
+
+
+@then('at most {size:d} MiB are in flight to it in any of {seconds:d} seconds')
+def check_in_flight(context: Any, size: int, seconds: int) -> None:
+    """Check the unacknowledged entries after each step."""
+    network: VoterNetwork = context.network
+    role = network.get_leader_role(network.find_leaders()[0])
+    progress = role.replicator.peers[NEW_VOTER]
+    for _ in range(round(seconds / STEP_SECONDS)):
+        network.run(STEP_SECONDS / 2)
+        in_flight = sum(
+            len(entry.payload)
+            for entry in role.state.log.entries
+            if progress.window_index < entry.index < progress.next_index
+        )
+        assert in_flight <= size * MIB, in_flight
+
+
+@given('a voter that leads alone')
+def start_alone(context: Any) -> None:
+    """Open a log of one voter."""
+    context.node = _open(context.world.folder / 'log', PayloadLog())
+
+
+@when(
+    'a payload of {large:d} bytes and one of {small:d} bytes are proposed',
+)
+def propose_sizes(context: Any, large: int, small: int) -> None:
+    """Propose payloads of two sizes in one batch."""
+    context.outcomes = context.world.run(
+        _propose_all(context.node, (bytes(large), bytes(small))),
+    )
+
+
+@then('the first is refused with code {code:d} and the second is accepted')
+def check_sizes(context: Any, code: int) -> None:
+    """Check the outcome of each payload."""
+    first, second = context.outcomes
+    assert first.error.number == code, first
+    assert second.is_ok(), second
+
+
 @then('{count:d} of them are accepted')
 def check_accepted(context: Any, count: int) -> None:
     """Check how many of the last payloads were accepted."""
@@ -514,6 +574,14 @@
     await group.stop()
 
 
+async def _propose_all(node: LogNode, payloads: tuple[bytes, ...]) -> Any:
+    group = VotingGroup('test', node, LocalTransport(VoterId('a')), monotonic)
+    group.start()
+    outcomes = await gather(*map(group.propose, payloads))
+    await group.stop()
+    return outcomes
+
+
 def _get_followers(context: Any) -> list[VoterId]:
     leaders = context.network.find_leaders()
     return [voter for voter in context.network.nodes if voter not in leaders]
--- a/tests/features/transport.feature
+++ b/tests/features/transport.feature
@@ -27,3 +27,11 @@
     And each of them asks 3 times
     Then each of them has 2 answers
     And 1 connection was accepted
+
+  # The receiver closes the connection, and the sender tries again for ever.
+  Scenario: A message that is too large for its receiver closes no connection
+    Given a process that answers and 1 that ask
+    When a question of 33 MiB is sent
+    And each of them asks 3 times
+    Then each of them has 3 answers
+    And 1 connection was accepted
--- a/tests/features/voting.feature
+++ b/tests/features/voting.feature
@@ -87,6 +87,30 @@
     Then the new learner has caught up
     And it was sent no snapshot
 
+  # A message larger than its receiver accepts closes the connection.
+  Scenario: A voter that lost its disk receives a log of large entries
+    Given 3 voters with seed 13 that write no snapshot
+    And the links carry messages of at most 1 MiB
+    When 40 payloads of 140000 bytes are proposed
+    And a follower loses its disk and is replaced by a new voter
+    And another follower fails right after that
+    And 10 payloads are proposed
+    Then 10 of them are accepted
+    And the running voters hold every accepted payload once, in the same order
+
+  Scenario: Few bytes of large entries are in flight to a slow voter
+    Given 3 voters with seed 14 that write no snapshot
+    When 400 payloads of 140000 bytes are proposed
+    And the leader's event loop runs only every 0.26 seconds
+    And the leader replicates to a new learner
+    Then at most 2 MiB are in flight to it in any of 20 seconds
+    And the new learner has caught up
+
+  Scenario: A payload that no message can carry is refused
+    Given a voter that leads alone
+    When a payload of 17000000 bytes and one of 10 bytes are proposed
+    Then the first is refused with code 1003 and the second is accepted
+
   Scenario: A second concurrent change of the voters is refused
     Given 3 voters with seed 7
     When a voter is added and another removed at once
--- a/tests/support/voters.py
+++ b/tests/support/voters.py
@@ -9,8 +9,10 @@
 from expression import Result
 
 from hornbeamstair_core.failures import Failure
+from hornbeamstair_replicas.codec import encode_envelope
 from hornbeamstair_replicas.groups.node import LogNode, open_node
 from hornbeamstair_replicas.messages import VoterId
+from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.state_machine import StateMachine
 from hornbeamstair_replicas.storage.base import StorageError
 from hornbeamstair_replicas.storage.memory import MemoryLogStorage
@@ -77,6 +79,8 @@
     # Entries sent to each voter, including on partitioned links.
     sent_entries: 'Counter[VoterId]' = field(factory=Counter)
     sent_chunks: 'Counter[VoterId]' = field(factory=Counter)
+    # Larger messages are dropped; None carries all.
+    max_message_bytes: int | None = None
     snapshot_entries: int = SNAPSHOT_ENTRIES
     # Steps between two runs of a voter's event loop, where more than one.
     loop_steps: dict[VoterId, int] = field(factory=dict)
@@ -212,9 +216,15 @@
             receiver,
         ) in self.dropped_links or self.rng.random() < self.loss_rate:
             return
+        if self._is_too_large(Envelope('test', sender, receiver, message)):
+            return
         arrives_at = self.now + self.rng.uniform(0, self.max_delay)
         self.packets.append(Packet(arrives_at, sender, receiver, message))
 
+    def _is_too_large(self, envelope: Envelope) -> bool:
+        limit = self.max_message_bytes
+        return limit is not None and len(encode_envelope(envelope)) > limit
+
     def _deliver(self) -> None:
         due = [queued for queued in self.packets if self._is_due(queued)]
         self.packets = [
