Give up the runs of a worker only with a proof

Cause: a withdrawal names no lifetime and was applied to the current one; its runs were given up 0.5 s later, though a sound worker answers a poll only each 0.8 s, and the lease had not lapsed.

Change: a withdrawal takes the worker out of use until a later poll is answered, and no more. Runs end with the lease, a later lifetime, or another worker at the address; the last only if the message was sent in the lifetime that it ends. A recorded start of a withdrawn worker is not ordered.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -579,8 +579,8 @@
     """Make the start order of a recorded run; None if it may not start."""
     if not job.is_open or run.is_stop_requested:
         return None
-    if session.is_overcommitted():
-        # The worker has announced less since the run was placed.
+    if session.terminated_at is not None or session.is_overcommitted():
+        # The worker has withdrawn or announced less since the run was placed.
         return None
     return session.make_start(run, job.spec.text, now.monotonic)
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -32,7 +32,7 @@
         # A delayed answer: its clock and its runs no longer apply.
         return []
     if answer.outcome == OrderOutcome.other_life:
-        return session.end_incarnation(None, now)
+        return session.handle_other_life(sent_at, now)
     if answer.outcome == OrderOutcome.fenced:
         session.is_fenced = True
     if answer.outcome != OrderOutcome.done:
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -46,7 +46,7 @@
 # after several attempts, before users notice that they wait.
 _START_SECONDS: Final = 3.0
 _STOP_RETRY_SECONDS: Final = 0.5
-# Time from the withdrawal of a worker until it has terminated.
+# A worker that withdraws may answer polls for this time.
 _TERMINATION_SECONDS: Final = 0.5
 # Interval of the checks of a worker without a lease.
 _EXPIRED_CHECK_SECONDS: Final = 0.5
@@ -240,14 +240,26 @@
                 self.request_stop(run)
         return ended
 
+    def handle_other_life(
+        self,
+        sent_at: float | None,
+        now: float,
+    ) -> list[EndedRun]:
+        """End the incarnation, since another worker has its address.
+
+        An answer to a message from before the incarnation was known, or of
+        unknown age, may be about the address of a previous one.
+        """
+        if sent_at is None or sent_at < self.joined_at:
+            return []
+        return self.end_incarnation(None, now)
+
     def expire(self, now: float) -> list[EndedRun]:
-        """Remove runs of a terminated worker or an expired lease, as lost."""
-        if (
-            self.terminated_at is not None
-            and self.terminated_at + _TERMINATION_SECONDS < now
-        ):
-            if now - self.answered_at > _TERMINATION_SECONDS:
-                return self.remove_lost(list(self.runs))
+        """Remove the runs of a worker whose lease has expired, as lost.
+
+        A notice of termination proves nothing about the runs, since it may be
+        one of a previous incarnation that arrives late.
+        """
         if now < self.lease.latest_expiry:
             return []
         self._mark_gone_down()
@@ -278,7 +290,7 @@
 
     def get_check_time(self, now: float) -> float:
         """Return when the lease can have expired or a retry is due."""
-        is_pending = self.terminated_at is not None or any(
+        is_pending = any(
             run.state == RunState.unanswered for run in self.runs.values()
         )
         if is_pending:
@@ -362,7 +374,7 @@
             # The outcome in the current incarnation is unknown.
             answer = OrderAnswer(OrderOutcome.unknown)
         if answer.outcome == OrderOutcome.other_life:
-            return self.end_incarnation(None, now)
+            return self.handle_other_life(self._find_order_time(order), now)
         ended: list[EndedRun] = []
         if self.is_newer_incarnation(answer.incarnation):
             ended = self.end_incarnation(answer.incarnation, now, run)
@@ -457,7 +469,8 @@
         if self.is_older_incarnation(answer.incarnation):
             return []
         if answer.outcome == OrderOutcome.other_life:
-            return self.end_incarnation(None, now)
+            sent_at = self.stops.get((order.task, order.run))
+            return self.handle_other_life(sent_at, now)
         if answer.outcome == OrderOutcome.fenced:
             self.is_fenced = True
         if answer.outcome == OrderOutcome.done:
@@ -497,6 +510,12 @@
             if run is not None
         ]
 
+    def _find_order_time(self, order: StartOrder) -> float | None:
+        run = self.runs.get(order.task)
+        if run is None or run.run != order.run:
+            return None
+        return run.ordered_at
+
     def _mark_gone_down(self, answered: Run | None = None) -> None:
         """Mark the runs that the worker went down under."""
         is_planned = self.announced.is_leaving or self.is_reserved
--- a/tests/features/steps/stuck_steps.py
+++ b/tests/features/steps/stuck_steps.py
@@ -5,11 +5,17 @@
 from typing import Any
 from unittest.mock import patch
 
-from behave import then, when
+from behave import given, then, when
 
 from hornbeamstair_callers.jobs.demand import get_demands
 from hornbeamstair_callers.jobs.messages import JobState
-from hornbeamstair_core.ids import JobId, PoolName
+from hornbeamstair_core.ids import JobId, PoolName, TaskId
+from hornbeamstair_upstreams.work.messages import (
+    OrderAnswer,
+    OrderOutcome,
+    PollAnswer,
+    StopOrder,
+)
 from hornbeamstair_upstreams.work.runs import EndedRun
 from hornbeamstair_upstreams.work.session import WorkerSession
 from tests.features.steps.unconfirmed_steps import (
@@ -90,6 +96,93 @@
     work.scheduler.handle_withdrawal(worker, work.get_moment())
 
 
+@given('polls that its workers answer after {seconds:g} seconds')
+def slow_polls(context: Any, seconds: float) -> None:
+    """Poll each worker less often, as polls that wait for an end do."""
+    context.work.poll_seconds = seconds
+
+
+@when(
+    'a late withdrawal of each worker arrives {count:d} times, '
+    '{seconds:d} second apart',
+)
+def withdraw_all_late(context: Any, count: int, seconds: int) -> None:
+    """Report the end of workers that go on."""
+    work = context.work
+    for _ in range(count):
+        for worker in work.workers:
+            work.scheduler.handle_withdrawal(worker, work.get_moment())
+        work.run(seconds)
+
+
+@when(
+    'each worker restarts while messages to its previous address are '
+    'unanswered',
+)
+def restart_all(context: Any) -> None:
+    """Restart each worker, and keep an order and a time of before."""
+    work = context.work
+    context.sent_at = work.now
+    context.restarted = list(work.scheduler.sessions.values())
+    for worker in work.workers.values():
+        worker.crash(work.now)
+    work.run(1)
+
+
+@when('these messages are answered by another worker')
+def answer_late(context: Any) -> None:
+    """Deliver answers that name another worker."""
+    work = context.work
+    gone = OrderAnswer(OrderOutcome.other_life)
+    for session in context.restarted:
+        stop = StopOrder(
+            worker=session.announced.worker,
+            address=session.announced.address,
+            port=session.announced.port,
+            fencing_token=session.fencing_token,
+            task=TaskId('ended'),
+            run=1,
+        )
+        moment = work.get_moment()
+        poll = PollAnswer(OrderOutcome.other_life)
+        work.scheduler.handle_poll(session, poll, context.sent_at, moment)
+        work.scheduler.handle_stop_answer(session, stop, gone, moment)
+
+
+@when('a worker with a task withdraws and ends')
+def end_one(context: Any) -> None:
+    """Report the end of a worker, which answers nothing any more."""
+    work = context.work
+    context.ended = next(
+        worker for worker in work.workers.values() if worker.runs
+    )
+    work.scheduler.handle_withdrawal(context.ended.worker, work.get_moment())
+    context.ended.crash(work.now)
+    context.ended.is_partitioned = True
+
+
+@then('each of the {count:d} tasks was started once and runs')
+def check_started_once(context: Any, count: int) -> None:
+    """Check the starts, and the runs on all workers."""
+    starts = context.work.starts_by_task
+    assert list(starts.values()) == [1] * count, starts
+    workers = context.work.workers.values()
+    running = [task for worker in workers for task in worker.runs]
+    assert sorted(running) == sorted(starts), running
+
+
+@then('each of the {count:d} tasks runs on another worker')
+def check_moved(context: Any, count: int) -> None:
+    """Check the runs of the workers that go on."""
+    running = {
+        task
+        for worker in context.work.workers.values()
+        if worker is not context.ended
+        for task in worker.runs
+    }
+    assert len(running) == count, running
+
+
 @when('each check of the first worker fails from now on while all are due')
 def fail_checks(context: Any) -> None:
     """Raise an error in each check of one worker."""
--- a/tests/features/stuck_tasks.feature
+++ b/tests/features/stuck_tasks.feature
@@ -48,6 +48,36 @@
     And 10 seconds pass
     Then every job is completed
 
+  # Seen as TWICE: the tasks of a living worker were started elsewhere.
+  Scenario: A late withdrawal does not give up the runs of a living worker
+    Given a work model with seed 27, 3 workers and no faults
+    And polls that its workers answer after 0.9 seconds
+    When 1 seconds pass
+    And a job of 2 endless tasks with at most 1 unavailable
+    And 3 seconds pass
+    And a late withdrawal of each worker arrives 3 times, 1 second apart
+    And 5 seconds pass
+    Then each of the 2 tasks was started once and runs
+
+  Scenario: An answer from the previous address of a worker gives up no runs
+    Given a work model with seed 29, 3 workers and no faults
+    When 1 seconds pass
+    And each worker restarts while messages to its previous address are unanswered
+    And a job of 2 endless tasks with at most 1 unavailable
+    And 3 seconds pass
+    And these messages are answered by another worker
+    And 3 seconds pass
+    Then each of the 2 tasks was started once and runs
+
+  Scenario: The tasks of a worker that has withdrawn start elsewhere
+    Given a work model with seed 28, 3 workers and no faults
+    When 1 seconds pass
+    And a job of 2 endless tasks with at most 1 unavailable
+    And 3 seconds pass
+    And a worker with a task withdraws and ends
+    And 5 seconds pass
+    Then each of the 2 tasks runs on another worker
+
   Scenario: Failing checks of one worker end neither other checks nor placement
     Given a work model with seed 23, 3 workers and no faults
     When 1 seconds pass
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -306,6 +306,8 @@
         factory=list,
     )
     polled_at: dict[WorkerId, float] = field(factory=dict)
+    # Shortest interval of the polls of a worker.
+    poll_seconds: float = 0
     acknowledged_done: set[TaskId] = field(factory=set)
     acknowledged_failures: 'Counter[TaskId]' = field(factory=Counter)
     done: set[TaskId] = field(factory=set)
@@ -494,7 +496,8 @@
 
     def _poll(self) -> None:
         for name, session in list(self.scheduler.sessions.items()):
-            due = self.polled_at.get(name, 0) + self.rng.choice((0, 0.3))
+            delay = max(self.rng.choice((0, 0.3)), self.poll_seconds)
+            due = self.polled_at.get(name, 0) + delay
             if self.now < due or not session.end_cursor.is_recorded():
                 continue
             self.polled_at[name] = self.now
