Apply the answer to an order about a host to the worker it was about

Cause: the answer was applied to the worker that the list shows on the host, and while the order was on its way only the recorded worker was reserved, so that the next one was given work.

Change: "done" is applied to the recorded worker. The listed worker of a host whose order may still be executed is reserved too, for waves and for moves, and a move is not ordered again while that worker has runs.

Tests: both new scenarios of fleet.feature fail on the code before; the feature passes (39 scenarios).

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -1,7 +1,7 @@
 """Endpoint that executes maintenance waves while this process leads."""
 
 from asyncio import Task, create_task, gather
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from types import MappingProxyType
 from typing import Final
 
@@ -184,6 +184,8 @@
             if self.hosts.get_seconds_since_order(host.host) > _RESEND_SECONDS
             and not scheduler.has_runs(host.worker)
         ]
+        for host in due:
+            scheduler.reserve(host.worker)
         await self._send_orders(progress, due)
 
     def _get_effective_hosts(self) -> dict[HostId, ListedHost]:
@@ -199,7 +201,9 @@
     def _drain(self, scheduler: Scheduler, plans: list[WavePlan]) -> None:
         # An order in progress may still be executed.
         reserved = (
-            self.table.get_ordered_workers() | self.moves.get_ordered_workers()
+            self.table.get_ordered_workers()
+            | self.moves.get_ordered_workers()
+            | self._get_listed_workers(self.table.get_ordered_hosts())
         )
         urgent: set[WorkerId] = set()
         for plan in plans:
@@ -207,6 +211,12 @@
             urgent.update(plan.urgent)
         drain_workers(scheduler, reserved, urgent, self.get_moment())
 
+    def _get_listed_workers(self, host_ids: Iterable[HostId]) -> set[WorkerId]:
+        hosts = self.hosts.hosts
+        return {
+            hosts[host_id].worker for host_id in host_ids if host_id in hosts
+        }
+
     async def _start_maintenance(
         self,
         scheduler: Scheduler,
@@ -278,7 +288,10 @@
             ),
         )
         if outcome == HostOutcome.done:
-            scheduler.handle_withdrawal(host.worker, now)
+            # An order that was already executed ended this worker, not the one
+            # that the host has since.
+            before = progress.workers.get(host.host, host.worker)
+            scheduler.handle_withdrawal(before, now)
         return _STEPS.get(outcome, HostStep.ordered)
 
     async def _commit(self, records: Sequence[Record]) -> bool:
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -91,8 +91,16 @@
             await gather(*map(self._send_order, recorded))
 
     def get_ordered_workers(self) -> set[WorkerId]:
-        """Get the workers whose hosts may be moved at any moment."""
-        return self.table.get_ordered_workers()
+        """Get the workers whose hosts may be moved at any moment.
+
+        A host that has not moved yet may have another worker since the order.
+        """
+        listed = {
+            self.hosts.hosts[move.host].worker
+            for move in self.table.in_progress.values()
+            if self._is_listed_elsewhere(move)
+        }
+        return self.table.get_ordered_workers() | listed
 
     def get_moving_hosts(self) -> set[HostId]:
         """Get the hosts whose move is in progress."""
@@ -177,6 +185,8 @@
         if finished:
             await self.runner.commit(tuple(finished))
         lost = [move for move in listed if self._should_resend(scheduler, move)]
+        for move in lost:
+            scheduler.reserve(self.hosts.hosts[move.host].worker)
         await gather(*map(self._send_order, lost))
 
     def _is_finished(self, move: Move) -> bool:
@@ -185,10 +195,17 @@
             return True
         return host.pool == move.pool and host.state == HostState.up
 
-    def _should_resend(self, scheduler: Scheduler, move: Move) -> bool:
+    def _is_listed_elsewhere(self, move: Move) -> bool:
+        """Return whether a host is listed, but not in the pool of its move."""
         host = self.hosts.hosts.get(move.host)
-        if host is None or host.pool == move.pool:
+        return host is not None and host.pool != move.pool
+
+    def _should_resend(self, scheduler: Scheduler, move: Move) -> bool:
+        if not self._is_listed_elsewhere(move):
             return False
+        host = self.hosts.hosts[move.host]
         if host.state != HostState.up or scheduler.has_runs(move.worker):
             return False
+        if scheduler.has_runs(host.worker):
+            return False
         return self.hosts.get_seconds_since_order(move.host) > _RESEND_SECONDS
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -317,6 +317,12 @@
         session = self.sessions.get(worker)
         return session is not None and bool(session.runs)
 
+    def reserve(self, worker: WorkerId) -> None:
+        """Place nothing more on a worker whose host may go down."""
+        session = self.sessions.get(worker)
+        if session is not None:
+            session.is_reserved = True
+
     def get_sessions(self, service: ServiceName) -> list[WorkerSession]:
         """Get the workers of a service."""
         return [
--- a/packages/fleet/hornbeamstair_fleet/waves/table.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/table.py
@@ -110,6 +110,14 @@
             for host in progress.get_hosts(HostStep.ordered)
         }
 
+    def get_ordered_hosts(self) -> list[HostId]:
+        """Get the hosts that may go down at any moment."""
+        return [
+            host
+            for progress in self.get_incomplete()
+            for host in progress.get_hosts(HostStep.ordered)
+        ]
+
     def get_state(self) -> WaveTableState:
         """Get the waves for a snapshot."""
         return WaveTableState(tuple(self.waves.values()))
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -108,6 +108,23 @@
     And the wave controller runs for 12 seconds
     Then no worker may go down
 
+  # Seen as TWICE: tasks of the next worker of a host were started elsewhere.
+  Scenario: An order that was already executed does not end the next worker
+    Given a wave of one host whose order is executed but not answered
+    When the wave controller runs for 12 seconds
+    Then the order was sent 2 times, with the next worker reserved
+    And the next worker of the host has not ended
+    And the next worker of the host may get work
+
+  Scenario: A move that is ordered again ends no run of the next worker
+    Given a move of one host whose order is not answered
+    When the host gets another worker without moving
+    And the moves are reconciled until the order is sent again
+    Then the order was sent 2 times, with the next worker reserved
+    When the next worker of the host has a run
+    And the moves are reconciled for 4 seconds
+    Then the order was sent 2 times, with the next worker reserved
+
   Scenario: A wave respects its limit and the share of each pool
     Given a wave of 6 hosts of one pool of 9 with at most 4 down
     Then 3 hosts are ordered down at once
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -11,6 +11,7 @@
     HostId,
     JobId,
     PoolName,
+    TaskId,
     WorkerId,
     ZoneName,
 )
@@ -31,9 +32,13 @@
     WavePlanner,
 )
 from hornbeamstair_fleet.waves.table import HostStep, WaveProgress
+from hornbeamstair_upstreams.work.runs import Run, RunState
 from tests.support.waves import (
+    NEXT_WORKER,
     make_arrived_moves,
     make_large_wave,
+    make_unanswered_move,
+    make_unanswered_wave,
     make_waves,
 )
 from tests.support.work_model import (
@@ -334,6 +339,79 @@
     context.waves.run_for(1)
 
 
+@given('a wave of one host whose order is executed but not answered')
+def start_unanswered_wave(context: Any) -> None:
+    """Declare a wave of a host with two known workers in turn."""
+    context.work = WorkModel(Random(1))
+    context.work.run(1)
+    context.waves = make_unanswered_wave(context.work)
+
+
+@given('a move of one host whose order is not answered')
+def start_unanswered_move(context: Any) -> None:
+    """Order a move of a listed host."""
+    context.work = WorkModel(Random(1))
+    context.work.run(1)
+    context.waves = make_unanswered_move(context.work)
+    run(context.waves.controller.hosts.refresh(0))
+    context.waves.order_move(HostId('m'))
+
+
+@when('the host gets another worker without moving')
+def check_replaced(context: Any) -> None:
+    """Check that the first order has replaced the worker."""
+    assert context.waves.client.host.worker == NEXT_WORKER
+
+
+@when('the moves are reconciled until the order is sent again')
+def reconcile_until(context: Any) -> None:
+    """Update the moves in progress until there is another order."""
+    before = context.waves.client.orders
+    for _ in range(4):
+        if context.waves.client.orders == before:
+            reconcile_moves(context, 1)
+
+
+@when('the moves are reconciled for {seconds:d} seconds')
+def reconcile_moves(context: Any, seconds: int) -> None:
+    """Update the moves in progress from new lists."""
+    waves = context.waves
+    controller = waves.make_move_controller()
+    for _ in range(seconds):
+        waves.now += 1
+        run(controller.reconcile(waves.scheduler))
+
+
+@when('the next worker of the host has a run')
+def add_run(context: Any) -> None:
+    """Place a run on the next worker."""
+    session = context.work.scheduler.sessions[NEXT_WORKER]
+    needs = make_phase(1, 1000).needs
+    session.add_run(Run(TaskId('t'), 1, needs, 'p', RunState.running, 0))
+
+
+@then('the order was sent {count:d} times, with the next worker reserved')
+def check_resent(context: Any, count: int) -> None:
+    """Check the orders, and the worker during the last one."""
+    client = context.waves.client
+    assert client.orders == count, client.orders
+    assert client.was_reserved
+
+
+@then('the next worker of the host has not ended')
+def check_alive(context: Any) -> None:
+    """Check that no notice was applied to the next worker."""
+    session = context.work.scheduler.sessions[NEXT_WORKER]
+    assert session.terminated_at is None
+
+
+@then('the next worker of the host may get work')
+def check_released(context: Any) -> None:
+    """Check that the next worker is not reserved any more."""
+    session = context.work.scheduler.sessions[NEXT_WORKER]
+    assert not session.is_reserved
+
+
 @then(
     'the busy pool is logged with {hosts:d} hosts, {idle:d} idle and '
     '{missing:d} of capacity missing'
--- a/tests/support/waves.py
+++ b/tests/support/waves.py
@@ -29,6 +29,7 @@
 from tests.support.work_model import WorkModel
 
 STEP_SECONDS = 0.2
+NEXT_WORKER = WorkerId('w1')
 
 
 @define(eq=False)
@@ -63,6 +64,47 @@
         return HostOutcome.refused
 
 
+@define(eq=False)
+class SilentOnceClient(HostsClient):
+    """Fake platform that executes the first order and does not answer it."""
+
+    name: ClassVar[str] = 'silent once'
+
+    host: ListedHost
+    scheduler: Scheduler
+    orders: int = 0
+    # Whether the next worker of the host was reserved during the last order.
+    was_reserved: bool = False
+
+    async def list_hosts(self) -> tuple[ListedHost, ...]:
+        """List the host."""
+        return (self.host,)
+
+    async def maintain(
+        self,
+        order: HostOrder,
+        wave: int,
+    ) -> HostOutcome:
+        """Replace the worker with the first order; the others are done."""
+        return self._execute(self.host.pool)
+
+    async def move(
+        self,
+        order: HostOrder,
+        pool: PoolName,
+    ) -> HostOutcome:
+        """Replace the worker with the first order, which does not move it."""
+        return self._execute(self.host.pool)
+
+    def _execute(self, pool: PoolName) -> HostOutcome:
+        self.orders += 1
+        if self.orders == 1:
+            self.host = evolve(self.host, worker=NEXT_WORKER, pool=pool)
+            return HostOutcome.unknown
+        self.was_reserved = self.scheduler.sessions[NEXT_WORKER].is_reserved
+        return HostOutcome.done
+
+
 @define(eq=False)
 class ManyHostsClient(HostsClient):
     """Fake platform that accepts orders and counts concurrent ones."""
@@ -197,6 +239,20 @@
     return WaveModel(model.scheduler, client, (client.host.host,))
 
 
+def make_unanswered_wave(model: WorkModel) -> WaveModel:
+    """Make a wave of one host whose next worker is known."""
+    host = _make_host('m', 'p', 'w0')
+    client = SilentOnceClient(host, model.scheduler)
+    return WaveModel(model.scheduler, client, (host.host,))
+
+
+def make_unanswered_move(model: WorkModel) -> WaveModel:
+    """Make a move of a host that gets another worker without moving."""
+    host = _make_host('m', 'p', 'w0')
+    client = SilentOnceClient(host, model.scheduler)
+    return WaveModel(model.scheduler, client, ())
+
+
 def make_large_wave(model: WorkModel, count: int) -> WaveModel:
     """Make a wave of idle hosts, each of another pool."""
     hosts = [
