Let relayed orders expire on the clock of their relay

Cause: a relayed order had no time after which it must not be sent. A relay checks the term and the job in its own copy of the log, which a freeze leaves behind, and the next lifetime of a worker knows no fencing token and no lease.

Change: each relayed order carries a time on the relay's clock, 0.5 s after it was given. The leader knows a lower bound of that clock from the reports of the relay, so that a delayed report makes orders expire earlier, never later. An expired order is answered as not sent, and the leader itself sends an order that its relay has not sent only within the same time.

--- a/packages/callers/hornbeamstair_callers/relay/codec.py
+++ b/packages/callers/hornbeamstair_callers/relay/codec.py
@@ -48,7 +48,10 @@
 def encode_orders(orders: Iterable[RelayedOrder]) -> bytes:
     """Encode a batch of orders, without the texts of the jobs."""
     return encode_cbor(
-        [(relayed.number, *_get_row(relayed.order)) for relayed in orders],
+        [
+            (relayed.number, relayed.valid_until, *_get_row(relayed.order))
+            for relayed in orders
+        ],
     )
 
 
@@ -57,8 +60,8 @@
     try:
         return Ok(
             [
-                RelayedOrder(number, _make_order(kind, row))
-                for number, kind, *row in decode_cbor(payload)
+                RelayedOrder(number, _make_order(kind, row), valid_until)
+                for number, valid_until, kind, *row in decode_cbor(payload)
             ],
         )
     except _DECODE_ERRORS as error:
--- a/packages/callers/hornbeamstair_callers/relay/endpoints/relay.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/relay.py
@@ -42,8 +42,9 @@
 class OrderRelay:
     """Sends each relayed order once and returns the answer of the worker.
 
-    It decides nothing: workers check the fencing token and the lease of an
-    order, also of one that was delayed here.
+    Workers check the fencing token and the lease of an order. The next
+    incarnation of a worker has seen neither, so an order that was delayed on
+    its way or by a pause of this process is not sent.
     """
 
     transport: PeerTransport
@@ -53,6 +54,7 @@
     find_text: Callable[[TaskId], str | None]
     # Current term of the log; a previous leader may not give orders.
     get_term: Callable[[], int]
+    get_time: Callable[[], float]
     tasks: 'set[Task[None]]' = field(factory=set, init=False)
     batches: MessageBatches[RelayedAnswer] = field(init=False)
 
@@ -79,7 +81,9 @@
             task.add_done_callback(self.tasks.discard)
 
     async def _relay(self, leader: VoterId, relayed: RelayedOrder) -> None:
-        answer = await self._send(relayed.order)
+        answer: OrderAnswer | PollAnswer | RelayFailure = RelayFailure.unsent
+        if self.get_time() <= relayed.valid_until:
+            answer = await self._send(relayed.order)
         self.batches.add(leader, RelayedAnswer(relayed.number, answer))
 
     async def _send(
--- a/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
@@ -1,9 +1,9 @@
 """Sender of the leader's orders through other processes."""
 
 from asyncio import Future, get_running_loop
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from random import randrange
-from typing import ClassVar, Final
+from typing import Any, ClassVar, Final, TypeVar
 
 from attrs import define, field, frozen
 
@@ -44,10 +44,14 @@
 # A relay gives up an order after about one second.
 _ORDER_SECONDS: Final = 1.4
 _CHECK_SECONDS: Final = 0.05
+# Time in which an order has to be sent after it was given. A worker that
+# restarts is back later.
+_VALID_SECONDS: Final = 0.5
 _FIRST_NUMBERS: Final = MAX_EXACT_INTEGER // 2
 
 RelayOutcome = OrderAnswer | PollAnswer | RelayFailure
 RelayMap = Mapping[ZoneName, VoterId]
+Order = TypeVar('Order', StartOrder, StopOrder)
 
 
 @frozen
@@ -75,6 +79,8 @@
     get_worker_count: Callable[[], int]
     # Relays that answer this leader, by zone.
     get_relays: Callable[[], RelayMap]
+    # Time that the clock of a relay has reached by a time of the own clock.
+    get_relay_time: Callable[[VoterId, float], float]
     choice: RelayChoice = field(factory=RelayChoice, init=False)
     checked_at: float = field(default=0, init=False)
     is_check_scheduled: bool = field(default=False, init=False)
@@ -101,26 +107,30 @@
 
     async def start(self, order: StartOrder) -> OrderAnswer:
         """Start a run."""
-        answer = await self._relay(order, _ORDER_SECONDS)
-        if isinstance(answer, OrderAnswer):
-            return answer
-        if answer == RelayFailure.lost:
-            return OrderAnswer(OrderOutcome.unknown)
-        return await self.direct.start(order)
+        return await self._send_once(order, self.direct.start)
 
     async def stop(self, order: StopOrder) -> OrderAnswer:
         """Stop a run."""
-        answer = await self._relay(order, _ORDER_SECONDS)
-        if isinstance(answer, OrderAnswer):
-            return answer
-        if answer == RelayFailure.lost:
-            return OrderAnswer(OrderOutcome.unknown)
-        return await self.direct.stop(order)
+        return await self._send_once(order, self.direct.stop)
 
     async def close(self) -> None:
         """Close the connections."""
         await self.direct.close()
 
+    async def _send_once(
+        self,
+        order: Order,
+        send: Callable[[Order], Coroutine[Any, Any, OrderAnswer]],
+    ) -> OrderAnswer:
+        given_at = self.get_time()
+        answer = await self._relay(order, _ORDER_SECONDS)
+        if isinstance(answer, OrderAnswer):
+            return answer
+        is_valid = self.get_time() - given_at <= _VALID_SECONDS
+        if answer == RelayFailure.unsent and is_valid:
+            return await send(order)
+        return OrderAnswer(OrderOutcome.unknown)
+
     async def _relay(self, order: WorkerOrder, seconds: float) -> RelayOutcome:
         now = self.get_time()
         self._update_relays(now)
@@ -145,7 +155,9 @@
         number = self.last_number
         answer: Future[RelayOutcome] = loop.create_future()
         self.pending[number] = _Pending(relay, answer)
-        self.batches.add(relay, RelayedOrder(number, order))
+        relay_time = self.get_relay_time(relay, self.get_time())
+        valid_until = relay_time + _VALID_SECONDS
+        self.batches.add(relay, RelayedOrder(number, order, valid_until))
         self._schedule_check()
         timer = loop.call_later(seconds, _set_lost, answer)
         try:
--- a/packages/callers/hornbeamstair_callers/relay/messages.py
+++ b/packages/callers/hornbeamstair_callers/relay/messages.py
@@ -36,6 +36,8 @@
 
     number: int
     order: WorkerOrder
+    # Time on the clock of the relay after which the order must not be sent.
+    valid_until: float
 
 
 @frozen
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -144,6 +144,7 @@
         state.workers.find_zone,
         lambda: len(state.workers.workers),
         membership.get_relays,
+        membership.relays.get_lowest_reading,
     )
     relay = OrderRelay(
         transport,
@@ -151,6 +152,7 @@
         metrics,
         state.jobs.find_text,
         lambda: node.voter.state.term,
+        get_monotonic_time,
     )
     runner = WorkRunner(
         group,
--- a/packages/replicas/hornbeamstair_replicas/calls/messages.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/messages.py
@@ -51,6 +51,9 @@
     # Whether it sends orders to workers for the leader; an earlier version
     # does not.
     is_relay: bool = False
+    # Time of the report on the steady clock of its process, in seconds; an
+    # earlier version does not tell, and is not used as a relay.
+    clock: float | None = None
 
 
 @frozen
--- a/packages/replicas/hornbeamstair_replicas/membership/relays.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/relays.py
@@ -23,16 +23,26 @@
 
     last_reports: dict[VoterId, float] = field(factory=dict)
     zones: dict[VoterId, ZoneName] = field(factory=dict)
+    # Lowest difference of the clock of each relay to the own one, in seconds.
+    clock_offsets: dict[VoterId, float] = field(factory=dict)
 
     def handle_report(
         self,
         process: VoterId,
         zone: ZoneName,
+        clock: float,
         now: float,
     ) -> None:
-        """Update the last report and the zone of a relay."""
+        """Update the last report, the zone and the clock of a relay."""
         self.last_reports[process] = now
         self.zones[process] = zone
+        # A report that was delayed shows an earlier time than it is there.
+        known = self.clock_offsets.get(process, clock - now)
+        self.clock_offsets[process] = max(known, clock - now)
+
+    def get_lowest_reading(self, process: VoterId, now: float) -> float:
+        """Get a time that the clock of a relay has reached by now."""
+        return now + self.clock_offsets[process]
 
     def get_responsive(
         self,
--- a/packages/replicas/hornbeamstair_replicas/membership/runner.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/runner.py
@@ -81,7 +81,12 @@
             await self.channel.ask(b'', _ASK_TIMEOUT_SECONDS)
             leader = self.channel.targets.leader
         if leader:
-            report = MemberReport(state.voter, self.zone, self.is_relay)
+            report = MemberReport(
+                state.voter,
+                self.zone,
+                self.is_relay,
+                self.get_time(),
+            )
             self.group.transport.send(
                 Envelope(_CHANNEL, state.voter, leader, report),
             )
@@ -90,8 +95,10 @@
         if isinstance(message, MemberReport):
             now = self.get_time()
             self.planner.handle_report(message.voter, message.zone, now)
-            if message.is_relay:
-                self.relays.handle_report(message.voter, message.zone, now)
+            if message.is_relay and message.clock is not None:
+                self.relays.handle_report(
+                    message.voter, message.zone, message.clock, now
+                )
 
     def _reconcile(self, role: LeaderRole) -> None:
         event = reconcile_members(
--- a/tests/features/relay.feature
+++ b/tests/features/relay.feature
@@ -58,6 +58,26 @@
     When the leader polls a worker in zone "b"
     Then the outcome is "done"
 
+  # Seen as TWICE: the next incarnation of a worker started tasks that were done.
+  Scenario: A relay that was frozen sends no order of before
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the relay is frozen
+    When the leader starts a run on a worker in zone "b"
+    Then the outcome is "unknown"
+    When the relay goes on after 5 seconds
+    Then the relay has sent 0 starts
+
+  Scenario: A leader that was paused does not send an order of before itself
+    Given a leader in zone "a" and a relay in zone "b" without the job
+    And the leader is paused for 5 seconds after it has asked the relay
+    When the leader starts a run on a worker in zone "b"
+    Then the leader has sent 0 orders itself
+    And the outcome is "unknown"
+
+  Scenario: A delayed report does not make the clock of a relay seem slower
+    Given a relay with a report at 10.0 and one delayed by 3.0 seconds
+    Then its clock shows at least 520.0 at 30.0
+
   Scenario: A process that does not answer the leader is no relay
     Given a relay that reported at 10.0 and answered at 10.0
     Then it is a relay at 10.3
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -59,11 +59,16 @@
 
     other: 'PairedTransport | None' = None
     is_silent: bool = False
+    is_frozen: bool = False
+    # Messages that arrived while this process was frozen.
+    held: list[Envelope] = field(factory=list)
 
     def send(self, envelope: Envelope) -> None:
         """Deliver at once, unless this process is silent."""
         assert self.other is not None
-        if not self.is_silent:
+        if self.other.is_frozen:
+            self.other.held.append(envelope)
+        elif not self.is_silent:
             self.other.deliver(envelope)
 
 
@@ -132,6 +137,27 @@
     context.relay_sender.outcome = OrderOutcome.unknown
 
 
+@given('the relay is frozen')
+def freeze(context: Any) -> None:
+    """Have the relay read nothing for now."""
+    context.relay_transport.is_frozen = True
+
+
+@given(
+    'the leader is paused for {seconds:g} seconds after it has asked the relay'
+)
+def pause_leader(context: Any, seconds: float) -> None:
+    """Have the time of the leader jump while a relayed order is on its way."""
+    context.leader_pause = seconds
+
+
+@when('the relay goes on after {seconds:g} seconds')
+def wake(context: Any, seconds: float) -> None:
+    """Deliver what the relay has not read."""
+    context.relay_clock_offset += seconds
+    context.world.run(_deliver_held(context.relay_transport))
+
+
 @when('the leader starts a run on a worker in zone "{zone}"')
 def start_run(context: Any, zone: str) -> None:
     """Send a start."""
@@ -181,10 +207,28 @@
 def make_directory(context: Any, reported: float, answered: float) -> None:
     """Make a directory with one report."""
     context.directory = RelayDirectory()
-    context.directory.handle_report(RELAY, ZoneName('b'), reported)
+    context.directory.handle_report(RELAY, ZoneName('b'), 500, reported)
     context.answered_at = answered
 
 
+@given(
+    'a relay with a report at {first:g} and one delayed by {seconds:g} seconds'
+)
+def make_delayed_report(context: Any, first: float, seconds: float) -> None:
+    """Make a directory with two reports of one clock."""
+    context.directory = RelayDirectory()
+    for delay in (0, seconds):
+        context.directory.handle_report(
+            RELAY, ZoneName('b'), 500, first + delay
+        )
+
+
+@then('its clock shows at least {clock:g} at {now:g}')
+def check_clock(context: Any, clock: float, now: float) -> None:
+    """Check the lowest reading."""
+    assert context.directory.get_lowest_reading(RELAY, now) == clock
+
+
 @then('it is a relay at {now:g}')
 def check_is_relay(context: Any, now: float) -> None:
     """Check that orders go through it."""
@@ -202,7 +246,11 @@
     """Encode and decode random messages."""
     rng = Random(1)
     orders = [
-        RelayedOrder(rng.randrange(10**15), rng.choice((POLL, START, STOP)))
+        RelayedOrder(
+            rng.randrange(10**15),
+            rng.choice((POLL, START, STOP)),
+            rng.random(),
+        )
         for _ in range(count)
     ]
     bare = evolve(START, spec='')
@@ -224,9 +272,10 @@
         7,
         [7],
         [[1]],
-        [[1, 'start']],
-        [[1, 'poll', 2]],
-        [[1, 'other', 'w', 'a', 1, 1]],
+        [[1, 2.5, 'start']],
+        [[1, 2.5, 'poll', 2]],
+        [[1, 2.5, 'other', 'w', 'a', 1, 1]],
+        [[1, 'stop', 'w', 'a', 1, 1, 'j.0.0.1', 1]],
         [[1, 'order', 'nonsense', None, None]],
         {'a': 1},
     ):
@@ -245,24 +294,48 @@
     context.worker_count = 300
     context.term = START.fencing_token
     context.silent_at = float('inf')
+    # The relay's clock differs from that of the leader.
+    context.relay_clock_offset = 1000
+    context.leader_pause = 0
+    context.leader_paused = False
+    directory = RelayDirectory()
+    directory.handle_report(
+        RELAY, ZoneName(zone), monotonic() + 1000, monotonic()
+    )
     context.relay = OrderRelay(
         relay_transport,
         context.relay_sender,
         Metrics(),
         lambda _: text,
         lambda: context.term,
+        lambda: monotonic() + context.relay_clock_offset,
     )
     context.sender = RelayingSender(
         context.direct,
         leader_transport,
         Metrics(),
-        monotonic,
+        lambda: _get_leader_time(context),
         lambda _: context.zone,
         lambda: context.worker_count,
         lambda: {} if _is_silent(context) else {ZoneName(zone): RELAY},
+        directory.get_lowest_reading,
     )
 
 
+def _get_leader_time(context: Any) -> float:
+    # The first reading is from before the pause.
+    pause = context.leader_pause if context.leader_paused else 0
+    context.leader_paused = bool(context.sender.pending) or bool(pause)
+    return monotonic() + pause
+
+
+async def _deliver_held(transport: PairedTransport) -> None:
+    transport.is_frozen = False
+    for envelope in transport.held:
+        transport.deliver(envelope)
+    await sleep(0.05)
+
+
 def _is_silent(context: Any) -> bool:
     return monotonic() > context.silent_at
 
