Tell the maintenance of a host for one wave from that for another

Cause: the list shows that a host is down, not for which wave, and a host that was ordered for a wave and is listed in maintenance counted as down for it.

Change: a host that may be down for one wave is not ordered for another, and the list proves nothing for a wave while the host may be down for another.

Test: the new scenario of fleet.feature fails on the code before (the host was maintained for wave 1 only); the feature passes (40 scenarios).

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -111,7 +111,7 @@
             plans.append(
                 self.planner.plan(
                     progress,
-                    self._get_effective_hosts(),
+                    self._get_effective_hosts(progress),
                     loads,
                     now,
                     self.moves.get_short_pools(),
@@ -159,7 +159,9 @@
             )
             return HostStep.over if is_removed else step
         if step == HostStep.ordered and host.state == HostState.maintenance:
-            return HostStep.taken
+            # The list does not tell for which wave a host is down.
+            is_ambiguous = self._is_down_for_another(progress, host_id)
+            return step if is_ambiguous else HostStep.taken
         if step == HostStep.taken:
             elapsed = self.hosts.get_seconds_since_order(host_id)
             if _has_returned(
@@ -188,15 +190,29 @@
             scheduler.reserve(host.worker)
         await self._send_orders(progress, due)
 
-    def _get_effective_hosts(self) -> dict[HostId, ListedHost]:
-        """Get the hosts; the list may still show moving hosts as up."""
-        moving = self.moves.get_moving_hosts()
-        return {
-            host_id: evolve(host, state=HostState.moving)
-            if host_id in moving
-            else host
-            for host_id, host in self.hosts.hosts.items()
-        }
+    def _get_effective_hosts(
+        self,
+        progress: WaveProgress,
+    ) -> dict[HostId, ListedHost]:
+        """Get the hosts as a wave may use them.
+
+        The list may still show hosts as up that move or that are down for
+        another wave.
+        """
+        hosts = dict(self.hosts.hosts)
+        for host_id in self.moves.get_moving_hosts().intersection(hosts):
+            hosts[host_id] = evolve(hosts[host_id], state=HostState.moving)
+        for down_id in filter(hosts.get, self.table.get_down_hosts(progress)):
+            down = evolve(hosts[down_id], state=HostState.maintenance)
+            hosts[down_id] = down
+        return hosts
+
+    def _is_down_for_another(
+        self,
+        progress: WaveProgress,
+        host_id: HostId,
+    ) -> bool:
+        return host_id in self.table.get_down_hosts(progress)
 
     def _drain(self, scheduler: Scheduler, plans: list[WavePlan]) -> None:
         # An order in progress may still be executed.
@@ -224,7 +240,12 @@
         planned: Sequence[ListedHost],
     ) -> None:
         # A run may have been placed since the plan was made.
-        idle = [host for host in planned if not scheduler.has_runs(host.worker)]
+        idle = [
+            host
+            for host in planned
+            if not scheduler.has_runs(host.worker)
+            and not self._is_down_for_another(progress, host.host)
+        ]
         allowed = progress.wave.max_down - progress.count_down_hosts()
         started = idle[: max(allowed, 0)]
         wave = progress.wave.number
--- a/packages/fleet/hornbeamstair_fleet/waves/table.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/table.py
@@ -110,6 +110,15 @@
             for host in progress.get_hosts(HostStep.ordered)
         }
 
+    def get_down_hosts(self, excluded: WaveProgress) -> set[HostId]:
+        """Get the hosts that may be down for other waves than one."""
+        return {
+            host
+            for progress in self.get_incomplete()
+            if progress is not excluded
+            for host in progress.get_down_hosts()
+        }
+
     def get_ordered_hosts(self) -> list[HostId]:
         """Get the hosts that may go down at any moment."""
         return [
--- a/tests/features/fleet.feature
+++ b/tests/features/fleet.feature
@@ -125,6 +125,13 @@
     And the moves are reconciled for 4 seconds
     Then the order was sent 2 times, with the next worker reserved
 
+  # Seen as MIXED: the maintenance for one wave was taken for that of another.
+  Scenario: Two waves that name one host have it maintained twice
+    Given two waves of one host whose refused orders get no answer
+    When the wave controller runs for 20 seconds
+    Then the host was maintained for waves 1 and 2
+    And both waves are complete
+
   Scenario: A wave respects its limit and the share of each pool
     Given a wave of 6 hosts of one pool of 9 with at most 4 down
     Then 3 hosts are ordered down at once
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -37,6 +37,7 @@
     NEXT_WORKER,
     make_arrived_moves,
     make_large_wave,
+    make_two_waves,
     make_unanswered_move,
     make_unanswered_wave,
     make_waves,
@@ -347,6 +348,25 @@
     context.waves = make_unanswered_wave(context.work)
 
 
+@given('two waves of one host whose refused orders get no answer')
+def start_two_waves(context: Any) -> None:
+    """Declare two waves of a host."""
+    context.waves = make_two_waves(WorkModel(Random(1)))
+
+
+@then('the host was maintained for waves {first:d} and {second:d}')
+def check_maintained(context: Any, first: int, second: int) -> None:
+    """Check for which waves a maintenance has begun."""
+    begun = context.waves.client.begun
+    assert sorted(begun) == [first, second], begun
+
+
+@then('both waves are complete')
+def check_both_complete(context: Any) -> None:
+    """Check that no wave is left."""
+    assert not list(context.waves.table.get_incomplete())
+
+
 @given('a move of one host whose order is not answered')
 def start_unanswered_move(context: Any) -> None:
     """Order a move of a listed host."""
--- a/tests/support/waves.py
+++ b/tests/support/waves.py
@@ -1,7 +1,7 @@
 """Fake platforms, and wave and move controllers that run against them."""
 
 from asyncio import run, sleep
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, ClassVar
 
 from attrs import define, evolve, field
@@ -29,6 +29,7 @@
 from tests.support.work_model import WorkModel
 
 STEP_SECONDS = 0.2
+MAINTENANCE_SECONDS = 2
 NEXT_WORKER = WorkerId('w1')
 
 
@@ -105,6 +106,50 @@
         return HostOutcome.done
 
 
+@define(eq=False)
+class MutePlatformClient(HostsClient):
+    """Fake platform with one host, whose refusals are lost on their way."""
+
+    name: ClassVar[str] = 'mute'
+
+    host: ListedHost
+    get_time: Callable[[], float] = float
+    back_at: float = 0
+    # Waves for which a maintenance of the host has begun.
+    begun: list[int] = field(factory=list)
+
+    async def list_hosts(self) -> tuple[ListedHost, ...]:
+        """List the host, which is back with another worker after a while."""
+        is_back = self.get_time() >= self.back_at
+        if self.host.state == HostState.maintenance and is_back:
+            worker = WorkerId(f'after-{len(self.begun)}')
+            self.host = evolve(self.host, state=HostState.up, worker=worker)
+        return (self.host,)
+
+    async def maintain(
+        self,
+        order: HostOrder,
+        wave: int,
+    ) -> HostOutcome:
+        """Begin a maintenance, or refuse it while the host is down."""
+        if self.host.state != HostState.up:
+            return HostOutcome.unknown
+        self.begun.append(wave)
+        self.back_at = self.get_time() + MAINTENANCE_SECONDS
+        self.host = evolve(
+            self.host, state=HostState.maintenance, worker=WorkerId('')
+        )
+        return HostOutcome.done
+
+    async def move(
+        self,
+        order: HostOrder,
+        pool: PoolName,
+    ) -> HostOutcome:
+        """Refuse any move."""
+        return HostOutcome.refused
+
+
 @define(eq=False)
 class ManyHostsClient(HostsClient):
     """Fake platform that accepts orders and counts concurrent ones."""
@@ -253,6 +298,16 @@
     return WaveModel(model.scheduler, client, ())
 
 
+def make_two_waves(model: WorkModel) -> WaveModel:
+    """Make two waves that name the same host."""
+    client = MutePlatformClient(_make_host('m', 'p', 'before'))
+    waves = WaveModel(model.scheduler, client, (client.host.host,))
+    client.get_time = lambda: waves.now
+    second = Wave(2, waves.hosts, waves.now, waves.now + 60, 1)
+    waves.table.apply(WaveDeclared(second))
+    return waves
+
+
 def make_large_wave(model: WorkModel, count: int) -> WaveModel:
     """Make a wave of idle hosts, each of another pool."""
     hosts = [
