Place nothing on a lifetime that has not announced itself

Cause: a lifetime that a poll shows first kept what the previous one had announced, and was used.

Change: no placement and no repeated start before the current lifetime has announced itself; a repeated start asks for the label again.

Tests: of the two new scenarios of stuck_tasks.feature the first fails on the code before (2 starts), the second holds there as well. stuck_tasks, work, room and deadly_tasks pass (81 scenarios).

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -498,7 +498,11 @@
         """Make the start order of a run again, or request its stop."""
         job = self._find_job(run.task)
         is_obsolete = job is None or not job.is_open or run.is_stop_requested
-        if job is None or is_obsolete or session.is_overcommitted():
+        # The worker may have restarted with other labels or resources.
+        is_unfit = session.is_overcommitted() or not session.has_label(
+            run.needs
+        )
+        if job is None or is_obsolete or is_unfit:
             session.request_stop(run)
             return None
         if session.is_start_overdue(run, now.monotonic):
--- a/packages/upstreams/hornbeamstair_upstreams/work/placement.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -144,7 +144,7 @@
     """Return whether a worker meets the requirements of a task."""
     if not session.get_free_resources().fits(get_used_resources(needs)):
         return False
-    if needs.label and needs.label not in session.announced.labels:
+    if not session.has_label(needs):
         return False
     limit = needs.spread_limit
     if limit and session.count_phase_runs(phase_id) >= limit:
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -73,6 +73,9 @@
     joined_at: float = field(
         default=Factory(lambda session: session.announced_at, takes_self=True),
     )
+    # The incarnation has announced itself; one that was learned from an answer
+    # may have other labels and resources than the one before.
+    has_announced: bool = True
     end_cursor: EndCursor = field(factory=EndCursor)
     runs: dict[TaskId, Run] = field(factory=dict)
     # Time of the last stop order by run; confirmed or ended runs are removed.
@@ -98,6 +101,8 @@
         """Return whether new work may be placed on the worker."""
         if self.announced.is_leaving or self.terminated_at is not None:
             return False
+        if not self.has_announced:
+            return False
         if self.is_reserved or not self.is_synced or self.is_fenced:
             return False
         return self.is_responsive(now) and not self.health.is_quarantined(now)
@@ -116,6 +121,10 @@
         """Return the free resources."""
         return self.announced.room.minus(self.used_resources)
 
+    def has_label(self, needs: TaskNeeds) -> bool:
+        """Return whether the worker has the label that a task requires."""
+        return not needs.label or needs.label in self.announced.labels
+
     def is_overcommitted(self) -> bool:
         """Return whether the runs take more than the worker has now."""
         free = self.get_free_resources()
@@ -212,6 +221,7 @@
         """
         self._mark_gone_down(answered)
         self.joined_at = now
+        self.has_announced = False
         self.lease.start_incarnation(now)
         self.end_cursor = EndCursor()
         self.is_synced = False
@@ -335,6 +345,7 @@
             ended = self.end_incarnation(announced.incarnation, now)
             self.terminated_at = None
         self.announced = announced
+        self.has_announced = True
         self.announced_at = now
         if self.observer is not None:
             self.observer.on_changed(self)
@@ -415,6 +426,8 @@
         """Return the runs whose start order is due to be sent again."""
         if not self.is_synced or not self.is_responsive(now) or self.is_fenced:
             return []
+        if not self.has_announced:
+            return []
         return [
             run
             for run in self.runs.values()
--- a/tests/features/steps/stuck_steps.py
+++ b/tests/features/steps/stuck_steps.py
@@ -5,6 +5,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from attrs import evolve
 from behave import given, then, when
 
 from hornbeamstair_callers.jobs.demand import get_demands
@@ -24,7 +25,12 @@
     make_backfill_phase,
     make_serving_phase,
 )
-from tests.support.work_model import SERVICE, add_worker, make_phase
+from tests.support.work_model import (
+    SERVICE,
+    ModelWorker,
+    add_worker,
+    make_phase,
+)
 
 
 @when('the senders of the next {count:d} starts fail without an outcome')
@@ -149,6 +155,49 @@
         work.scheduler.handle_stop_answer(session, stop, gone, moment)
 
 
+@when('the worker restarts and does not announce itself yet')
+def restart_silently(context: Any) -> None:
+    """Restart the only worker, which polls show first."""
+    work = context.work
+    worker = _get_worker(context)
+    worker.crash(work.now)
+    worker.is_unannounced = True
+    work.run(1)
+
+
+@when('the worker announces itself')
+def announce(context: Any) -> None:
+    """Have the only worker announce itself from now on."""
+    worker = _get_worker(context)
+    worker.is_unannounced = False
+
+
+@when('a task that needs a label is accepted while the worker ignores starts')
+def accept_labelled(context: Any) -> None:
+    """Leave the start of a task unanswered."""
+    worker = _get_worker(context)
+    worker.ignores_starts = True
+    phase = make_phase(1, 1000)
+    labelled = evolve(phase, needs=evolve(phase.needs, label='a'))
+    context.work.accept(JOB, (labelled,))
+    context.work.run(0.5)
+
+
+@when('the worker restarts without the label')
+def restart_without_label(context: Any) -> None:
+    """Restart the only worker as another kind."""
+    worker = _get_worker(context)
+    worker.crash(context.work.now)
+    worker.labels = ('b', 'r1')
+    worker.ignores_starts = False
+
+
+@then('nothing was started')
+def check_nothing_started(context: Any) -> None:
+    """Check that no worker has executed a start."""
+    assert not context.work.starts, context.work.starts
+
+
 @when('a worker with a task withdraws and ends')
 def end_one(context: Any) -> None:
     """Report the end of a worker, which answers nothing any more."""
@@ -257,6 +306,10 @@
     assert jobs == [BACKFILL_JOB] * 2, jobs
 
 
+def _get_worker(context: Any) -> ModelWorker:
+    return next(iter(context.work.workers.values()))
+
+
 def _expire_or_fail(
     session: WorkerSession,
     expire: Callable[[WorkerSession, float], list[EndedRun]],
--- a/tests/features/stuck_tasks.feature
+++ b/tests/features/stuck_tasks.feature
@@ -69,6 +69,26 @@
     And 3 seconds pass
     Then each of the 2 tasks was started once and runs
 
+  # Seen as ROUTE and LIMIT: the previous incarnation had offered more.
+  Scenario: Nothing starts on a restarted worker before it announces itself
+    Given a work model with seed 30, 1 workers and no faults
+    When 1 seconds pass
+    And the worker restarts and does not announce itself yet
+    And a job of 1 phases with 2 tasks each is accepted
+    And 3 seconds pass
+    Then nothing was started
+    When the worker announces itself
+    And 8 seconds pass
+    Then every job is completed
+
+  Scenario: An unanswered start is not sent to a worker that lost the label
+    Given a work model with seed 31, 1 workers and no faults
+    When 1 seconds pass
+    And a task that needs a label is accepted while the worker ignores starts
+    And the worker restarts without the label
+    And 8 seconds pass
+    Then nothing was started
+
   Scenario: The tasks of a worker that has withdrawn start elsewhere
     Given a work model with seed 28, 3 workers and no faults
     When 1 seconds pass
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -118,6 +118,9 @@
     ignores_starts: bool = False
     # Refuses all starts without any effect.
     refuses_starts: bool = False
+    # Announces nothing, as between a restart and the first announcement.
+    is_unannounced: bool = False
+    labels: tuple[str, ...] = ('a', 'r1')
     room: Resources = RESOURCES
     # Time of the last change of its resources, and the most runs since then.
     resized_at: float = 0
@@ -483,11 +486,12 @@
 
     def _announce(self) -> None:
         for worker in self.workers.values():
-            if worker.is_partitioned:
+            if worker.is_partitioned or worker.is_unannounced:
                 continue
             announced = evolve(
                 make_worker_announcement(worker.worker, worker.incarnation),
                 room=worker.room,
+                labels=worker.labels,
             )
             if self.scheduler.handle_announcement(announced, self.get_moment()):
                 due = self.now + COMMIT_SECONDS
