--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -82,7 +82,7 @@
             case CancelJob():
                 return await self._cancel(request)
             case CountPending(place):
-                return self._find_queue(place).bind(self._count)
+                return self._count(place)
         raise TypeError(request)
 
     async def _submit(self, request: SubmitJob) -> Result[Reply, Failure]:
@@ -154,11 +154,18 @@
             )
         return Ok(queue)
 
-    def _count(self, queue: Queue) -> Result[Reply, Failure]:
+    def _count(self, place: QueueAddress) -> Result[Reply, Failure]:
+        queue = self._find_queue(place)
+        if queue.is_error():
+            return Error(queue.error)
+        if place.path != queue.ok.path_prefix:
+            # What follows the prefix is not the ID of a job.
+            version = self.state.manifest.version
+            return Error(QueueUnknownFailure(place.host, place.path, version))
         scheduler = self.committer.find_scheduler()
         if scheduler is None:
             return Error(NotLeaderFailure(''))
-        return Ok(PendingReply(scheduler.unstarted.count(queue.queue)))
+        return Ok(PendingReply(scheduler.unstarted.count(queue.ok.queue)))
 
 
 def _show(job: Job) -> Reply:
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -5,12 +5,18 @@
 from collections.abc import Iterator
 from copy import deepcopy
 from random import Random
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given, then, when
 from expression import Ok, Result
 
-from hornbeamstair_callers.jobs.requests import PendingReply
+from hornbeamstair_callers.jobs.requests import (
+    CountPending,
+    PendingReply,
+    QueueAddress,
+)
+from hornbeamstair_callers.jobs.service import JobRequestHandler
 from hornbeamstair_core.front_end import SocketAddress
 from hornbeamstair_core.ids import JobId, WorkerId
 from hornbeamstair_platform.callers_front_end import CallersFrontEnd
@@ -27,6 +33,7 @@
     NotCommittedFailure,
     NotLeaderFailure,
 )
+from tests.support.work_model import WorkModel
 
 HUGE_NUMBER = 10**30
 MUTATION_VALUES = (None, -1, 1.5, 'x', '', True, HUGE_NUMBER)
@@ -195,32 +202,83 @@
 class StubLeaderClient:
     """Stand-in for the leader client, with one pending job."""
 
+    def __init__(self) -> None:
+        """Begin without a request."""
+        self.requests: list[Any] = []
+
     async def ask(self, request: Any, seconds: float) -> Result[Any, Any]:
         """Return the reply at once."""
+        self.requests.append(request)
         return Ok(PendingReply(1))
 
 
+@when('a caller sends {method} to "{path}"')
+def send_request(context: Any, method: str, path: str) -> None:
+    """Send a request without a body to a front end."""
+    context.client = StubLeaderClient()
+    context.messages = run(_call(context.client, method, path, is_ready=True))
+
+
+@then(
+    'the response has status {status:d}, and {count:d} requests reach the '
+    'leader',
+)
+def check_status(context: Any, status: int, count: int) -> None:
+    """Check the status of the response."""
+    assert context.messages[0]['status'] == status, context.messages
+    assert len(context.client.requests) == count, context.client.requests
+
+
+@when('the jobs that wait at "{path}" are counted')
+def count_pending(context: Any, path: str) -> None:
+    """Count the jobs of a queue of the model."""
+    work = WorkModel(Random(1))
+    committer: Any = SimpleNamespace(find_scheduler=lambda: work.scheduler)
+    handler = JobRequestHandler(work.tables, committer, work.get_moment)
+    place = QueueAddress('host', path)
+    context.counted = run(handler.handle(CountPending(place)))
+
+
+@then('the count has code {code:d}')
+def check_count(context: Any, code: int) -> None:
+    """Check the failure of the count; 0 for none."""
+    counted = context.counted
+    found = counted.error.number if counted.is_error() else 0
+    assert found == code, counted
+
+
 async def _get_response_headers(*, is_ready: bool) -> dict[str, str]:
+    client = StubLeaderClient()
+    messages = await _call(client, 'GET', '/p/', is_ready=is_ready)
+    return {
+        name.decode(): text.decode()
+        for message in messages
+        for name, text in message.get('headers', ())
+    }
+
+
+async def _call(
+    client: StubLeaderClient, method: str, path: str, *, is_ready: bool
+) -> list[dict[str, Any]]:
     front_end = CallersFrontEnd(
         SocketAddress('127.0.0.1', 0),
-        client=StubLeaderClient(),
+        client=client,
         is_ready=lambda: is_ready,
     )
-    headers: dict[str, str] = {}
+    messages: list[dict[str, Any]] = []
 
     async def send(message: dict[str, Any]) -> None:  # noqa: WPS430
-        for name, text in message.get('headers', ()):
-            headers[name.decode()] = text.decode()
+        messages.append(message)
 
     scope = {
         'type': 'http',
-        'method': 'GET',
-        'path': '/p/',
+        'method': method,
+        'path': path,
         'query_string': b'',
         'headers': [],
     }
     await front_end.handle_request(scope, _receive_empty_body, send)
-    return headers
+    return messages
 
 
 async def _receive_empty_body() -> dict[str, Any]:
