Send no start to a worker that leaves

Cause: the first and each repeated start order did not ask whether the worker may still get work.

Change: a recorded run of a leaving worker ends as lost and is placed elsewhere at once; an unanswered one is stopped.

Test: the new scenario of stuck_tasks.feature fails on the code before (the worker that leaves starts the task). work, deadly_tasks, room and stuck_tasks pass (86 scenarios).

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -498,10 +498,9 @@
         """Make the start order of a run again, or request its stop."""
         job = self._find_job(run.task)
         is_obsolete = job is None or not job.is_open or run.is_stop_requested
-        # The worker may have restarted with other labels or resources.
-        is_unfit = session.is_overcommitted() or not session.has_label(
-            run.needs
-        )
+        # The worker may leave, or has restarted with other labels or resources.
+        is_unfit = session.is_ending() or not session.has_label(run.needs)
+        is_unfit = is_unfit or session.is_overcommitted()
         if job is None or is_obsolete or is_unfit:
             session.request_stop(run)
             return None
@@ -589,8 +588,8 @@
     """Make the start order of a recorded run; None if it may not start."""
     if not job.is_open or run.is_stop_requested:
         return None
-    if session.terminated_at is not None or session.is_overcommitted():
-        # The worker has withdrawn or announced less since the run was placed.
+    if session.is_ending() or session.is_overcommitted():
+        # The worker leaves or has announced less since the run was placed.
         return None
     return session.make_start(run, job.spec.text, now.monotonic)
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -99,14 +99,16 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether new work may be placed on the worker."""
-        if self.announced.is_leaving or self.terminated_at is not None:
-            return False
-        if not self.has_announced:
+        if self.is_ending() or not self.has_announced:
             return False
         if self.is_reserved or not self.is_synced or self.is_fenced:
             return False
         return self.is_responsive(now) and not self.health.is_quarantined(now)
 
+    def is_ending(self) -> bool:
+        """Return whether the worker leaves or has withdrawn."""
+        return self.announced.is_leaving or self.terminated_at is not None
+
     def is_responsive(self, now: float) -> bool:
         """Return whether the worker answered recently."""
         if self.is_unresponsive:
--- a/tests/features/steps/stuck_steps.py
+++ b/tests/features/steps/stuck_steps.py
@@ -192,6 +192,33 @@
     worker.ignores_starts = False
 
 
+@when('a worker leaves while the start of its task has no answer')
+def leave_unanswered(context: Any) -> None:
+    """Lose the answers to starts until the worker has said that it leaves."""
+    work = context.work
+    for worker in work.workers.values():
+        worker.ignores_starts = True
+    work.accept(JOB, (make_phase(1, 1000),))
+    work.run(0.3)
+    context.leaving = next(
+        worker
+        for name, worker in work.workers.items()
+        if work.scheduler.sessions[name].runs
+    )
+    context.leaving.is_leaving = True
+    work.run(0.1)
+    for answering in work.workers.values():
+        answering.ignores_starts = False
+
+
+@then('the worker that leaves has started nothing')
+def check_left(context: Any) -> None:
+    """Check the runs and the ends of the worker that leaves."""
+    worker = context.leaving
+    assert not worker.runs, worker.runs
+    assert not worker.last_end_number, worker.last_end_number
+
+
 @then('nothing was started')
 def check_nothing_started(context: Any) -> None:
     """Check that no worker has executed a start."""
--- a/tests/features/stuck_tasks.feature
+++ b/tests/features/stuck_tasks.feature
@@ -89,6 +89,15 @@
     And 8 seconds pass
     Then nothing was started
 
+  # Seen as DRAIN: starts without an answer were sent again for seconds.
+  Scenario: No start is sent again to a worker that leaves
+    Given a work model with seed 33, 2 workers and no faults
+    When 1 seconds pass
+    And a worker leaves while the start of its task has no answer
+    And 8 seconds pass
+    Then the worker that leaves has started nothing
+    And every job is completed
+
   Scenario: The tasks of a worker that has withdrawn start elsewhere
     Given a work model with seed 28, 3 workers and no faults
     When 1 seconds pass
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -121,6 +121,7 @@
     # Announces nothing, as between a restart and the first announcement.
     is_unannounced: bool = False
     labels: tuple[str, ...] = ('a', 'r1')
+    is_leaving: bool = False
     room: Resources = RESOURCES
     # Time of the last change of its resources, and the most runs since then.
     resized_at: float = 0
@@ -492,6 +493,7 @@
                 make_worker_announcement(worker.worker, worker.incarnation),
                 room=worker.room,
                 labels=worker.labels,
+                is_leaving=worker.is_leaving,
             )
             if self.scheduler.handle_announcement(announced, self.get_moment()):
                 due = self.now + COMMIT_SECONDS
