Count the clock of a relay anew after its restart

Cause: the leader keeps the highest reading that the reports of a relay allow. The steady clock of a machine that lost power begins at zero, so that relayed orders of its next process would have expired long after they should.

Change: reports say when the process joined, and the reading of one process is not kept for the next. Found on reading the change; nobody has reported it.

Test: the scenario on the clock of a relay goes on over a restart. relay.feature passes (13 scenarios), and make check.

--- a/packages/replicas/hornbeamstair_replicas/calls/messages.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/messages.py
@@ -54,6 +54,9 @@
     # Time of the report on the steady clock of its process, in seconds; an
     # earlier version does not tell, and is not used as a relay.
     clock: float | None = None
+    # Time on that clock at which the process joined; it differs after a
+    # restart, with which the clock may begin anew.
+    joined_at: float = 0
 
 
 @frozen
--- a/packages/replicas/hornbeamstair_replicas/membership/relays.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/relays.py
@@ -3,12 +3,12 @@
 from collections.abc import Mapping
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from hornbeamstair_core.ids import ZoneName
 from hornbeamstair_replicas.messages import VoterId
 
-__all__ = ('RelayDirectory',)
+__all__ = ('RelayClock', 'RelayDirectory')
 
 # Processes report every 0.5 s.
 _REPORT_VALID_SECONDS: Final = 1.6
@@ -17,32 +17,43 @@
 _RESPONSIVE_SECONDS: Final = 0.35
 
 
+@frozen
+class RelayClock:
+    """Clock of a relay as a report shows it, in seconds."""
+
+    # Tells the clock of a process from that of the one before.
+    joined_at: float
+    # Lowest difference to the own clock: a report may have been delayed.
+    offset: float
+
+
 @define(eq=False)
 class RelayDirectory:
     """Last reports of the processes that relay orders, with their zones."""
 
     last_reports: dict[VoterId, float] = field(factory=dict)
     zones: dict[VoterId, ZoneName] = field(factory=dict)
-    # Lowest difference of the clock of each relay to the own one, in seconds.
-    clock_offsets: dict[VoterId, float] = field(factory=dict)
+    clocks: dict[VoterId, RelayClock] = field(factory=dict)
 
     def handle_report(
         self,
         process: VoterId,
         zone: ZoneName,
-        clock: float,
+        clock: RelayClock,
         now: float,
     ) -> None:
         """Update the last report, the zone and the clock of a relay."""
         self.last_reports[process] = now
         self.zones[process] = zone
-        # A report that was delayed shows an earlier time than it is there.
-        known = self.clock_offsets.get(process, clock - now)
-        self.clock_offsets[process] = max(known, clock - now)
+        known = self.clocks.get(process, clock)
+        if known.joined_at != clock.joined_at or known.offset < clock.offset:
+            self.clocks[process] = clock
+        else:
+            self.clocks[process] = known
 
     def get_lowest_reading(self, process: VoterId, now: float) -> float:
         """Get a time that the clock of a relay has reached by now."""
-        return now + self.clock_offsets[process]
+        return now + self.clocks[process].offset
 
     def get_responsive(
         self,
--- a/packages/replicas/hornbeamstair_replicas/membership/runner.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/runner.py
@@ -14,7 +14,7 @@
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.membership.planner import MembershipPlanner
 from hornbeamstair_replicas.membership.reconciliation import reconcile_members
-from hornbeamstair_replicas.membership.relays import RelayDirectory
+from hornbeamstair_replicas.membership.relays import RelayClock, RelayDirectory
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
 from hornbeamstair_replicas.voting.roles.leader import LeaderRole
@@ -41,9 +41,11 @@
     is_relay: bool = False
     relays: RelayDirectory = field(factory=RelayDirectory)
     control_loop: 'Task[None] | None' = None
+    joined_at: float = 0
 
     def start(self) -> None:
         """Start the control loop."""
+        self.joined_at = self.get_time()
         self.group.transport.add_receiver(_CHANNEL, self._receive)
         self.control_loop = create_task(repeat('membership', self._run_pass))
 
@@ -86,6 +88,7 @@
                 self.zone,
                 self.is_relay,
                 self.get_time(),
+                self.joined_at,
             )
             self.group.transport.send(
                 Envelope(_CHANNEL, state.voter, leader, report),
@@ -96,8 +99,9 @@
             now = self.get_time()
             self.planner.handle_report(message.voter, message.zone, now)
             if message.is_relay and message.clock is not None:
+                clock = RelayClock(message.joined_at, message.clock - now)
                 self.relays.handle_report(
-                    message.voter, message.zone, message.clock, now
+                    message.voter, message.zone, clock, now
                 )
 
     def _reconcile(self, role: LeaderRole) -> None:
--- a/tests/features/relay.feature
+++ b/tests/features/relay.feature
@@ -77,6 +77,8 @@
   Scenario: A delayed report does not make the clock of a relay seem slower
     Given a relay with a report at 10.0 and one delayed by 3.0 seconds
     Then its clock shows at least 520.0 at 30.0
+    When the relay restarts and reports the time 3.0 at 40.0
+    Then its clock shows at least 5.0 at 42.0
 
   Scenario: A process that does not answer the leader is no relay
     Given a relay that reported at 10.0 and answered at 10.0
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -24,7 +24,7 @@
 from hornbeamstair_core.codec import encode_cbor
 from hornbeamstair_core.ids import TaskId, WorkerId, ZoneName
 from hornbeamstair_core.metrics import Metrics
-from hornbeamstair_replicas.membership.relays import RelayDirectory
+from hornbeamstair_replicas.membership.relays import RelayClock, RelayDirectory
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.transport.base import LocalTransport
@@ -207,7 +207,8 @@
 def make_directory(context: Any, reported: float, answered: float) -> None:
     """Make a directory with one report."""
     context.directory = RelayDirectory()
-    context.directory.handle_report(RELAY, ZoneName('b'), 500, reported)
+    clock = RelayClock(0, 500 - reported)
+    context.directory.handle_report(RELAY, ZoneName('b'), clock, reported)
     context.answered_at = answered
 
 
@@ -218,9 +219,16 @@
     """Make a directory with two reports of one clock."""
     context.directory = RelayDirectory()
     for delay in (0, seconds):
-        context.directory.handle_report(
-            RELAY, ZoneName('b'), 500, first + delay
-        )
+        received = first + delay
+        clock = RelayClock(0, 500 - received)
+        context.directory.handle_report(RELAY, ZoneName('b'), clock, received)
+
+
+@when('the relay restarts and reports the time {clock:g} at {now:g}')
+def restart_relay(context: Any, clock: float, now: float) -> None:
+    """Handle a report of the next process, whose clock begins anew."""
+    reported = RelayClock(clock - 1, clock - now)
+    context.directory.handle_report(RELAY, ZoneName('b'), reported, now)
 
 
 @then('its clock shows at least {clock:g} at {now:g}')
@@ -300,7 +308,7 @@
     context.leader_paused = False
     directory = RelayDirectory()
     directory.handle_report(
-        RELAY, ZoneName(zone), monotonic() + 1000, monotonic()
+        RELAY, ZoneName(zone), RelayClock(0, 1000), monotonic()
     )
     context.relay = OrderRelay(
         relay_transport,
