Let no order to a worker leave after it has expired

Cause: a relay checked the limit of an order when the order arrived. It then waited for one of the two places at the worker and for the connection, up to 1.1 s. The leader's own orders had no limit but the timers of the event loop, which leave out the time that a machine is suspended, and the leader repeated a poll up to 2.2 s after it had been made, with the cursor of the incarnation of then.

Change: every order carries the time by which it has to be sent, from its decision on. The client checks it right before it writes, on a clock that includes suspend; nothing runs between the two. The outcome `unsent` proves that the worker never executes the order. A start that is unsent is ordered again, its worker is not blamed; a poll that is unsent is made anew.

The pause of the leader in relay_steps.py is set from what it has sent, not from the order in which it reads its clock; the scenario and its outcome are as before.

--- a/packages/callers/hornbeamstair_callers/endpoints/worker_poller.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/worker_poller.py
@@ -10,7 +10,10 @@
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_core.step_failures import log_step_failure
 from hornbeamstair_upstreams.work.messages import OrderOutcome, PollAnswer
-from hornbeamstair_upstreams.work.sender import WorkerSender
+from hornbeamstair_upstreams.work.sender import (
+    ORDER_VALID_SECONDS,
+    WorkerSender,
+)
 from hornbeamstair_upstreams.work.session import WorkerSession
 
 __all__ = ('WorkerPoller',)
@@ -92,9 +95,16 @@
 
     async def _poll(self, session: WorkerSession) -> None:
         started_at = self.get_time()
-        answer = await self.sender.poll(session.make_poll(started_at))
+        order = session.make_poll(started_at)
+        valid_until = started_at + ORDER_VALID_SECONDS
+        answer = await self.sender.poll(order, valid_until)
         self.on_answer(session, answer, started_at)
         if answer.outcome != OrderOutcome.done:
             # The prefix is part of the metric's label values.
             self.metrics.count_retry(f'look_{answer.outcome.value}')
-            await sleep(_RETRY_SECONDS)
+            await sleep(_get_retry_seconds(answer.outcome))
+
+
+def _get_retry_seconds(outcome: OrderOutcome) -> float:
+    # A poll that was not sent has waited long enough.
+    return 0 if outcome == OrderOutcome.unsent else _RETRY_SECONDS
--- a/packages/callers/hornbeamstair_callers/jobs/effects.py
+++ b/packages/callers/hornbeamstair_callers/jobs/effects.py
@@ -26,18 +26,20 @@
 
 @frozen
 class SendStart(Effect):
-    """Order a worker to start a run."""
+    """Order a worker to start a run, by a time of the leader's clock."""
 
     session: WorkerSession
     order: StartOrder
+    valid_until: float
 
 
 @frozen
 class SendStop(Effect):
-    """Order a worker to stop a run."""
+    """Order a worker to stop a run, by a time of the leader's clock."""
 
     session: WorkerSession
     order: StopOrder
+    valid_until: float
 
 
 @frozen
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -261,7 +261,7 @@
             # The leader lease may be renewed in this term; keep the order.
             effect.session.handle_unsent(effect.order)
             return
-        answer = await self.sender.start(effect.order)
+        answer = await self.sender.start(effect.order, effect.valid_until)
         now = self.get_moment()
         scheduler.handle_start_answer(effect.session, effect.order, answer, now)
         if answer.outcome != OrderOutcome.done:
@@ -275,7 +275,7 @@
     ) -> None:
         if not self.leads():
             return
-        answer = await self.sender.stop(effect.order)
+        answer = await self.sender.stop(effect.order, effect.valid_until)
         now = self.get_moment()
         scheduler.handle_stop_answer(effect.session, effect.order, answer, now)
         self._execute_effects(scheduler)
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -64,6 +64,7 @@
 from hornbeamstair_upstreams.work.placement import Placement
 from hornbeamstair_upstreams.work.polls import handle_poll_answer
 from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
+from hornbeamstair_upstreams.work.sender import ORDER_VALID_SECONDS
 from hornbeamstair_upstreams.work.session import WorkerSession
 from hornbeamstair_upstreams.work.stats import PlacementStats
 from hornbeamstair_upstreams.work.table import WorkerTable
@@ -402,9 +403,10 @@
     def _emit_effects(self, records: list[Record], now: Moment) -> None:
         if records:
             self.effects.append(CommitBatch(tuple(records)))
+        valid_until = now.monotonic + ORDER_VALID_SECONDS
         for session in self.index.get_stopping():
             for order in session.get_stops(now.monotonic):
-                self.effects.append(SendStop(session, order))
+                self.effects.append(SendStop(session, order, valid_until))
         self.run_event_log.flush_due(now)
 
     def _add_session(
@@ -476,7 +478,7 @@
             session.remove_run(run.task)
             self._commit_lost_run(record, now)
         else:
-            self.effects.append(SendStart(session, order))
+            self._emit_start(session, order, now)
 
     def _commit_lost_run(self, record: RunStarted, now: Moment) -> None:
         self.waiting.in_flight.add(record.task)
@@ -487,7 +489,16 @@
         for run in session.get_unanswered(now.monotonic):
             order = self._renew_start(session, run, now)
             if order is not None:
-                self.effects.append(SendStart(session, order))
+                self._emit_start(session, order, now)
+
+    def _emit_start(
+        self,
+        session: WorkerSession,
+        order: StartOrder,
+        now: Moment,
+    ) -> None:
+        valid_until = now.monotonic + ORDER_VALID_SECONDS
+        self.effects.append(SendStart(session, order, valid_until))
 
     def _renew_start(
         self,
--- a/packages/callers/hornbeamstair_callers/relay/endpoints/relay.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/relay.py
@@ -29,6 +29,7 @@
 from hornbeamstair_replicas.transport.base import PeerTransport
 from hornbeamstair_upstreams.work.messages import (
     OrderAnswer,
+    OrderOutcome,
     PollAnswer,
     PollOrder,
     StartOrder,
@@ -83,26 +84,35 @@
     async def _relay(self, leader: VoterId, relayed: RelayedOrder) -> None:
         answer: OrderAnswer | PollAnswer | RelayFailure = RelayFailure.unsent
         if self.get_time() <= relayed.valid_until:
-            answer = await self._send(relayed.order)
+            answer = await self._send(relayed.order, relayed.valid_until)
+            if _is_unsent(answer):
+                answer = RelayFailure.unsent
         self.batches.add(leader, RelayedAnswer(relayed.number, answer))
 
     async def _send(
         self,
         order: WorkerOrder,
+        valid_until: float,
     ) -> OrderAnswer | PollAnswer | RelayFailure:
         if order.fencing_token < self.get_term():
             return RelayFailure.unsent
         if isinstance(order, PollOrder):
-            return await self.sender.poll(order)
+            return await self.sender.poll(order, valid_until)
         if not isinstance(order, StartOrder):
-            return await self.sender.stop(order)
+            return await self.sender.stop(order, valid_until)
         text = self.find_text(order.task)
         if text is None:
             # The record of the job has not arrived here yet, or it has ended.
             return RelayFailure.unsent
-        return await self.sender.start(evolve(order, spec=text))
+        return await self.sender.start(evolve(order, spec=text), valid_until)
 
     def _send_batch(self, leader: VoterId, answers: list[RelayedAnswer]) -> Any:
         own = self.transport.own
         message = RelayedAnswers(encode_answers(answers))
         self.transport.answer(Envelope(ANSWERS_CHANNEL, own, leader, message))
+
+
+def _is_unsent(answer: OrderAnswer | PollAnswer | RelayFailure) -> bool:
+    if isinstance(answer, RelayFailure):
+        return False
+    return answer.outcome == OrderOutcome.unsent
--- a/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
@@ -44,9 +44,6 @@
 # A relay gives up an order after about one second.
 _ORDER_SECONDS: Final = 1.4
 _CHECK_SECONDS: Final = 0.05
-# Time in which an order has to be sent after it was given. A worker that
-# restarts is back later.
-_VALID_SECONDS: Final = 0.5
 _FIRST_NUMBERS: Final = MAX_EXACT_INTEGER // 2
 
 RelayOutcome = OrderAnswer | PollAnswer | RelayFailure
@@ -66,7 +63,8 @@
 class RelayingSender(WorkerSender):
     """Sender that has a process in the zone of a worker send its orders.
 
-    An order is sent directly if it has no relay or its relay has not sent it.
+    An order is sent directly if it has no relay, or if its relay has not sent
+    it and it is still valid.
     """
 
     name: ClassVar[str] = 'relaying'
@@ -97,21 +95,31 @@
         self.batches = MessageBatches(self._send_batch)
         self.transport.add_receiver(ANSWERS_CHANNEL, self._receive)
 
-    async def poll(self, order: PollOrder) -> PollAnswer:
+    async def poll(self, order: PollOrder, valid_until: float) -> PollAnswer:
         """Poll a worker; a poll can be repeated if its relay falls silent."""
         seconds = _ORDER_SECONDS + order.wait_seconds
-        answer = await self._relay(order, seconds)
+        answer = await self._relay(order, seconds, valid_until)
         if isinstance(answer, PollAnswer):
             return answer
-        return await self.direct.poll(order)
+        if self.get_time() > valid_until:
+            return PollAnswer(OrderOutcome.unsent)
+        return await self.direct.poll(order, valid_until)
 
-    async def start(self, order: StartOrder) -> OrderAnswer:
+    async def start(
+        self,
+        order: StartOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Start a run."""
-        return await self._send_once(order, self.direct.start)
+        return await self._send_once(order, valid_until, self.direct.start)
 
-    async def stop(self, order: StopOrder) -> OrderAnswer:
+    async def stop(
+        self,
+        order: StopOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Stop a run."""
-        return await self._send_once(order, self.direct.stop)
+        return await self._send_once(order, valid_until, self.direct.stop)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -120,28 +128,35 @@
     async def _send_once(
         self,
         order: Order,
-        send: Callable[[Order], Coroutine[Any, Any, OrderAnswer]],
+        valid_until: float,
+        send: Callable[[Order, float], Coroutine[Any, Any, OrderAnswer]],
     ) -> OrderAnswer:
-        given_at = self.get_time()
-        answer = await self._relay(order, _ORDER_SECONDS)
+        answer = await self._relay(order, _ORDER_SECONDS, valid_until)
         if isinstance(answer, OrderAnswer):
             return answer
-        is_valid = self.get_time() - given_at <= _VALID_SECONDS
+        is_valid = self.get_time() <= valid_until
         if answer == RelayFailure.unsent and is_valid:
-            return await send(order)
+            return await send(order, valid_until)
         return OrderAnswer(OrderOutcome.unknown)
 
-    async def _relay(self, order: WorkerOrder, seconds: float) -> RelayOutcome:
+    async def _relay(
+        self,
+        order: WorkerOrder,
+        seconds: float,
+        valid_until: float,
+    ) -> RelayOutcome:
         now = self.get_time()
         self._update_relays(now)
         zone = self.find_zone(order.worker)
         relay = self.choice.choose(order.worker, zone, now)
         if relay is None:
             return RelayFailure.unsent
-        outcome = await self._ask(relay, order, seconds)
-        if _is_unanswered(outcome):
+        outcome = await self._ask(relay, order, seconds, valid_until)
+        now = self.get_time()
+        is_expired = outcome == RelayFailure.unsent and now > valid_until
+        if is_expired or _is_unanswered(outcome):
             self.metrics.count_retry('relayed_order')
-            self.choice.avoid(order.worker, self.get_time())
+            self.choice.avoid(order.worker, now)
         return outcome
 
     async def _ask(
@@ -149,15 +164,15 @@
         relay: VoterId,
         order: WorkerOrder,
         seconds: float,
+        valid_until: float,
     ) -> RelayOutcome:
         loop = get_running_loop()
         self.last_number += 1
         number = self.last_number
         answer: Future[RelayOutcome] = loop.create_future()
         self.pending[number] = _Pending(relay, answer)
-        relay_time = self.get_relay_time(relay, self.get_time())
-        valid_until = relay_time + _VALID_SECONDS
-        self.batches.add(relay, RelayedOrder(number, order, valid_until))
+        relay_limit = self.get_relay_time(relay, valid_until)
+        self.batches.add(relay, RelayedOrder(number, order, relay_limit))
         self._schedule_check()
         timer = loop.call_later(seconds, _set_lost, answer)
         try:
--- a/packages/tools/hornbeamstair_tools/bench_jobs.py
+++ b/packages/tools/hornbeamstair_tools/bench_jobs.py
@@ -4,6 +4,7 @@
 from asyncio import gather, run, sleep, timeout
 from asyncio.subprocess import create_subprocess_exec
 from collections.abc import Awaitable, Callable
+from math import inf
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, process_time
@@ -109,7 +110,14 @@
     print('| client | CPU ms per order | orders per second |')
     print('|---|---|---|', flush=True)
     sender = HttpWorkerSender()
-    print(await _measure('order_client', sender.start, port), flush=True)
+    print(
+        await _measure(
+            'order_client',
+            lambda order: sender.start(order, inf),
+            port,
+        ),
+        flush=True,
+    )
     await sender.close()
     async with HTTPClient() as client:
         print(
--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
@@ -9,6 +9,7 @@
 from hornbeamstair_upstreams.endpoints.order_client import (
     HttpOrder,
     OrderClient,
+    OrderExpiredError,
     make_worker_client,
 )
 from hornbeamstair_upstreams.work.messages import (
@@ -48,27 +49,33 @@
 
     client: OrderClient = field(factory=make_worker_client)
 
-    async def poll(self, order: PollOrder) -> PollAnswer:
+    async def poll(self, order: PollOrder, valid_until: float) -> PollAnswer:
         """Poll a worker: renew its lease, get its runs and their ends."""
         seconds = _ORDER_TIMEOUT_SECONDS + order.wait_seconds
-        answer = await self._post(
+        return await self._post(
             order,
             POLL_PATH,
             PollAnswer,
+            valid_until,
             seconds,
             is_long_poll=True,
         )
-        return answer or PollAnswer(OrderOutcome.unknown)
 
-    async def start(self, order: StartOrder) -> OrderAnswer:
+    async def start(
+        self,
+        order: StartOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Start a run."""
-        answer = await self._post(order, START_PATH, OrderAnswer)
-        return answer or OrderAnswer(OrderOutcome.unknown)
+        return await self._post(order, START_PATH, OrderAnswer, valid_until)
 
-    async def stop(self, order: StopOrder) -> OrderAnswer:
+    async def stop(
+        self,
+        order: StopOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Stop a run."""
-        answer = await self._post(order, STOP_PATH, OrderAnswer)
-        return answer or OrderAnswer(OrderOutcome.unknown)
+        return await self._post(order, STOP_PATH, OrderAnswer, valid_until)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -79,10 +86,11 @@
         order: Any,
         path: str,
         answer_class: type[Answer],
+        valid_until: float,
         seconds: float = _ORDER_TIMEOUT_SECONDS,
         *,
         is_long_poll: bool = False,
-    ) -> Answer | None:
+    ) -> Answer:
         try:
             reply = await self.client.send(
                 HttpOrder(
@@ -94,11 +102,14 @@
                     json_converter.dumps(order).encode(),
                     seconds,
                     is_long_poll,
+                    valid_until,
                 ),
             )
-            if reply.status != _HTTP_OK:
-                return None
-            return json_converter.loads(reply.body, answer_class)
+            if reply.status == _HTTP_OK:
+                return json_converter.loads(reply.body, answer_class)
+        except OrderExpiredError:
+            return answer_class(OrderOutcome.unsent)
         except _NO_ANSWER_ERRORS:
-            # No answer or an unreadable one: the outcome is unknown.
-            return None
+            # No answer or an unreadable one.
+            return answer_class(OrderOutcome.unknown)
+        return answer_class(OrderOutcome.unknown)
--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
@@ -13,6 +13,7 @@
     timeout,
 )
 from collections.abc import Callable
+from math import inf
 from socket import IPPROTO_TCP
 from typing import Any, Final
 from weakref import WeakValueDictionary
@@ -21,8 +22,15 @@
 from httptools import HttpParserError, HttpResponseParser
 
 from hornbeamstair_core.addresses import is_ip_address, is_port
-
-__all__ = ('HttpOrder', 'HttpReply', 'OrderClient', 'make_worker_client')
+from hornbeamstair_core.clock import get_monotonic_time
+
+__all__ = (
+    'HttpOrder',
+    'HttpReply',
+    'OrderClient',
+    'OrderExpiredError',
+    'make_worker_client',
+)
 
 _CONNECT_SECONDS: Final = 0.6
 # Maximum concurrent orders to one worker. An order takes a few milliseconds;
@@ -32,6 +40,10 @@
 _IDLE_SECONDS: Final = 8.0
 
 
+class OrderExpiredError(TimeoutError):
+    """Order that could not be written in time, and never will be."""
+
+
 @frozen
 class HttpOrder:
     """HTTP request to an address; the timeout is in seconds."""
@@ -45,6 +57,9 @@
     timeout: float
     # Long poll: the reply may be delayed; exempt from the concurrency limit.
     is_long_poll: bool = False
+    # Time on the client's clock after which the request must not be written;
+    # requests that change nothing need none.
+    valid_until: float = inf
 
 
 @frozen
@@ -149,6 +164,9 @@
 
     # Maximum concurrent orders to one address; None for no limit.
     max_concurrent: int | None = None
+    # Clock of `HttpOrder.valid_until`. The timers of the event loop leave out
+    # the time that the machine is suspended.
+    get_time: Callable[[], float] = get_monotonic_time
     idle: dict[tuple[str, int], list[_Connection]] = field(factory=dict)
     semaphores: WeakValueDictionary[tuple[str, int], Semaphore] = field(
         factory=WeakValueDictionary,
@@ -157,8 +175,9 @@
     async def send(self, order: HttpOrder) -> HttpReply:
         """Send an order once.
 
-        After ConnectionRefusedError the order was not delivered; after any
-        other OSError or TimeoutError it may still be executed.
+        After ConnectionRefusedError or OrderExpiredError the order was not
+        delivered; after any other OSError or TimeoutError it may still be
+        executed.
         """
         endpoint = (order.address, order.port)
         if order.is_long_poll or self.max_concurrent is None:
@@ -190,6 +209,11 @@
         order: HttpOrder,
     ) -> HttpReply:
         connection = await self._acquire(endpoint)
+        if self.get_time() > order.valid_until:
+            # The order has waited for other orders or for the connection, or
+            # this process was paused.
+            self._release(endpoint, connection)
+            raise OrderExpiredError('the order has expired')
         # A timer costs less than a timeout context, and orders are frequent.
         timer = get_running_loop().call_later(order.timeout, connection.expire)
         try:
--- a/packages/upstreams/hornbeamstair_upstreams/work/instrumented.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/instrumented.py
@@ -28,17 +28,27 @@
     metrics: Metrics
     get_time: Callable[[], float]
 
-    async def poll(self, order: PollOrder) -> PollAnswer:
+    async def poll(self, order: PollOrder, valid_until: float) -> PollAnswer:
         """Poll a worker: renew its lease, get its runs and their ends."""
-        return await self.sender.poll(order)
+        return await self.sender.poll(order, valid_until)
 
-    async def start(self, order: StartOrder) -> OrderAnswer:
+    async def start(
+        self,
+        order: StartOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Start a run."""
-        return await self._measure('start', self.sender.start(order))
+        pending_answer = self.sender.start(order, valid_until)
+        return await self._measure('start', pending_answer)
 
-    async def stop(self, order: StopOrder) -> OrderAnswer:
+    async def stop(
+        self,
+        order: StopOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Stop a run."""
-        return await self._measure('stop', self.sender.stop(order))
+        pending_answer = self.sender.stop(order, valid_until)
+        return await self._measure('stop', pending_answer)
 
     async def close(self) -> None:
         """Close the connections."""
--- a/packages/upstreams/hornbeamstair_upstreams/work/messages.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/messages.py
@@ -183,6 +183,8 @@
     # Another incarnation of the worker, or another worker, listens at the
     # address.
     other_life = 'other_life'
+    # The order expired before it could be sent, and never will be.
+    unsent = 'unsent'
     # The order may have been executed, or may still be.
     unknown = 'unknown'
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -33,6 +33,9 @@
         return []
     if answer.outcome == OrderOutcome.other_life:
         return session.handle_other_life(sent_at, now)
+    if answer.outcome == OrderOutcome.unsent:
+        # The worker was not asked.
+        return []
     if answer.outcome == OrderOutcome.fenced:
         session.is_fenced = True
     if answer.outcome != OrderOutcome.done:
--- a/packages/upstreams/hornbeamstair_upstreams/work/sender.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/sender.py
@@ -1,7 +1,7 @@
 """Base class of the senders of orders to workers."""
 
 from abc import ABC, abstractmethod
-from typing import ClassVar
+from typing import ClassVar, Final
 
 from hornbeamstair_upstreams.work.messages import (
     OrderAnswer,
@@ -11,24 +11,41 @@
     StopOrder,
 )
 
-__all__ = ('WorkerSender',)
+__all__ = ('ORDER_VALID_SECONDS', 'WorkerSender')
+
+# Time after its decision in which an order has to be sent. The next
+# incarnation of a worker, which knows neither the fencing token nor the lease,
+# is back later.
+ORDER_VALID_SECONDS: Final = 0.5
 
 
 class WorkerSender(ABC):
-    """Sender of orders to workers; sends each order at most once."""
+    """Sender of orders to workers; sends each order at most once.
+
+    An order is sent by `valid_until`, a time in seconds on the clock of this
+    process, or never: then its outcome is `unsent`.
+    """
 
     name: ClassVar[str]
 
     @abstractmethod
-    async def poll(self, order: PollOrder) -> PollAnswer:
+    async def poll(self, order: PollOrder, valid_until: float) -> PollAnswer:
         """Poll a worker: renew its lease, get its runs and their ends."""
 
     @abstractmethod
-    async def start(self, order: StartOrder) -> OrderAnswer:
+    async def start(
+        self,
+        order: StartOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Start a run."""
 
     @abstractmethod
-    async def stop(self, order: StopOrder) -> OrderAnswer:
+    async def stop(
+        self,
+        order: StopOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Stop a run."""
 
     @abstractmethod
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -401,6 +401,8 @@
                 self.health.handle_start()
             case OrderOutcome.unknown:
                 self._handle_unanswered(run, now)
+            case OrderOutcome.unsent:
+                self._handle_unconfirmed(run, now)
             case OrderOutcome.fenced:
                 self.is_fenced = True
                 self._set_unanswered(run)
@@ -542,6 +544,9 @@
     def _handle_unanswered(self, run: Run, now: float) -> None:
         self.health.handle_unanswered(now)
         run.may_start_late = True
+        self._handle_unconfirmed(run, now)
+
+    def _handle_unconfirmed(self, run: Run, now: float) -> None:
         if run.unanswered_since is None:
             run.unanswered_since = now
         if run.state == RunState.ordered:
--- a/tests/features/relay.feature
+++ b/tests/features/relay.feature
@@ -74,6 +74,35 @@
     Then the leader has sent 0 orders itself
     And the outcome is "unknown"
 
+  Scenario: An order keeps its limit on the clock of its relay
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    When the leader starts a run on a worker in zone "b"
+    Then the relay has to send the order within 0.5 seconds on its clock
+
+  Scenario: An order that waited too long at its relay is not sent by the leader
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the relay finds after 0.6 seconds that its order has expired
+    When the leader starts a run on a worker in zone "b"
+    Then the outcome is "unknown"
+    And the leader has sent 0 orders itself
+    When the leader starts a run on a worker in zone "b"
+    Then the leader has sent 1 orders itself
+
+  Scenario: An order that its relay did not send is sent by the leader in time
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the relay finds after 0.1 seconds that its order has expired
+    When the leader starts a run on a worker in zone "b"
+    Then the outcome is "done"
+    And the leader has sent 1 orders itself
+
+  # The cursor and the lease of a poll are those of one incarnation.
+  Scenario: A poll of before is not repeated by the leader
+    Given a leader in zone "a" and a relay in zone "b" that has the job
+    And the relay falls silent 0.7 seconds after it got an order
+    When the leader polls a worker in zone "b"
+    Then the outcome is "unsent"
+    And the leader has sent 0 orders itself
+
   Scenario: A delayed report does not make the clock of a relay seem slower
     Given a relay with a report at 10.0 and one delayed by 3.0 seconds
     Then its clock shows at least 520.0 at 30.0
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -39,7 +39,10 @@
     StartOrder,
     StopOrder,
 )
-from hornbeamstair_upstreams.work.sender import WorkerSender
+from hornbeamstair_upstreams.work.sender import (
+    ORDER_VALID_SECONDS,
+    WorkerSender,
+)
 
 LEADER = VoterId('leader/1')
 RELAY = VoterId('relay/1')
@@ -60,12 +63,14 @@
     other: 'PairedTransport | None' = None
     is_silent: bool = False
     is_frozen: bool = False
+    sent_count: int = 0
     # Messages that arrived while this process was frozen.
     held: list[Envelope] = field(factory=list)
 
     def send(self, envelope: Envelope) -> None:
         """Deliver at once, unless this process is silent."""
         assert self.other is not None
+        self.sent_count += 1
         if self.other.is_frozen:
             self.other.held.append(envelope)
         elif not self.is_silent:
@@ -79,26 +84,40 @@
     name: ClassVar[str] = 'recording'
 
     outcome: OrderOutcome = OrderOutcome.done
+    # Time after which the workers answer.
+    seconds: float = 0
     sent: list[Any] = field(factory=list)
+    limits: list[float] = field(factory=list)
 
-    async def poll(self, order: PollOrder) -> PollAnswer:
+    async def poll(self, order: PollOrder, valid_until: float) -> PollAnswer:
         """Record a poll."""
-        self.sent.append(order)
-        return PollAnswer(self.outcome)
+        return PollAnswer(await self._record(order, valid_until))
 
-    async def start(self, order: StartOrder) -> OrderAnswer:
+    async def start(
+        self,
+        order: StartOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Record a start."""
-        self.sent.append(order)
-        return OrderAnswer(self.outcome)
+        return OrderAnswer(await self._record(order, valid_until))
 
-    async def stop(self, order: StopOrder) -> OrderAnswer:
+    async def stop(
+        self,
+        order: StopOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Record a stop."""
-        self.sent.append(order)
-        return OrderAnswer(self.outcome)
+        return OrderAnswer(await self._record(order, valid_until))
 
     async def close(self) -> None:
         """Close nothing."""
 
+    async def _record(self, order: Any, valid_until: float) -> OrderOutcome:
+        self.sent.append(order)
+        self.limits.append(valid_until)
+        await sleep(self.seconds)
+        return self.outcome
+
 
 @given('a leader in zone "{own}" and a relay in zone "{zone}" that has the job')
 def make_relay(context: Any, own: str, zone: str) -> None:
@@ -137,6 +156,20 @@
     context.relay_sender.outcome = OrderOutcome.unknown
 
 
+@given('the relay finds after {seconds:g} seconds that its order has expired')
+def delay_orders(context: Any, seconds: float) -> None:
+    """Have the orders of the relay wait until they are not sent."""
+    context.relay_sender.seconds = seconds
+    context.relay_sender.outcome = OrderOutcome.unsent
+
+
+@given('the relay falls silent {seconds:g} seconds after it got an order')
+def silence_later(context: Any, seconds: float) -> None:
+    """Have the relay answer neither orders nor heartbeats after a while."""
+    context.relay_transport.is_silent = True
+    context.silent_at = monotonic() + seconds
+
+
 @given('the relay is frozen')
 def freeze(context: Any) -> None:
     """Have the relay read nothing for now."""
@@ -162,14 +195,14 @@
 def start_run(context: Any, zone: str) -> None:
     """Send a start."""
     context.zone = ZoneName(zone)
-    _send(context, context.sender.start(START))
+    _send(context, context.sender.start(START, _get_end_of_validity()))
 
 
 @when('the leader polls a worker in zone "{zone}"')
 def poll(context: Any, zone: str) -> None:
     """Send a poll."""
     context.zone = ZoneName(zone)
-    _send(context, context.sender.poll(POLL))
+    _send(context, context.sender.poll(POLL, _get_end_of_validity()))
 
 
 @then('the relay has sent {count:d} start with the text of the job')
@@ -196,6 +229,14 @@
     assert context.answer.outcome == OrderOutcome(outcome), context.answer
 
 
+@then('the relay has to send the order within {seconds:g} seconds on its clock')
+def check_limit(context: Any, seconds: float) -> None:
+    """Check the time after which the relay must not send the order."""
+    assert len(context.relay_sender.limits) == 1
+    remaining = context.relay_sender.limits[0] - context.relay.get_time()
+    assert seconds - context.elapsed - 0.1 < remaining <= seconds, remaining
+
+
 @then('the outcome is "{outcome}" after at most {seconds:g} seconds')
 def check_prompt_outcome(context: Any, outcome: str, seconds: float) -> None:
     """Check the outcome and the time that it took."""
@@ -296,6 +337,7 @@
     leader_transport = PairedTransport(LEADER)
     relay_transport = PairedTransport(RELAY, other=leader_transport)
     leader_transport.other = relay_transport
+    context.leader_transport = leader_transport
     context.relay_transport = relay_transport
     context.relay_sender = RecordingSender()
     context.direct = RecordingSender()
@@ -305,7 +347,6 @@
     # The relay's clock differs from that of the leader.
     context.relay_clock_offset = 1000
     context.leader_pause = 0
-    context.leader_paused = False
     directory = RelayDirectory()
     directory.handle_report(
         RELAY, ZoneName(zone), RelayClock(0, 1000), monotonic()
@@ -331,10 +372,12 @@
 
 
 def _get_leader_time(context: Any) -> float:
-    # The first reading is from before the pause.
-    pause = context.leader_pause if context.leader_paused else 0
-    context.leader_paused = bool(context.sender.pending) or bool(pause)
-    return monotonic() + pause
+    has_asked = context.leader_transport.sent_count > 0
+    return monotonic() + has_asked * context.leader_pause
+
+
+def _get_end_of_validity() -> float:
+    return monotonic() + ORDER_VALID_SECONDS
 
 
 async def _deliver_held(transport: PairedTransport) -> None:
--- a/tests/features/steps/stuck_steps.py
+++ b/tests/features/steps/stuck_steps.py
@@ -39,6 +39,21 @@
     context.work.failing_senders = count
 
 
+@when('the next {polls:d} polls and {starts:d} starts are not sent in time')
+def expire_orders(context: Any, polls: int, starts: int) -> None:
+    """Have orders expire before they are sent."""
+    context.work.expiring_polls = polls
+    context.work.expiring_starts = starts
+
+
+@then('{count:d} workers accept new work')
+def check_usable(context: Any, count: int) -> None:
+    """Check that no worker is paused or taken for unresponsive."""
+    work = context.work
+    now = work.get_moment()
+    assert len(work.scheduler.get_usable_sessions(SERVICE, now)) == count
+
+
 @when('{count:d} tasks are placed while {pause} for {seconds:g} seconds')
 def place_in_pause(
     context: Any, count: int, pause: str, seconds: float
--- a/tests/features/stuck_tasks.feature
+++ b/tests/features/stuck_tasks.feature
@@ -8,6 +8,15 @@
     And 15 seconds pass
     Then every job is completed
 
+  Scenario: Orders that were not sent in time say nothing about their workers
+    Given a work model with seed 33, 3 workers and no faults
+    When 1 seconds pass
+    And the next 6 polls and 2 starts are not sent in time
+    And a job of 2 endless tasks with at most 1 unavailable
+    And 0.4 seconds pass
+    Then each of the 2 tasks was started once and runs
+    And 3 workers accept new work
+
   Scenario: A task leaves a worker that answers polls but no starts
     Given a work model with seed 22, 3 workers and no faults
     When 1 seconds pass
--- a/tests/support/single_leader.py
+++ b/tests/support/single_leader.py
@@ -81,7 +81,7 @@
         run = self.runs.pop(task)
         self.ends.append(EndReport(number, task, run, RunEnd.done, ''))
 
-    async def poll(self, order: PollOrder) -> PollAnswer:
+    async def poll(self, order: PollOrder, valid_until: float) -> PollAnswer:
         """List the runs, and the ends after the cursor."""
         await sleep(POLL_SECONDS)
         running = tuple(
@@ -90,13 +90,21 @@
         ended = tuple(self.ends[order.cursor :])
         return PollAnswer(OrderOutcome.done, monotonic(), 1, running, ended)
 
-    async def start(self, order: StartOrder) -> OrderAnswer:
+    async def start(
+        self,
+        order: StartOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Start a run."""
         self.starts.append(order)
         self.runs[order.task] = order.run
         return OrderAnswer(OrderOutcome.done, monotonic(), 1)
 
-    async def stop(self, order: StopOrder) -> OrderAnswer:
+    async def stop(
+        self,
+        order: StopOrder,
+        valid_until: float,
+    ) -> OrderAnswer:
         """Stop a run."""
         self.runs.pop(order.task, None)
         return OrderAnswer(OrderOutcome.done, monotonic(), 1)
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -304,6 +304,9 @@
     sends_no_starts: bool = False
     # Senders of start orders that fail before they have an outcome.
     failing_senders: int = 0
+    # Next starts and polls that expire before they are sent.
+    expiring_starts: int = 0
+    expiring_polls: int = 0
     # Orders that a worker executes late, possibly after newer ones. They came
     # over a connection of one incarnation and are dropped when it ends.
     delayed_orders: list[tuple[float, int, StartOrder | StopOrder]] = field(
@@ -575,6 +578,9 @@
 
 def poll_worker(model: WorkModel, order: PollOrder) -> PollAnswer:
     """Poll a worker; some answers are lost."""
+    if model.expiring_polls:
+        model.expiring_polls -= 1
+        return PollAnswer(OrderOutcome.unsent)
     worker = model.workers.get(order.worker)
     if worker is None:
         return PollAnswer(OrderOutcome.other_life)
@@ -591,6 +597,9 @@
     order: StartOrder | StopOrder,
 ) -> OrderOutcome | None:
     """Find the outcome of an order that is not delivered at once."""
+    if model.expiring_starts and isinstance(order, StartOrder):
+        model.expiring_starts -= 1
+        return OrderOutcome.unsent
     worker = model.workers.get(order.worker)
     if worker is None:
         return OrderOutcome.other_life
