Keep runs whose order may still be held when their worker restarts

What callers could have seen: LIMIT or TWICE. A worker confirms a start, goes down and is back within half a second, while a relay still holds an earlier copy of the order: the copy reaches the next incarnation.

Cause: when an incarnation ends, the leader keeps the runs whose start is unconfirmed until the next one has answered. A confirmed start may have been sent twice (its relay fell silent, and the leader sent it again), and its run was given up at once, though the copy was still valid.

--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -8,6 +8,7 @@
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.messages import RunEnd, TaskNeeds
+from hornbeamstair_upstreams.work.sender import ORDER_ARRIVAL_SECONDS
 
 __all__ = ('EndedRun', 'Run', 'RunState', 'UNCONFIRMED_STATES')
 
@@ -79,6 +80,15 @@
     # The worker went down under the run, and not as planned.
     has_gone_down: bool = False
 
+    def may_be_started(self, now: float) -> bool:
+        """Return whether a start order of the run may still be executed.
+
+        A worker may have confirmed one while a relay holds another.
+        """
+        if self.state in UNCONFIRMED_STATES:
+            return True
+        return now - self.ordered_at <= ORDER_ARRIVAL_SECONDS
+
     def mark_gone_down(self) -> None:
         """Mark a run that its worker went down under."""
         if self.state in _STARTED_STATES:
--- a/packages/upstreams/hornbeamstair_upstreams/work/sender.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/sender.py
@@ -11,12 +11,19 @@
     StopOrder,
 )
 
-__all__ = ('ORDER_VALID_SECONDS', 'WorkerSender')
+__all__ = (
+    'ORDER_ARRIVAL_SECONDS',
+    'ORDER_VALID_SECONDS',
+    'WorkerSender',
+)
 
 # Time after its decision in which an order has to be sent. The next
 # incarnation of a worker, which knows neither the fencing token nor the lease,
 # is back later.
 ORDER_VALID_SECONDS: Final = 0.5
+# Time after its decision by which an order has arrived, or never will: TCP
+# resends a lost packet after 0.2 s.
+ORDER_ARRIVAL_SECONDS: Final = 0.75
 
 
 class WorkerSender(ABC):
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -23,12 +23,7 @@
     WorkerAnnouncement,
 )
 from hornbeamstair_upstreams.work.observer import SessionObserver
-from hornbeamstair_upstreams.work.runs import (
-    UNCONFIRMED_STATES,
-    EndedRun,
-    Run,
-    RunState,
-)
+from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
 
 __all__ = ('WorkerSession', 'get_used_resources')
 
@@ -243,7 +238,7 @@
             [
                 task
                 for task, run in self.runs.items()
-                if run.state not in UNCONFIRMED_STATES
+                if not run.may_be_started(now)
             ],
         )
         for run in self.runs.values():
--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -410,13 +410,20 @@
 def set_seeds(context: Any, first: int, last: int) -> None:
     """Set the seeds."""
     context.seeds = range(first, last + 1)
+    context.held_share = 0
+
+
+@given('relays that hold {share:g} of the starts')
+def hold_starts(context: Any, share: float) -> None:
+    """Have a share of the starts arrive late, but while they are valid."""
+    context.held_share = share
 
 
 @then('each of them breaks no guarantee and leaves no job stuck')
 def run_simulations(context: Any) -> None:
     """Run each simulation with the oracle of the model."""
     for seed in context.seeds:
-        RandomSimulation(seed).run()
+        RandomSimulation(seed, context.held_share).run()
 
 
 def _remove_busy_record(work: WorkModel) -> WorkerId:
--- a/tests/features/work.feature
+++ b/tests/features/work.feature
@@ -259,3 +259,16 @@
       | 0     | 9    |
       | 10    | 19   |
       | 215   | 219  |
+
+  # Found in the model as LIMIT: a copy of an order reached the next incarnation.
+  Scenario Outline: Orders that relays hold for as long as they are valid break no guarantee
+    Given random work simulations with seeds from <first> to <last>
+    And relays that hold 0.4 of the starts
+    Then each of them breaks no guarantee and leaves no job stuck
+
+    Examples:
+      | first | last |
+      | 12    | 17   |
+      | 23    | 27   |
+      | 31    | 34   |
+      | 45    | 49   |
--- a/tests/support/random_simulations.py
+++ b/tests/support/random_simulations.py
@@ -38,6 +38,8 @@
     """One simulation; the oracle of the model checks each start."""
 
     seed: int
+    # Share of the starts that relays hold.
+    held_share: float = 0
     rng: Random = field(init=False)
     model: WorkModel = field(init=False)
     accepted: int = 0
@@ -49,6 +51,7 @@
             Random(self.seed + 10000),
             lost_share=0.1,
             delayed_share=0.1,
+            held_share=self.held_share,
         )
 
     def run(self) -> None:
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -56,6 +56,7 @@
     WorkerSeen,
 )
 from hornbeamstair_upstreams.work.runs import RunState
+from hornbeamstair_upstreams.work.sender import ORDER_VALID_SECONDS
 from hornbeamstair_upstreams.work.session import (
     WorkerSession,
     get_used_resources,
@@ -312,6 +313,10 @@
     delayed_orders: list[tuple[float, int, StartOrder | StopOrder]] = field(
         factory=list,
     )
+    # Share of the starts that a relay holds for as long as they are valid. They
+    # reach whichever incarnation the worker has by then.
+    held_share: float = 0
+    held_orders: list[tuple[float, StartOrder]] = field(factory=list)
     polled_at: dict[WorkerId, float] = field(factory=dict)
     # Shortest interval of the polls of a worker.
     poll_seconds: float = 0
@@ -557,6 +562,7 @@
         self.delayed_orders = [
             delayed for delayed in self.delayed_orders if delayed[0] > self.now
         ]
+        deliver_held(self)
         for _, incarnation, order in due:
             worker = self.workers.get(order.worker)
             if worker is None or worker.incarnation != incarnation:
@@ -614,9 +620,26 @@
             (model.now + delay, worker.incarnation, order)
         )
         return OrderOutcome.unknown
+    is_start = isinstance(order, StartOrder) and model.held_share > 0
+    if is_start and model.rng.random() < model.held_share:
+        due = model.now + model.rng.uniform(0, ORDER_VALID_SECONDS)
+        model.held_orders.append((due, order))
+        return OrderOutcome.unknown
     return None
 
 
+def deliver_held(model: WorkModel) -> None:
+    """Deliver the start orders that relays have held."""
+    due = [order for at, order in model.held_orders if at <= model.now]
+    model.held_orders = [
+        held for held in model.held_orders if held[0] > model.now
+    ]
+    for order in due:
+        worker = model.workers.get(order.worker)
+        if worker is not None and not worker.is_partitioned:
+            worker.start(order, model.now)
+
+
 def refuses_start(model: WorkModel, order: StartOrder) -> bool:
     """Return whether a worker refuses a start."""
     is_unlucky = model.rng.random() < model.refuse_share
