Let no order about a host leave after it has expired

A machine that was suspended while it connected to the platform's interface to hosts gives the order of a leader that has been replaced meanwhile.

Cause: leading was checked before the connection was opened, and the wait for that is limited by a timer that leaves out the time in suspend. The platform refuses a lower fencing token only for a host about which the next leader has ordered something, and on some sites never.

Change: an order about a host carries the time by which it has to be sent, as one to a worker does, and the client checks it before it writes.

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -32,6 +32,7 @@
     WaveProgress,
     WaveTable,
 )
+from hornbeamstair_upstreams.work.sender import ORDER_VALID_SECONDS
 
 __all__ = ('MaintenanceController',)
 
@@ -288,15 +289,16 @@
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
             return HostStep.ordered
+        now = self.get_moment()
         outcome = await self.hosts.client.maintain(
             HostOrder(
                 host.host,
                 self.leader_name,
                 scheduler.fencing_token,
+                now.monotonic + ORDER_VALID_SECONDS,
             ),
             progress.wave.number,
         )
-        now = self.get_moment()
         self.hosts.update_order_time(host.host)
         log_event(
             HostOrderedEvent(
@@ -312,7 +314,7 @@
             # An order that was already executed ended this worker, not the one
             # that the host has since.
             before = progress.workers.get(host.host, host.worker)
-            scheduler.handle_withdrawal(before, now)
+            scheduler.handle_withdrawal(before, self.get_moment())
         return _STEPS.get(outcome, HostStep.ordered)
 
     async def _commit(self, records: Sequence[Record]) -> bool:
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -24,6 +24,7 @@
     HostState,
 )
 from hornbeamstair_fleet.waves.table import WaveTable
+from hornbeamstair_upstreams.work.sender import ORDER_VALID_SECONDS
 
 __all__ = ('MoveController',)
 
@@ -150,7 +151,8 @@
         if scheduler is None:
             return
         token = scheduler.fencing_token
-        order = HostOrder(move.host, self.leader_name, token)
+        valid_until = self.get_moment().monotonic + ORDER_VALID_SECONDS
+        order = HostOrder(move.host, self.leader_name, token, valid_until)
         outcome = await self.hosts.client.move(order, move.pool)
         self.hosts.update_order_time(move.host)
         log_event(
--- a/packages/fleet/hornbeamstair_fleet/waves/messages.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/messages.py
@@ -49,6 +49,9 @@
     # Name of the leader that sends the order.
     holder: str
     fencing_token: int
+    # Time in seconds on the clock of this process after which the order must
+    # not be sent.
+    valid_until: float
 
 
 class HostOutcome(Enum):
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -37,6 +37,14 @@
     Then the worker has received 0 orders
     And 1 orders have expired
 
+  # A leader of before would give an order about a host beside the next one.
+  Scenario: An order about a host that waited while the machine was suspended is not sent
+    Given a worker that answers an order 0 seconds after it came
+    And a connection to it takes 0.1 seconds
+    When the machine is suspended for 5 seconds while an order about a host that is valid for 0.5 seconds waits
+    Then the worker has received 0 orders
+    And the outcome of the order about the host is unknown
+
   Scenario: Orders that wait for a connection time out while their sender is paused
     Given a worker that answers an order 0 seconds after it came
     When 4 orders without a limit are sent to it before a long pause
--- a/tests/features/steps/expired_order_steps.py
+++ b/tests/features/steps/expired_order_steps.py
@@ -14,6 +14,10 @@
 from behave import given, then, when
 
 from hornbeamstair_core.clock import get_monotonic_time
+from hornbeamstair_core.front_end import SocketAddress
+from hornbeamstair_core.ids import HostId
+from hornbeamstair_fleet.waves.messages import HostOrder, HostOutcome
+from hornbeamstair_platform.hosts_client import PlatformHostsClient
 from hornbeamstair_upstreams.endpoints.order_client import (
     HttpOrder,
     OrderClient,
@@ -138,6 +142,32 @@
         runner.run(_send_and_suspend(context, client.send(order), suspended))
 
 
+@when(
+    'the machine is suspended for {suspended:g} seconds '
+    'while an order about a host that is valid for {seconds:g} seconds waits'
+)
+def send_host_order_before_suspend(
+    context: Any,
+    suspended: float,
+    seconds: float,
+) -> None:
+    """Suspend the machine while the order waits for its connection."""
+    server = SocketAddress(ADDRESS, context.worker.get_port())
+    client = PlatformHostsClient(server, _make_client(context))
+    limit = context.clock.get_time() + seconds
+    order = HostOrder(HostId('m-1'), 'leader', 3, limit)
+    with Runner() as runner:
+        runner.run(
+            _send_and_suspend(context, client.maintain(order, 1), suspended)
+        )
+
+
+@then('the outcome of the order about the host is unknown')
+def check_host_outcome(context: Any) -> None:
+    """Check that the order counts as one that may have been executed."""
+    assert context.outcomes == [HostOutcome.unknown], context.outcomes
+
+
 @then('the worker has received {count:d} orders')
 def check_received(context: Any, count: int) -> None:
     """Check the number of orders that were written."""
