Tell in the log what keeps tasks from running

For the record of the users (LOST: tasks that last and don't run for 76 s, "with capacity for it"), whose cause is suspected only. The logs could not tell some ways to that state from each other: a leader that its voters answer but whose records are not committed left no line, and `work_waiting` gave the number of usable workers without saying why the others are not.

Change: `records_waiting` (2016) tells once a second of the tasks whose start or end has waited for the log for over a second, and of the workers that are not polled meanwhile. `work_waiting` counts the unusable workers by reason; `WorkerSession.find_obstacle` is the one place that decides it.

Shown in the model (new scenario of trace.feature): with a log that commits nothing, the long-running task of the worker that has listed an end lapses within 6 s, and the one of the other worker goes on.

--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -52,7 +52,7 @@
         now: Moment,
     ) -> Iterator[Record]:
         run = ended.run
-        self.waiting.in_flight.add(run.task)
+        self.waiting.in_flight[run.task] = now.monotonic
         yield RunEnded(
             run.task,
             run.run,
--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -13,6 +13,7 @@
     'JobEndedEvent',
     'JobGivenUpEvent',
     'PlacementLoadEvent',
+    'RecordsWaitingEvent',
     'RequestRefusedEvent',
     'RunsEndedEvent',
     'RunsPlacedEvent',
@@ -194,6 +195,24 @@
     runs: tuple[Mapping[str, Any], ...]
 
 
+@register_event
+@frozen
+class RecordsWaitingEvent(Event):
+    """Decisions of the leader that have not been committed for a long time."""
+
+    number = 2016
+    name = 'records_waiting'
+    summary = 'Records of starts and ends are not committed; lists the oldest.'
+    level = EventLevel.warning
+
+    fencing_token: int
+    count: int
+    oldest_ms: int
+    tasks: tuple[str, ...]
+    # Workers that are not polled until the ends that they listed are recorded.
+    unpolled: tuple[str, ...]
+
+
 @register_event
 @frozen
 class JobGivenUpEvent(Event):
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -23,6 +23,7 @@
 from hornbeamstair_callers.jobs.job_event_log import JobEventLog
 from hornbeamstair_callers.jobs.messages import get_job_id
 from hornbeamstair_callers.jobs.ranking import ObjectiveRanking
+from hornbeamstair_callers.jobs.record_event_log import RecordEventLog
 from hornbeamstair_callers.jobs.records import (
     JobAccepted,
     JobCancelled,
@@ -115,6 +116,7 @@
     waiting: WaitingJobs = field(init=False)
     waiting_event_log: WaitingEventLog = field(init=False)
     unconfirmed_event_log: UnconfirmedEventLog = field(init=False)
+    record_event_log: RecordEventLog = field(init=False)
     starts: StartPlanner = field(init=False)
     ends: EndRecorder = field(init=False)
 
@@ -128,6 +130,10 @@
         )
         self.waiting_event_log = WaitingEventLog(self.waiting)
         self.unconfirmed_event_log = UnconfirmedEventLog(self.fencing_token)
+        self.record_event_log = RecordEventLog(
+            self.fencing_token,
+            self.waiting,
+        )
         self.job_event_log = JobEventLog(state.manifest)
         self.run_event_log = RunEventLog(self.fencing_token)
         self.starts = StartPlanner(
@@ -186,7 +192,7 @@
                 # The list of ready tasks may predate the record.
                 self.waiting.mark_stale((get_job_id(record.task),))
             case RunEnded(task, end=end, at=at):
-                self.waiting.in_flight.discard(task)
+                self.waiting.in_flight.pop(task, None)
                 if end not in _ENDS_WITHOUT_START:
                     self.unstarted.remove_started((task,))
                 job_id = get_job_id(task)
@@ -297,6 +303,7 @@
         self._place_all(now)
         self.waiting_event_log.log_due(self.sessions.values(), now)
         self.unconfirmed_event_log.log_due(self.sessions.values(), now)
+        self.record_event_log.log_due(self.sessions.values(), now)
 
     def place(self, now: Moment) -> None:
         """Place ready tasks of services with new work or freed resources."""
@@ -438,7 +445,8 @@
     def _expire_inherited(self, now: Moment) -> None:
         expired = self.inherited.expire(now.monotonic)
         if expired:
-            self.waiting.in_flight.update(run.task for run in expired)
+            for run in expired:
+                self.waiting.in_flight[run.task] = now.monotonic
             records = [
                 RunEnded(run.task, run.run, RunEnd.lost, '', now.wall)
                 for run in expired
@@ -460,7 +468,7 @@
 
     def _handle_started(self, record: RunStarted, now: Moment) -> None:
         self.job_event_log.add_start(get_job_id(record.task), now.wall)
-        self.waiting.in_flight.discard(record.task)
+        self.waiting.in_flight.pop(record.task, None)
         session = self.sessions.get(record.worker)
         run = None if session is None else session.runs.get(record.task)
         job = self._find_job(record.task)
@@ -481,7 +489,7 @@
             self._emit_start(session, order, now)
 
     def _commit_lost_run(self, record: RunStarted, now: Moment) -> None:
-        self.waiting.in_flight.add(record.task)
+        self.waiting.in_flight[record.task] = now.monotonic
         lost = RunEnded(record.task, record.run, RunEnd.lost, '', now.wall)
         self.effects.append(CommitBatch((lost,)))
 
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -132,7 +132,7 @@
         run: Run,
         now: Moment,
     ) -> RunStarted:
-        self.waiting.in_flight.add(run.task)
+        self.waiting.in_flight[run.task] = now.monotonic
         announced = session.announced
         return RunStarted(
             run.task,
--- a/packages/callers/hornbeamstair_callers/jobs/waiting.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting.py
@@ -44,8 +44,9 @@
     key_expiries: list[tuple[float, JobId]] = field(factory=list, init=False)
     # Manifest that the current sort keys are based on.
     ranked_manifest: Manifest | None = field(default=None, init=False)
-    # Tasks with a start or end record that is not applied yet.
-    in_flight: set[TaskId] = field(factory=set)
+    # Tasks with a start or end record that is not applied yet, and the
+    # monotonic time since which it is being committed.
+    in_flight: dict[TaskId, float] = field(factory=dict)
 
     def mark_stale(self, jobs: Iterable[JobId]) -> None:
         """Schedule the ready tasks of jobs for recomputation."""
--- a/packages/callers/hornbeamstair_callers/jobs/waiting_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting_event_log.py
@@ -1,5 +1,6 @@
 """Event log of waiting tasks and the free resources of their workers."""
 
+from collections import Counter
 from collections.abc import Collection, Iterator, Mapping
 from typing import Any, Final
 
@@ -81,19 +82,23 @@
     service: ServiceName,
     sessions: Collection[WorkerSession],
     now: Moment,
-) -> dict[str, int]:
+) -> dict[str, Any]:
     service_sessions = [
         session for session in sessions if session.announced.service == service
     ]
-    usable = [
-        session
+    obstacles = {
+        session: session.find_obstacle(now.monotonic)
         for session in service_sessions
-        if session.may_start(now.monotonic)
+    }
+    usable = [
+        session for session, obstacle in obstacles.items() if obstacle is None
     ]
+    found = filter(None, obstacles.values())
     free = [session.get_free_resources() for session in usable]
     return {
         'workers': len(service_sessions),
         'usable': len(usable),
+        'unusable': Counter(obstacle.value for obstacle in found),
         'free_cpu': sum(resources.cpu for resources in free),
         'largest_free_cpu': max(
             (resources.cpu for resources in free), default=0
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -23,6 +23,7 @@
     WorkerAnnouncement,
 )
 from hornbeamstair_upstreams.work.observer import SessionObserver
+from hornbeamstair_upstreams.work.obstacles import Obstacle
 from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
 
 __all__ = ('WorkerSession', 'get_used_resources')
@@ -94,11 +95,23 @@
 
     def may_start(self, now: float) -> bool:
         """Return whether new work may be placed on the worker."""
-        if self.is_ending() or not self.has_announced:
-            return False
-        if self.is_reserved or not self.is_synced or self.is_fenced:
-            return False
-        return self.is_responsive(now) and not self.health.is_quarantined(now)
+        return self.find_obstacle(now) is None
+
+    def find_obstacle(self, now: float) -> Obstacle | None:
+        """Find the reason why no new work may be placed on the worker."""
+        if self.is_ending():
+            return Obstacle.ending
+        if not self.has_announced:
+            return Obstacle.unannounced
+        if self.is_reserved:
+            return Obstacle.reserved
+        if self.is_fenced:
+            return Obstacle.fenced
+        if not self.is_synced or not self.is_responsive(now):
+            return Obstacle.unresponsive
+        if self.health.is_quarantined(now):
+            return Obstacle.quarantined
+        return None
 
     def is_ending(self) -> bool:
         """Return whether the worker leaves or has withdrawn."""
--- a/tests/features/steps/unconfirmed_steps.py
+++ b/tests/features/steps/unconfirmed_steps.py
@@ -4,12 +4,14 @@
 
 from behave import then, when
 
-from hornbeamstair_core.ids import JobId
+from hornbeamstair_core.ids import JobId, TaskId
 from tests.support.logs import read_log
 from tests.support.work_model import crash_worker, make_phase
 
 JOB = JobId(f'{1:016x}')
 BACKFILL_JOB = JobId(f'{2:016x}')
+SHORT_JOB = JobId(f'{3:016x}')
+SHORT_TASK = TaskId(f'{SHORT_JOB}.0.0.0')
 
 
 @when(
@@ -98,6 +100,77 @@
     ] == expected, ended
 
 
+@when(
+    'no record is committed for {seconds:d} seconds '
+    'while a task ends on one of the workers'
+)
+def stall_log(context: Any, seconds: int) -> None:
+    """Stall the log with a serving task on each worker."""
+    work = context.work
+    work.run(1)
+    work.accept(JOB, (make_serving_phase(2),))
+    work.run(1)
+    work.short_seconds = (0.3, 0.3)
+    work.accept(SHORT_JOB, (make_phase(1, 1000),))
+    while not work.starts_by_task[SHORT_TASK]:
+        work.step()
+    work.is_log_stalled = True
+    work.run(seconds)
+
+
+@then('the serving task of that worker has lapsed, and the other one runs')
+def check_lapsed(context: Any) -> None:
+    """Check that the lease of the worker that is not polled has expired."""
+    running = [list(worker.runs) for worker in context.work.workers.values()]
+    assert sorted(map(len, running)) == [0, 1], running
+
+
+@then(
+    'its log reports that it and {tasks:d} tasks '
+    'have waited for records for {seconds:d} seconds'
+)
+def check_records_waiting(context: Any, tasks: int, seconds: int) -> None:
+    """Check the last line about records that are not committed."""
+    lines = [
+        line for line in read_log(context) if line['event'] == 'records_waiting'
+    ]
+    idle = [
+        worker.worker
+        for worker in context.work.workers.values()
+        if not worker.runs
+    ]
+    last = lines[-1]
+    assert last['unpolled'] == idle, last
+    assert last['count'] == len(last['tasks']) == tasks, last
+    assert last['oldest_ms'] >= seconds * 1000, last
+
+
+@when(
+    'all workers are cut off '
+    'while a job of {tasks:d} tasks waits for {seconds:d} seconds'
+)
+def cut_workers(context: Any, tasks: int, seconds: int) -> None:
+    """Partition all workers, then accept a job."""
+    work = context.work
+    work.run(1)
+    for worker in work.workers.values():
+        worker.is_partitioned = True
+    work.run(1)
+    work.accept(JOB, (make_phase(tasks, 1000),))
+    work.run(seconds)
+
+
+@then('its log reports {count:d} workers as unusable because they are {reason}')
+def check_obstacles(context: Any, count: int, reason: str) -> None:
+    """Check the reasons in the last line about waiting tasks."""
+    lines = [
+        line for line in read_log(context) if line['event'] == 'work_waiting'
+    ]
+    found = lines[-1]['services'][0]
+    assert found['unusable'] == {reason: count}, found
+    assert found['workers'] - found['usable'] == count, found
+
+
 def make_serving_phase(count: int) -> Any:
     """Make a phase of endless tasks, each of which needs its own worker."""
     return make_phase(count, 1000, lasts=True, max_away=1, target_seconds=0.1)
--- a/tests/features/trace.feature
+++ b/tests/features/trace.feature
@@ -55,6 +55,18 @@
     When its worker ignores the starts of a job of 3 tasks for 3 seconds
     Then its log reports 2 times 3 unconfirmed starts
 
+  # As in a record of users: some long-running tasks lapse while others go on.
+  Scenario: Records that are not committed are logged
+    Given the log of a modelled leader with 2 workers
+    When no record is committed for 6 seconds while a task ends on one of the workers
+    Then the serving task of that worker has lapsed, and the other one runs
+    And its log reports that it and 2 tasks have waited for records for 4 seconds
+
+  Scenario: The reasons why workers get no work are logged
+    Given the log of a modelled leader with 2 workers
+    When all workers are cut off while a job of 3 tasks waits for 3 seconds
+    Then its log reports 2 workers as unusable because they are unresponsive
+
   Scenario: Backfill tasks that wait are logged beside the serving workers
     Given the log of a modelled leader with 2 workers
     When 2 serving tasks and 3 backfill tasks are accepted there for 4 seconds
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -305,6 +305,8 @@
     sends_no_starts: bool = False
     # Senders of start orders that fail before they have an outcome.
     failing_senders: int = 0
+    # No record is committed.
+    is_log_stalled: bool = False
     # Next starts and polls that expire before they are sent.
     expiring_starts: int = 0
     expiring_polls: int = 0
@@ -573,6 +575,8 @@
                 worker.start(order, self.now)
 
     def _apply_due_commits(self) -> None:
+        if self.is_log_stalled:
+            return
         while self.commits and self.commits[0][0] <= self.now:
             _, scheduler, batch = self.commits.pop(0)
             self.apply(batch.records)
