Hold up no proposal by one that cannot be encoded

What callers could have seen: LOST. For up to a minute nothing that a leader decides together with such a record is committed, the workers whose ends wait are not polled, and their tasks lapse and start nowhere.

Cause: the decisions of a leader are encoded when their batch is written, in the callback of a timer. An error there left all proposals of the batch without an outcome until they timed out (2 s, decisions 60 s).

Change: the error goes to the proposer of that payload, the others are written.

--- a/packages/replicas/hornbeamstair_replicas/groups/forwarding.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/forwarding.py
@@ -97,10 +97,18 @@
 def encode_proposals(
     proposals: Iterable[Proposal],
 ) -> list[tuple[Proposal, bytes]]:
-    """Encode proposals and refuse those that no message can replicate."""
+    """Encode proposals and refuse those that no message can replicate.
+
+    An error of one payload goes to its proposer; the others are written.
+    """
     encoded: list[tuple[Proposal, bytes]] = []
     for proposal in proposals:
-        payload = proposal.encode()
+        try:
+            payload = proposal.encode()
+        except Exception as error:
+            if not proposal.future.done():
+                proposal.future.set_exception(error)
+            continue
         if len(payload) <= MAX_PAYLOAD_BYTES:
             encoded.append((proposal, payload))
         else:
--- a/tests/features/commits.feature
+++ b/tests/features/commits.feature
@@ -19,6 +19,12 @@
     When another voter leads before the batch of an earlier term is written
     Then it is refused with code 5003 and not forwarded
 
+  # The decisions of a leader would wait for a minute, and its workers with them.
+  Scenario: A proposal that cannot be encoded holds up no other
+    Given a group on a disk that takes 6 ms a sync
+    When 3 proposals are made at once of which the second cannot be encoded
+    Then its proposer gets the error and the other 2 are committed within 50 ms
+
   Scenario: A slow disk delays no commit much beyond its syncs
     Given a group on a disk that takes 100 ms a sync
     When 100 proposals per second arrive for 2 seconds
--- a/tests/features/steps/commit_steps.py
+++ b/tests/features/steps/commit_steps.py
@@ -1,5 +1,6 @@
 """Steps for a replication group on a slow disk, with a simulated clock."""
 
+import json
 from asyncio import Runner, create_task, gather, sleep
 from random import Random
 from typing import Any
@@ -72,6 +73,28 @@
         runner.run(_propose_large(context.group, count, size))
 
 
+@when(
+    '{count:d} proposals are made at once of which the second cannot be encoded'
+)
+def propose_unencodable(context: Any, count: int) -> None:
+    """Propose payloads that share a batch."""
+    with Runner(loop_factory=lambda: SimulatedLoop(context.clock)) as runner:
+        runner.run(_propose_unencodable(context, count))
+
+
+@then(
+    'its proposer gets the error '
+    'and the other {count:d} are committed within {milliseconds:d} ms'
+)
+def check_others(context: Any, count: int, milliseconds: int) -> None:
+    """Check the outcomes and the time of the last one."""
+    first, failed, *others = context.outcomes
+    assert isinstance(failed, UnicodeEncodeError), failed
+    assert all(outcome.is_ok() for outcome in (first, *others))
+    assert len(others) + 1 == count, others
+    assert context.passed * 1000 <= milliseconds, context.passed
+
+
 @then('at most {most:d} bytes of entries follow the snapshot')
 def check_bytes(context: Any, most: int) -> None:
     """Check the size of the entries that a restart would apply again."""
@@ -119,6 +142,22 @@
     await context.group.stop()
 
 
+async def _propose_unencodable(context: Any, count: int) -> None:
+    group = context.group
+    group.start()
+    await sleep(1)
+    texts = ['valid'] * count
+    # JSON may hold half of a character, which no encoding takes.
+    texts[1] = json.loads(r'"\ud800"')
+    began = context.clock.now
+    context.outcomes = await gather(
+        *(group.propose_once(text.encode) for text in texts),
+        return_exceptions=True,
+    )
+    context.passed = context.clock.now - began
+    await group.stop()
+
+
 async def _propose_large(group: VotingGroup, count: int, size: int) -> None:
     group.start()
     await sleep(1)
