--- a/packages/upstreams/hornbeamstair_upstreams/work/sender.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/sender.py
@@ -30,7 +30,8 @@
     """Sender of orders to workers; sends each order at most once.
 
     An order is sent by `valid_until`, a time in seconds on the clock of this
-    process, or never: then its outcome is `unsent`.
+    process, or never. Its outcome is `unsent` only if it is certain that it was
+    not sent, otherwise `unknown`.
     """
 
     name: ClassVar[str]
