Log how the leader knows that a run has ended

`runs_ended` has `proof`, and `job_given_up` lists the crashes with the incarnation, the time and whether they came early. Nothing else changes.

--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import define
+from attrs import asdict, define
 
 from hornbeamstair_callers.jobs.events import JobGivenUpEvent
 from hornbeamstair_callers.jobs.job import Job
@@ -74,8 +74,8 @@
         history = job.crash_history
         if not history.is_last(run.task, now.wall, is_early=not run.is_proven):
             return False
-        workers = [crash.worker for crash in history.crashes[run.task]]
-        log_event(JobGivenUpEvent(job.spec.job, run.task, tuple(workers)))
+        crashes = tuple(map(asdict, history.crashes[run.task]))
+        log_event(JobGivenUpEvent(job.spec.job, run.task, crashes))
         return True
 
     def _is_last_attempt(self, run: Run) -> bool:
--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -225,5 +225,5 @@
 
     job: str
     task: str
-    # Workers that had gone down under the task before.
-    workers: tuple[str, ...]
+    # Crashes that were counted before, oldest first.
+    crashes: tuple[Mapping[str, Any], ...]
--- a/packages/callers/hornbeamstair_callers/jobs/run_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/run_event_log.py
@@ -57,6 +57,7 @@
                 'run': run.run,
                 'worker': worker,
                 'end': ended.end.value,
+                'proof': ended.proof.value,
                 'last_state': run.state.value,
                 'proven': run.is_proven,
                 'age_ms': to_milliseconds(now.monotonic - run.started_at),
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -10,6 +10,7 @@
     PollAnswer,
     RunReport,
 )
+from hornbeamstair_upstreams.work.proofs import EndProof
 from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
 from hornbeamstair_upstreams.work.session import WorkerSession
 
@@ -59,7 +60,7 @@
     _apply_running(session, listed, now)
     if len(answer.ended) < _MAX_ENDS_PER_POLL:
         missing = _find_missing(session, listed, sent_at)
-        ended.extend(session.remove_lost(missing))
+        ended.extend(session.remove_lost(missing, EndProof.unlisted))
     _stop_orphans(session, answer.running)
     return ended
 
@@ -79,7 +80,7 @@
         session.remove_run(report.task)
         session.health.handle_end(report.end, run.phase_id)
         checkpoint = report.checkpoint or run.checkpoint
-        yield EndedRun(run, report.end, checkpoint)
+        yield EndedRun(run, report.end, checkpoint, EndProof.listed)
 
 
 def _apply_running(
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -8,6 +8,7 @@
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.messages import RunEnd, TaskNeeds
+from hornbeamstair_upstreams.work.proofs import EndProof
 from hornbeamstair_upstreams.work.sender import ORDER_ARRIVAL_SECONDS
 
 __all__ = ('EndedRun', 'Run', 'RunState', 'UNCONFIRMED_STATES')
@@ -102,3 +103,4 @@
     run: Run
     end: RunEnd
     checkpoint: str
+    proof: EndProof
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -24,6 +24,7 @@
 )
 from hornbeamstair_upstreams.work.observer import SessionObserver
 from hornbeamstair_upstreams.work.obstacles import Obstacle
+from hornbeamstair_upstreams.work.proofs import EndProof
 from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
 
 __all__ = ('WorkerSession', 'get_used_resources')
@@ -239,7 +240,7 @@
         self.stops.clear()
         if incarnation is None:
             self.terminate(now)
-            return self.remove_lost(list(self.runs))
+            return self.remove_lost(list(self.runs), EndProof.other_worker)
         self.announced = evolve(
             self.announced,
             incarnation=incarnation,
@@ -253,6 +254,7 @@
                 for task, run in self.runs.items()
                 if not run.may_be_started(now)
             ],
+            EndProof.next_incarnation,
         )
         for run in self.runs.values():
             is_suspect = run.has_gone_down and not run.is_proven
@@ -289,6 +291,7 @@
                 for task, run in self.runs.items()
                 if run.state != RunState.recorded
             ],
+            EndProof.lease_expired,
         )
 
     def terminate(self, now: float) -> None:
@@ -522,7 +525,11 @@
         current = self.announced.incarnation
         return incarnation is not None and incarnation < current
 
-    def remove_lost(self, tasks: Iterable[TaskId]) -> list[EndedRun]:
+    def remove_lost(
+        self,
+        tasks: Iterable[TaskId],
+        proof: EndProof,
+    ) -> list[EndedRun]:
         """Remove runs and return them as lost."""
         lost = [self.remove_run(task) for task in tasks]
         return [
@@ -530,6 +537,7 @@
                 run,
                 RunEnd.crashed if run.has_gone_down else RunEnd.lost,
                 run.checkpoint,
+                proof,
             )
             for run in lost
             if run is not None
@@ -574,7 +582,7 @@
             # After the stop, the worker rejects the earlier start order.
             self.request_stop(run)
             return []
-        return self.remove_lost([run.task])
+        return self.remove_lost([run.task], EndProof.refused)
 
     def _make_stop(self, task: TaskId, run: int) -> StopOrder:
         return StopOrder(
--- a/tests/features/steps/gang_steps.py
+++ b/tests/features/steps/gang_steps.py
@@ -9,6 +9,7 @@
 from hornbeamstair_callers.jobs.records import JobFailed, RunStarted
 from hornbeamstair_core.ids import JobId, TaskId
 from hornbeamstair_upstreams.work.messages import RunEnd
+from hornbeamstair_upstreams.work.proofs import EndProof
 from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
 from tests.support.work_model import WorkModel, make_phase
 
@@ -64,6 +65,7 @@
             Run(task, run, PHASE.needs, f'{JOB}.0.0', RunState.running, 0),
             RunEnd.failed if task in failing else RunEnd.lost,
             '',
+            EndProof.listed,
         )
         # Decided before any of them is applied.
         records = tuple(
