Reproduce jobs that fail because leases expire

Workers of the model have ports of their own now, which a later life keeps, as on the users' platform.

--- /dev/null
+++ b/tests/features/expired_leases.feature
@@ -0,0 +1,60 @@
+Feature: The silence of a worker is no proof of what became of it
+
+  A lease that expires while its worker is silent ends a run. Whether the worker
+  went down under it is known once another life of the worker is seen, or once
+  the worker answers again.
+
+  Scenario Outline: A job does not fail because the leases of its runs expire
+    Given a work model with seed <seed>, 8 workers and no faults
+    When 1 seconds pass
+    And a job of 4 endless tasks with at most 4 unavailable
+    And the worker of its first task is cut off <delay> seconds after each start for <cut> seconds, <count> times
+    And 40 seconds pass
+    Then all 4 tasks run after more than 4 starts
+
+    Examples:
+      | seed | delay | cut | count |
+      | 1    | 0.2   | 15  | 3     |
+      | 2    | 0.2   | 15  | 4     |
+      | 3    | 2     | 30  | 5     |
+
+  Scenario Outline: Jobs do not fail because workers are cut off in turn
+    Given a work model with seed <seed>, 30 workers and no faults
+    When 3 jobs of 5 long-running tasks are accepted
+    And each worker is reachable for 0.2 to 0.5 and cut off for 8 to 16 seconds in turn
+    And a job of 5 tasks comes each 2 seconds meanwhile, 15 times
+    And 40 seconds pass
+    Then no job has failed
+
+    Examples:
+      | seed |
+      | 0    |
+      | 1    |
+      | 2    |
+
+  Scenario Outline: Long-running tasks go on after their workers were cut off in series
+    Given a work model with seed <seed>, 6 workers and no faults
+    When 1 seconds pass
+    And a job of 4 long-running tasks is accepted
+    And all workers are cut off for 3.9 seconds each 4.3 seconds, 9 times
+    And 12 seconds pass
+    Then all 4 tasks run after more than 4 starts
+
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+      | 13   |
+
+  Scenario Outline: The silence of a leader is no crash of its workers
+    Given a work model with seed <seed>, 6 workers and no faults
+    When 1 seconds pass
+    And a job of 4 long-running tasks is accepted
+    And the leader is paused for 5 seconds each 6 seconds, 6 times
+    And 12 seconds pass
+    Then all 4 tasks run after more than 4 starts
+
+    Examples:
+      | seed |
+      | 21   |
+      | 22   |
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -104,6 +104,8 @@
 
     worker: WorkerId
     model: 'WorkModel'
+    # Another life of the worker has the same port.
+    port: int = 1
     incarnation: int = 1
     clock_offset: float = 0
     clock_rate: float = 1
@@ -363,6 +365,7 @@
             self.workers[worker] = ModelWorker(
                 worker,
                 self,
+                port=number + 1,
                 clock_offset=self.rng.uniform(0, 50),
                 clock_rate=self.rng.uniform(0.98, 1),
             )
@@ -501,6 +504,7 @@
                 continue
             announced = evolve(
                 make_worker_announcement(worker.worker, worker.incarnation),
+                port=worker.port,
                 room=worker.room,
                 labels=worker.labels,
                 is_leaving=worker.is_leaving,
@@ -586,6 +590,15 @@
                 get_demands(self.scheduler, self.get_moment())
 
 
+def pause_leader(model: WorkModel, seconds: float) -> None:
+    """Advance the clock of the workers while the leader stands still."""
+    end = model.now + seconds
+    while model.now < end:
+        model.now += STEP_SECONDS
+        for worker in model.workers.values():
+            worker.advance(model.now)
+
+
 def poll_worker(model: WorkModel, order: PollOrder) -> PollAnswer:
     """Poll a worker; some answers are lost."""
     if model.expiring_polls:
@@ -669,7 +682,12 @@
 def add_worker(model: WorkModel) -> ModelWorker:
     """Add a worker with a new name."""
     worker = WorkerId(f'w{len(model.workers)}')
-    model.workers[worker] = ModelWorker(worker, model, clock_offset=model.now)
+    model.workers[worker] = ModelWorker(
+        worker,
+        model,
+        port=len(model.workers) + 1,
+        clock_offset=model.now,
+    )
     return model.workers[worker]
 
 
@@ -718,7 +736,9 @@
             worker.crash(model.now)
             worker.is_partitioned = False
         else:
-            add_worker(model)
+            replacement = add_worker(model)
+            replacement.port = worker.port
+            replacement.incarnation = worker.incarnation
 
 
 def drain_worker(model: WorkModel, worker: WorkerId) -> None:
