Fail no job for leases that expire on silent workers

Callers saw a job shown as failed although its runs had only lapsed, and its long-running tasks stopped.

Cause: silence was taken for proof. A worker whose lease expired counted as gone down under its runs until it answered again, and three such crashes right after starts, or five at any time, failed the job before that.

Change: an expired lease ends a run as `expired`, and its crash stays unconfirmed. CrashReview looks at the present state again until it explains the silence: a worker that has answered at the address, or a later incarnation, confirms the crash; an answer of the same incarnation or a planned end takes it back. Only confirmed crashes fail a job. The review acts on what the log holds, so that a change of the leader hides nothing.

--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -1,10 +1,11 @@
-"""Crashes of workers under the tasks of a job."""
+"""Workers that went down, or seemed to, under the tasks of a job."""
 
+import math
 from collections.abc import Iterator
 from itertools import chain
 from typing import Final
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from hornbeamstair_core.ids import TaskId, WorkerId
 from hornbeamstair_core.units import MINUTE
@@ -20,18 +21,25 @@
 # Number of crashes at any time at which the job fails. Bounds the damage of a
 # task that crashes its workers late, or around changes of the leader.
 _MAX_CRASHES: Final = 5
+# Pause of a task whose crashes would fail its job if all were confirmed. Longer
+# than a crashed worker takes to be back; doubled by each further one.
+_PAUSE_SECONDS: Final = 10.0
 
 
 @frozen
 class Crash:
-    """Worker that went down under a run of a task."""
+    """Worker that fell silent or went down under a run of a task."""
 
     worker: WorkerId
     incarnation: int
     # Wall-clock seconds.
     at: float
-    # The worker went down right after the start of the run.
+    # The worker was lost right after the start of the run.
     is_early: bool
+    # Host and port of the worker; empty if unknown.
+    address: str = ''
+    # Another life of the worker was seen. Silence alone confirms nothing.
+    is_confirmed: bool = False
 
 
 @define(eq=False)
@@ -42,9 +50,22 @@
 
     def add(self, task: TaskId, crash: Crash) -> None:
         """Add a crash, and forget those that are too old."""
-        recent = self._get_recent(task, crash.at)
+        recent = self.get_recent(task, crash.at)
         self.crashes[task] = (*recent, crash)
 
+    def confirm_worker(self, worker: WorkerId, incarnation: int) -> None:
+        """Confirm the crashes of a worker that has gone down."""
+        crashed = (worker, incarnation)
+        self.crashes = {
+            task: tuple(
+                evolve(crash, is_confirmed=True)
+                if (crash.worker, crash.incarnation) == crashed
+                else crash
+                for crash in crashes
+            )
+            for task, crashes in self.crashes.items()
+        }
+
     def remove_worker(self, worker: WorkerId, incarnation: int) -> None:
         """Remove the crashes of a worker that has not gone down."""
         survived = (worker, incarnation)
@@ -64,18 +85,39 @@
         """Get the crashes under all tasks."""
         return chain.from_iterable(self.crashes.values())
 
-    def count_early(self, task: TaskId, wall: float) -> int:
-        """Count the recent crashes right after a start of a task."""
-        return sum(crash.is_early for crash in self._get_recent(task, wall))
-
-    def is_last(self, task: TaskId, wall: float, *, is_early: bool) -> bool:
-        """Return whether a further crash uses up those that a task may have."""
-        crashes = 1 + len(self._get_recent(task, wall))
-        early_crashes = is_early + self.count_early(task, wall)
-        return early_crashes >= _MAX_EARLY_CRASHES or crashes >= _MAX_CRASHES
-
-    def _get_recent(self, task: TaskId, wall: float) -> tuple[Crash, ...]:
+    def get_recent(self, task: TaskId, wall: float) -> tuple[Crash, ...]:
+        """Get the crashes under a task that still count."""
         oldest = wall - _MEMORY_SECONDS
         return tuple(
             crash for crash in self.crashes.get(task, ()) if crash.at > oldest
         )
+
+    def count_early(self, task: TaskId, wall: float) -> int:
+        """Count the recent crashes right after a start, confirmed or not."""
+        return sum(crash.is_early for crash in self.get_recent(task, wall))
+
+    def find_exhausted(self, wall: float) -> TaskId | None:
+        """Find a task that has used up the crashes that it may have."""
+        for task in self.crashes:
+            confirmed = [
+                crash
+                for crash in self.get_recent(task, wall)
+                if crash.is_confirmed
+            ]
+            if _count_excess(confirmed) >= 0:
+                return task
+        return None
+
+    def is_paused(self, task: TaskId, wall: float) -> bool:
+        """Return whether a task waits to learn what became of its workers."""
+        recent = self.get_recent(task, wall)
+        excess = _count_excess(recent)
+        if excess < 0:
+            return False
+        return wall < recent[-1].at + math.ldexp(_PAUSE_SECONDS, excess)
+
+
+def _count_excess(crashes: list[Crash] | tuple[Crash, ...]) -> int:
+    """Count the crashes beyond those that fail a job; negative for less."""
+    early = sum(crash.is_early for crash in crashes)
+    return max(early - _MAX_EARLY_CRASHES, len(crashes) - _MAX_CRASHES)
--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -2,16 +2,14 @@
 
 from collections.abc import Iterable, Iterator
 
-from attrs import asdict, define
+from attrs import define
 
-from hornbeamstair_callers.jobs.events import JobGivenUpEvent
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import get_job_id, parse_task_id
 from hornbeamstair_callers.jobs.records import JobFailed, RunEnded
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
-from hornbeamstair_core.events import log_event
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
 from hornbeamstair_operators.manifest.table import ManifestTable
@@ -44,10 +42,11 @@
             # A run whose start is not committed yet is handled when the record
             # of the start is applied.
             if run.state != RunState.recorded:
-                yield from self._get_run_records(end, now)
+                yield from self._get_run_records(session, end, now)
 
     def _get_run_records(
         self,
+        session: WorkerSession,
         ended: EndedRun,
         now: Moment,
     ) -> Iterator[Record]:
@@ -60,23 +59,10 @@
             ended.checkpoint,
             now.wall,
             run.is_proven,
+            session.get_address(),
         )
         if ended.end == RunEnd.failed and self._is_last_attempt(run):
             yield JobFailed(get_job_id(run.task), now.wall)
-        if ended.end == RunEnd.crashed and self._is_last_crash(run, now):
-            yield JobFailed(get_job_id(run.task), now.wall)
-
-    def _is_last_crash(self, run: Run, now: Moment) -> bool:
-        """Return whether a crash gives up the job of a task."""
-        job = self.jobs.jobs.get(get_job_id(run.task))
-        if job is None or not job.is_open:
-            return False
-        history = job.crash_history
-        if not history.is_last(run.task, now.wall, is_early=not run.is_proven):
-            return False
-        crashes = tuple(map(asdict, history.crashes[run.task]))
-        log_event(JobGivenUpEvent(job.spec.job, run.task, crashes))
-        return True
 
     def _is_last_attempt(self, run: Run) -> bool:
         """Return whether a failure uses up the attempts of a task."""
--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -17,6 +17,7 @@
     'RequestRefusedEvent',
     'RunsEndedEvent',
     'RunsPlacedEvent',
+    'SilenceExplainedEvent',
     'StartsUnconfirmedEvent',
     'WorkWaitingEvent',
     'WorkerBelievedEvent',
@@ -213,6 +214,21 @@
     unpolled: tuple[str, ...]
 
 
+@register_event
+@frozen
+class SilenceExplainedEvent(Event):
+    """Worker that was silent until the leases of its runs had expired."""
+
+    number = 2017
+    name = 'silence_explained'
+    summary = 'It became known what had become of a silent worker.'
+
+    worker: str
+    incarnation: int
+    # The kind of the record: worker_died or worker_survived.
+    verdict: str
+
+
 @register_event
 @frozen
 class JobGivenUpEvent(Event):
@@ -225,5 +241,5 @@
 
     job: str
     task: str
-    # Crashes that were counted before, oldest first.
+    # Oldest first, confirmed or not.
     crashes: tuple[Mapping[str, Any], ...]
--- a/packages/callers/hornbeamstair_callers/jobs/records.py
+++ b/packages/callers/hornbeamstair_callers/jobs/records.py
@@ -24,7 +24,6 @@
     'RecordListener',
     'RunEnded',
     'RunStarted',
-    'WorkerSurvived',
 )
 
 
@@ -97,16 +96,8 @@
     at: float
     # The worker was known to go on well after the start of the run.
     is_proven: bool = False
-
-
-@frozen
-class WorkerSurvived(Record):
-    """Record that a worker answers that had seemed to go down."""
-
-    kind: ClassVar[str] = 'worker_survived'
-
-    worker: WorkerId
-    incarnation: int
+    # Host and port of the worker; empty if unknown.
+    address: str = ''
 
 
 class RecordListener(ABC):
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -6,6 +6,7 @@
 from attrs import define, field, frozen
 from expression import Error, Ok, Result
 
+from hornbeamstair_callers.jobs.crash_review import CrashReview
 from hornbeamstair_callers.jobs.effects import (
     CommitBatch,
     PollWorker,
@@ -31,7 +32,6 @@
     JobsForgotten,
     RunEnded,
     RunStarted,
-    WorkerSurvived,
 )
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.starts import StartPlanner
@@ -43,6 +43,7 @@
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_event_log import WaitingEventLog
 from hornbeamstair_callers.jobs.waiting_queue import WaitingQueue
+from hornbeamstair_callers.jobs.worker_records import WorkerSurvived
 from hornbeamstair_core.effects import Effect
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure, InvalidFieldFailure
@@ -78,7 +79,11 @@
 _ENDED_JOB_SECONDS: Final = 180.0
 _FORGET_INTERVAL_SECONDS: Final = 5.0
 # Ends of runs that may not have started.
-_ENDS_WITHOUT_START: Final = (RunEnd.lost, RunEnd.crashed)
+_ENDS_WITHOUT_START: Final = (
+    RunEnd.lost,
+    RunEnd.expired,
+    RunEnd.crashed,
+)
 # Unplaced jobs that one scan examines. Beyond this, the scan takes longer
 # than the handling of a run end and a start.
 _MAX_UNPLACED_JOBS: Final = 48
@@ -119,6 +124,7 @@
     record_event_log: RecordEventLog = field(init=False)
     starts: StartPlanner = field(init=False)
     ends: EndRecorder = field(init=False)
+    crash_review: CrashReview = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the components that share the index of waiting jobs."""
@@ -147,6 +153,7 @@
             self.waiting,
             self.run_event_log,
         )
+        self.crash_review = CrashReview(state.jobs, self.sessions)
 
     def start(self, now: Moment, reserved: Collection[WorkerId] = ()) -> None:
         """Take over the workers and the runs of the previous leader.
@@ -291,6 +298,9 @@
 
     def tick(self, now: Moment) -> None:
         """Handle expired leases and due retries, then place ready tasks."""
+        reviewed = self.crash_review.get_due_records(now)
+        if reviewed:
+            self.effects.append(CommitBatch(tuple(reviewed)))
         self.index.checks.check_due(
             now.monotonic,
             lambda session: self._check_session(session, now),
@@ -352,10 +362,10 @@
         ]
 
     def _report_survival(self, session: WorkerSession, now: Moment) -> None:
-        """Take back the crashes of a worker that answers again."""
+        """Report that a worker that had fallen silent answers again."""
         announced = session.announced
         incarnation = (announced.worker, announced.incarnation)
-        is_news = incarnation in self.state.jobs.crashed_workers
+        is_news = incarnation in self.state.jobs.lost_workers
         if is_news and session.answered_at == now.monotonic:
             self.effects.append(CommitBatch((WorkerSurvived(*incarnation),)))
 
@@ -448,7 +458,14 @@
             for run in expired:
                 self.waiting.in_flight[run.task] = now.monotonic
             records = [
-                RunEnded(run.task, run.run, RunEnd.lost, '', now.wall)
+                RunEnded(
+                    run.task,
+                    run.run,
+                    RunEnd.expired,
+                    '',
+                    now.wall,
+                    run.is_proven,
+                )
                 for run in expired
             ]
             self.effects.append(CommitBatch(tuple(records)))
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -50,11 +50,11 @@
                 unplaced.append(ready)
                 continue
             is_unchanged = False
-            tasks = self._get_startable_tasks(waiting_job.job, ready, now)
-            placed = self._place_phase(
-                waiting_job.job, ready, tasks, placement, now
-            )
-            remaining = tuple(tasks[len(placed) :])
+            job = waiting_job.job
+            paused = _get_paused_tasks(job, ready, now)
+            tasks = self._get_startable_tasks(job, ready, paused, now)
+            placed = self._place_phase(job, ready, tasks, placement, now)
+            remaining = (*tasks[len(placed) :], *paused)
             if remaining:
                 unplaced.append(
                     ReadyPhase(
@@ -69,10 +69,15 @@
         self,
         job: Job,
         ready: ReadyPhase,
+        paused: tuple[TaskId, ...],
         now: Moment,
     ) -> list[TaskId]:
         in_flight = self.waiting.in_flight
-        tasks = [task for task in ready.tasks if task not in in_flight]
+        tasks = [
+            task
+            for task in ready.tasks
+            if task not in in_flight and task not in paused
+        ]
         if ready.phase.is_gang and len(tasks) < ready.phase.count:
             # A gang starts as a whole.
             return []
@@ -143,6 +148,25 @@
         )
 
 
+def _get_paused_tasks(
+    job: Job,
+    ready: ReadyPhase,
+    now: Moment,
+) -> tuple[TaskId, ...]:
+    """Get the tasks that wait to learn what became of their workers.
+
+    A gang starts as a whole, or waits as a whole.
+    """
+    if not job.crash_history.crashes:
+        return ()
+    paused = tuple(
+        task
+        for task in ready.tasks
+        if job.crash_history.is_paused(task, now.wall)
+    )
+    return ready.tasks if paused and ready.phase.is_gang else paused
+
+
 def _make_run(
     job: Job,
     ready: ReadyPhase,
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -1,12 +1,13 @@
 """Replicated table of jobs and of the runs of their tasks."""
 
 from collections.abc import Iterator
-from typing import Any, ClassVar
+from typing import Any, ClassVar, Final
 
 from attrs import define, field, frozen
 
 from hornbeamstair_callers.jobs.crashes import Crash
 from hornbeamstair_callers.jobs.job import NO_WORKER, Job, Task
+from hornbeamstair_callers.jobs.lost_workers import LostWorkers
 from hornbeamstair_callers.jobs.messages import (
     JobState,
     TaskPosition,
@@ -22,14 +23,19 @@
     RecordListener,
     RunEnded,
     RunStarted,
+)
+from hornbeamstair_callers.jobs.worker_records import (
+    WorkerDied,
     WorkerSurvived,
 )
-from hornbeamstair_core.ids import JobId, TaskId, WorkerId
+from hornbeamstair_core.ids import JobId, TaskId
 from hornbeamstair_core.records import Record, RecordTable
 from hornbeamstair_upstreams.work.messages import RunEnd
 
 __all__ = ('JobTable', 'JobTableState')
 
+_CRASH_ENDS: Final = frozenset((RunEnd.crashed, RunEnd.expired))
+
 
 @frozen
 class JobTableState:
@@ -50,15 +56,13 @@
         JobsForgotten,
         RunEnded,
         RunStarted,
+        WorkerDied,
         WorkerSurvived,
     )
     state_class: ClassVar[type[Any]] = JobTableState
 
     jobs: dict[JobId, Job] = field(factory=dict)
-    # Jobs by the incarnations of workers that seem to have gone down.
-    crashed_workers: dict[tuple[WorkerId, int], set[JobId]] = field(
-        factory=dict,
-    )
+    lost_workers: LostWorkers = field(factory=LostWorkers)
     record_listener: RecordListener | None = None
 
     def apply(self, record: Record) -> object:
@@ -87,10 +91,10 @@
         for job in jobs:
             job.trim()
         self.jobs = {job.spec.job: job for job in jobs}
-        self.crashed_workers = {}
+        self.lost_workers = LostWorkers()
         for restored_job in jobs:
             for crash in restored_job.crash_history.get_all():
-                self._index_crash(restored_job, crash)
+                self.lost_workers.add(restored_job.spec.job, crash)
 
     def _apply(self, record: Record) -> bool:
         match record:
@@ -106,8 +110,8 @@
                 return self._start_run(record)
             case RunEnded():
                 return self._end_run(record)
-            case WorkerSurvived(worker, incarnation):
-                return self._remove_crashes(worker, incarnation)
+            case WorkerDied() | WorkerSurvived():
+                return self._explain_silence(record)
         return False
 
     def _accept(self, record: JobAccepted) -> bool:
@@ -128,7 +132,7 @@
             return False
         job.state = state
         job.ended_at = at
-        job.trim()
+        self._trim(job)
         return True
 
     def _forget_jobs(self, jobs: tuple[JobId, ...]) -> bool:
@@ -161,7 +165,7 @@
             return False
         if not task.worker:
             return False
-        if record.end == RunEnd.crashed:
+        if record.end in _CRASH_ENDS and job.is_open:
             self._add_crash(job, task, record)
         task.worker = NO_WORKER
         task.checkpoint = record.checkpoint or task.checkpoint
@@ -172,7 +176,7 @@
                 job.gang_failures.setdefault(phase_id, []).append(record.run)
         if record.end == RunEnd.done:
             self._complete_task(job, position, task, record.at)
-        job.trim()
+        self._trim(job)
         return True
 
     def _add_crash(self, job: Job, task: Task, record: RunEnded) -> None:
@@ -181,21 +185,31 @@
             task.incarnation,
             record.at,
             not record.is_proven,
+            record.address,
+            is_confirmed=record.end == RunEnd.crashed,
         )
         job.crash_history.add(record.task, crash)
-        self._index_crash(job, crash)
-
-    def _index_crash(self, job: Job, crash: Crash) -> None:
-        incarnation = (crash.worker, crash.incarnation)
-        jobs = self.crashed_workers.setdefault(incarnation, set())
-        jobs.add(job.spec.job)
-
-    def _remove_crashes(self, worker: WorkerId, incarnation: int) -> bool:
-        for job_id in self.crashed_workers.pop((worker, incarnation), ()):
-            job = self.jobs.get(job_id)
-            if job is not None:
-                job.crash_history.remove_worker(worker, incarnation)
-        return True
+        self.lost_workers.add(job.spec.job, crash)
+
+    def _trim(self, job: Job) -> None:
+        if not job.is_open:
+            for crash in job.crash_history.get_all():
+                self.lost_workers.discard(job.spec.job, crash)
+        job.trim()
+
+    def _explain_silence(self, record: WorkerDied | WorkerSurvived) -> bool:
+        incarnation = (record.worker, record.incarnation)
+        match record:
+            case WorkerDied():
+                hit = self.lost_workers.confirm(incarnation)
+                for confirmed_job in hit:
+                    history = self.jobs[confirmed_job].crash_history
+                    history.confirm_worker(*incarnation)
+            case WorkerSurvived():
+                hit = self.lost_workers.remove(incarnation)
+                for job in hit:
+                    self.jobs[job].crash_history.remove_worker(*incarnation)
+        return bool(hit)
 
     def _complete_task(
         self,
--- a/packages/callers/hornbeamstair_callers/jobs/waiting_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting_event_log.py
@@ -61,6 +61,9 @@
                     'tasks': sum(count for count, _ in waits),
                     'oldest_ms': to_milliseconds(oldest),
                     'backfill_tasks': sum(map(_count_backfill_tasks, jobs)),
+                    'paused_tasks': sum(
+                        _count_paused_tasks(job, now.wall) for job in jobs
+                    ),
                     **_describe_workers(service, sessions, now),
                 }
 
@@ -109,6 +112,16 @@
     }
 
 
+def _count_paused_tasks(waiting: WaitingJob, wall: float) -> int:
+    history = waiting.job.crash_history
+    return sum(
+        history.is_paused(task, wall)
+        for phase in waiting.phases
+        for task in phase.tasks
+        if task in history.crashes
+    )
+
+
 def _count_backfill_tasks(job: WaitingJob) -> int:
     return sum(
         len(phase.tasks) for phase in job.phases if phase.phase.needs.fills
--- a/packages/upstreams/hornbeamstair_upstreams/work/messages.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/messages.py
@@ -135,7 +135,10 @@
     failed = 'failed'
     # Stopped or refused, or the worker left as planned, or the gang was lost.
     lost = 'lost'
-    # The worker went down, or was cut off until the lease of the run expired.
+    # The worker was silent until the lease of the run had expired: it went down
+    # or was cut off.
+    expired = 'expired'
+    # The worker went down: another life of it was seen.
     crashed = 'crashed'
     # A gang member timed out waiting for the others.
     lonely = 'lonely'
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -90,9 +90,13 @@
             return True
         return now - self.ordered_at <= ORDER_ARRIVAL_SECONDS
 
+    def may_have_started(self) -> bool:
+        """Return whether the run may have started and was not to stop."""
+        return self.state in _STARTED_STATES
+
     def mark_gone_down(self) -> None:
         """Mark a run that its worker went down under."""
-        if self.state in _STARTED_STATES:
+        if self.may_have_started():
             self.has_gone_down = True
 
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -86,6 +86,8 @@
     is_unresponsive: bool = False
     answered_at: float = _LONG_AGO
     terminated_at: float | None = None
+    # Another worker was found at the address, and nothing was planned.
+    is_replaced: bool = False
     # Reserved for maintenance or a move; receives no new work.
     is_reserved: bool = False
     used_resources: Resources = field(factory=Resources)
@@ -118,6 +120,14 @@
         """Return whether the worker leaves or has withdrawn."""
         return self.announced.is_leaving or self.terminated_at is not None
 
+    def has_planned_end(self) -> bool:
+        """Return whether the worker ends, or has ended, as planned."""
+        return self.is_ending() and not self.is_replaced
+
+    def get_address(self) -> str:
+        """Return the host and port of the worker."""
+        return f'{self.announced.address}:{self.announced.port}'
+
     def is_responsive(self, now: float) -> bool:
         """Return whether the worker answered recently."""
         if self.is_unresponsive:
@@ -239,8 +249,10 @@
         self.health = WorkerHealth()
         self.stops.clear()
         if incarnation is None:
+            self.is_replaced = not self._is_end_expected()
             self.terminate(now)
             return self.remove_lost(list(self.runs), EndProof.other_worker)
+        self.is_replaced = False
         self.announced = evolve(
             self.announced,
             incarnation=incarnation,
@@ -284,7 +296,6 @@
         """
         if now < self.lease.latest_expiry:
             return []
-        self._mark_gone_down()
         return self.remove_lost(
             [
                 task
@@ -310,6 +321,7 @@
             return
         if terminated_at + _TERMINATION_SECONDS < sent_at:
             self.terminated_at = None
+            self.is_replaced = False
 
     def get_check_time(self, now: float) -> float:
         """Return when the lease can have expired or a retry is due."""
@@ -535,7 +547,7 @@
         return [
             EndedRun(
                 run,
-                RunEnd.crashed if run.has_gone_down else RunEnd.lost,
+                self._get_lost_end(run, proof),
                 run.checkpoint,
                 proof,
             )
@@ -551,12 +563,22 @@
 
     def _mark_gone_down(self, answered: Run | None = None) -> None:
         """Mark the runs that the worker went down under."""
-        is_planned = self.announced.is_leaving or self.is_reserved
-        if not is_planned and self.terminated_at is None:
+        if not self._is_end_expected():
             for run in self.runs.values():
                 if run is not answered:
                     run.mark_gone_down()
 
+    def _is_end_expected(self) -> bool:
+        return self.is_reserved or self.has_planned_end()
+
+    def _get_lost_end(self, run: Run, proof: EndProof) -> RunEnd:
+        if run.has_gone_down:
+            return RunEnd.crashed
+        is_silent = proof == EndProof.lease_expired
+        if is_silent and run.may_have_started() and not self._is_end_expected():
+            return RunEnd.expired
+        return RunEnd.lost
+
     def _handle_unanswered(self, run: Run, now: float) -> None:
         self.health.handle_unanswered(now)
         run.may_start_late = True
--- a/tests/features/expired_leases.feature
+++ b/tests/features/expired_leases.feature
@@ -58,3 +58,66 @@
       | seed |
       | 21   |
       | 22   |
+
+  Scenario Outline: A task that crashes its workers is given up although they are back late
+    Given a work model with seed <seed>, 8 workers and no faults
+    And crashed workers return under <names> names
+    And crashed workers are down for <down> seconds
+    When 1 seconds pass
+    And a job of 4 long-running tasks is accepted whose first one crashes its workers
+    And 90 seconds pass
+    Then the job of the first task has failed after at most 5 crashes
+
+    Examples:
+      | seed | names | down |
+      | 31   | new   | 8    |
+      | 32   | old   | 8    |
+      | 33   | new   | 20   |
+      | 34   | old   | 20   |
+
+  Scenario: A task is started less and less often while nothing explains the silence of its workers
+    Given a work model with seed 35, 8 workers and no faults
+    And crashed workers return under old names
+    And crashed workers are down for 1000 seconds
+    When 1 seconds pass
+    And a job of 4 long-running tasks is accepted whose first one crashes its workers
+    And 85 seconds pass
+    Then the first task was started 5 times
+
+  Scenario Outline: Crashes that a new leader learns of fail their job
+    Given a work model with seed <seed>, 8 workers and no faults
+    And crashed workers return under new names
+    And crashed workers are down for 5 seconds
+    When 1 seconds pass
+    And a job of 4 long-running tasks is accepted whose first one crashes its workers
+    And the leader changes after each of its expired leases for 90 seconds
+    Then the job of the first task has failed after at most 5 crashes
+
+    Examples:
+      | seed |
+      | 41   |
+      | 42   |
+      | 43   |
+
+  Scenario Outline: A silent worker that is replaced as planned has not crashed
+    Given a work model with seed <seed>, 6 workers and no faults
+    And tasks run for 4 to 5 seconds
+    When 1 seconds pass
+    And a job of 1 phases with 1 tasks each is accepted
+    And its worker falls silent until a lease expires, then is <planned> and replaced, 6 times
+    And 10 seconds pass
+    Then every job is completed
+
+    Examples:
+      | seed | planned   |
+      | 51   | withdrawn |
+      | 52   | leaving   |
+
+  Scenario: An announcement alone does not prove that a worker has crashed
+    Given a work model with seed 61, 6 workers and no faults
+    And tasks run for 4 to 5 seconds
+    When 1 seconds pass
+    And a job of 1 phases with 1 tasks each is accepted
+    And its worker falls silent until a lease expires, then is contradicted by announcements, 6 times
+    And 25 seconds pass
+    Then every job is completed
--- a/tests/features/steps/expired_lease_steps.py
+++ b/tests/features/steps/expired_lease_steps.py
@@ -2,15 +2,19 @@
 
 from typing import Any
 
-from behave import then, when
+from attrs import evolve
+from behave import given, then, when
 
 from hornbeamstair_callers.jobs.messages import JobState
-from hornbeamstair_core.ids import JobId, TaskId
+from hornbeamstair_core.ids import JobId, TaskId, WorkerId
+from hornbeamstair_upstreams.work.messages import RunEnd
 from tests.support.work_model import (
     ModelWorker,
     WorkModel,
     make_phase,
+    make_worker_announcement,
     pause_leader,
+    replace_worker,
 )
 
 # Apart from the jobs that other steps accept.
@@ -93,3 +97,94 @@
     for worker in work.workers.values():
         if joins_at.get(worker.worker, work.now) <= work.now:
             worker.is_partitioned = False
+
+
+@given('crashed workers are down for {seconds:g} seconds')
+def set_down_time(context: Any, seconds: float) -> None:
+    """Set the time after which crashed workers return."""
+    context.work.down_seconds = seconds
+
+
+@given('tasks run for {shortest:g} to {longest:g} seconds')
+def set_durations(context: Any, shortest: float, longest: float) -> None:
+    """Set the duration of runs that end by themselves."""
+    context.work.short_seconds = shortest, longest
+
+
+@when(
+    'the leader changes after each of its expired leases for {seconds:d} '
+    'seconds'
+)
+def change_after_expiry(context: Any, seconds: int) -> None:
+    """Change the leader once the end of a deadly run is recorded."""
+    work = context.work
+    end = work.now + seconds
+    while work.now < end:
+        count = _count_expired(work)
+        work.step()
+        if _count_expired(work) > count:
+            work.change_leader()
+
+
+@when(
+    'its worker falls silent until a lease expires, then is {planned} and '
+    'replaced, {count:d} times'
+)
+def replace_as_planned(context: Any, planned: str, count: int) -> None:
+    """Replace the worker of the first task as planned after its silence."""
+    work = context.work
+    for _ in range(count):
+        worker = _fall_silent(work)
+        session = work.scheduler.sessions[worker.worker]
+        if planned == 'withdrawn':
+            work.scheduler.handle_withdrawal(worker.worker, work.get_moment())
+        else:
+            session.announced = evolve(session.announced, is_leaving=True)
+        work.run(0.5)
+        replace_worker(work, worker.worker)
+        worker.is_partitioned = False
+
+
+@when(
+    'its worker falls silent until a lease expires, then is contradicted by '
+    'announcements, {count:d} times'
+)
+def contradict(context: Any, count: int) -> None:
+    """Announce workers that nobody runs at the address of a silent worker."""
+    work = context.work
+    for number in range(count):
+        worker = _fall_silent(work)
+        forged = evolve(
+            make_worker_announcement(WorkerId(f'forged{number}'), 1000),
+            port=worker.port,
+        )
+        work.scheduler.handle_announcement(forged, work.get_moment())
+        work.run(1)
+        worker.is_partitioned = False
+
+
+@then('the first task was started {count:d} times')
+def check_starts_of_first(context: Any, count: int) -> None:
+    """Check the starts of the deadly task."""
+    starts = context.work.starts_by_task[context.work.deadly.copy().pop()]
+    assert starts == count, starts
+
+
+def _count_expired(work: WorkModel) -> int:
+    return sum(
+        record.end == RunEnd.expired and record.task in work.deadly
+        for record in work.ends
+    )
+
+
+def _fall_silent(work: WorkModel) -> ModelWorker:
+    """Cut off the worker of the first task until its lease has expired."""
+    task = TaskId(f'{1:016x}.0.0.0')
+    for _ in range(1000):
+        for worker in work.workers.values():
+            if task in worker.runs:
+                worker.is_partitioned = True
+                work.run(5)
+                return worker
+        work.step()
+    raise AssertionError(f'{task} is not started')
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -77,7 +77,7 @@
 ENDLESS_SECONDS = 1000.0
 # Time after which starts respect the changed resources of a worker.
 NOTICE_SECONDS = 1.0
-# Time for which a worker that a task has crashed is down.
+# Usual time for which a crashed worker is down.
 DOWN_SECONDS = 3.0
 # Workers that a task may crash, and starts of it after that, before its starts
 # break the budget.
@@ -345,6 +345,8 @@
     deadly_seconds: float = 0
     # Workers that are about to crash, with their incarnation, and when.
     crashing: list[tuple[float, ModelWorker, int]] = field(factory=list)
+    # Time for which a worker that a task has crashed is down.
+    down_seconds: float = DOWN_SECONDS
     # Crashed workers, with the time of their return.
     down: list[tuple[float, ModelWorker]] = field(factory=list)
     phases: dict[str, Phase] = field(factory=dict)
@@ -703,7 +705,7 @@
     """Crash a worker, which returns after a while."""
     worker.crash(model.now)
     worker.is_partitioned = True
-    model.down.append((model.now + DOWN_SECONDS, worker))
+    model.down.append((model.now + model.down_seconds, worker))
 
 
 def crash_if_deadly(
