Show the explanation of a silent worker in the story of a job

`hornbeamstair trace` lists `silence_explained` of the workers that a job ran on. A scenario checks that each counted crash is logged as an expired lease first and is explained before its job is given up.

--- a/packages/operators/hornbeamstair_operators/traces.py
+++ b/packages/operators/hornbeamstair_operators/traces.py
@@ -23,6 +23,7 @@
 _WORKER_EVENTS: Final = frozenset(
     (
         'host_ordered',
+        'silence_explained',
         'worker_believed',
         'worker_quarantined',
     )
--- a/tests/features/expired_leases.feature
+++ b/tests/features/expired_leases.feature
@@ -121,3 +121,12 @@
     And its worker falls silent until a lease expires, then is contradicted by announcements, 6 times
     And 25 seconds pass
     Then every job is completed
+
+  Scenario: The log explains the silence of workers before a job is given up
+    Given the log of a modelled leader with 8 workers
+    And crashed workers return under new names
+    And crashed workers are down for 5 seconds
+    When 1 seconds pass
+    And a job of 4 long-running tasks is accepted whose first one crashes its workers
+    And 60 seconds pass
+    Then its log shows the expired leases of the first task, their explanations and the job given up
--- a/tests/features/steps/expired_lease_steps.py
+++ b/tests/features/steps/expired_lease_steps.py
@@ -8,6 +8,7 @@
 from hornbeamstair_callers.jobs.messages import JobState
 from hornbeamstair_core.ids import JobId, TaskId, WorkerId
 from hornbeamstair_upstreams.work.messages import RunEnd
+from tests.support.logs import read_log
 from tests.support.work_model import (
     ModelWorker,
     WorkModel,
@@ -170,6 +171,37 @@
     assert starts == count, starts
 
 
+@then(
+    'its log shows the expired leases of the first task, their explanations '
+    'and the job given up'
+)
+def check_log(context: Any) -> None:
+    """Check that each counted crash was expired first and then explained."""
+    task = context.work.deadly.copy().pop()
+    lines = read_log(context)
+    expired = {
+        row['worker']
+        for line in lines
+        if line['event'] == 'runs_ended'
+        for row in line['runs']
+        if row['task'] == task and row['proof'] == 'lease_expired'
+    }
+    explained = {
+        line['worker']
+        for line in lines
+        if line['event'] == 'silence_explained'
+        and line['verdict'] == 'worker_died'
+    }
+    given_up = next(line for line in lines if line['event'] == 'job_given_up')
+    confirmed = {
+        crash['worker']
+        for crash in given_up['crashes']
+        if crash['is_confirmed']
+    }
+    assert len(confirmed) >= 3, given_up
+    assert confirmed <= expired & explained, (expired, explained)
+
+
 def _count_expired(work: WorkModel) -> int:
     return sum(
         record.end == RunEnd.expired and record.task in work.deadly
