Send the address of a lost worker only with the ends of its expired runs

`RunEnded` had grown by the address of the worker, 15 to 24 bytes for each end of a run in the log (95 before, 119 with an address). The address is needed for expired runs alone, which have a record of their own now, `run_expired`. The runs that a new leader inherits from an unknown worker end as expired as well, by the time their leases have certainly expired.

--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -6,7 +6,11 @@
 
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import get_job_id, parse_task_id
-from hornbeamstair_callers.jobs.records import JobFailed, RunEnded
+from hornbeamstair_callers.jobs.records import (
+    JobFailed,
+    RunEnded,
+    RunExpired,
+)
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
@@ -52,15 +56,18 @@
     ) -> Iterator[Record]:
         run = ended.run
         self.waiting.in_flight[run.task] = now.monotonic
-        yield RunEnded(
+        common = (
             run.task,
             run.run,
             ended.end,
             ended.checkpoint,
             now.wall,
             run.is_proven,
-            session.get_address(),
         )
+        if ended.end == RunEnd.expired:
+            yield RunExpired(*common, session.get_address())
+        else:
+            yield RunEnded(*common)
         if ended.end == RunEnd.failed and self._is_last_attempt(run):
             yield JobFailed(get_job_id(run.task), now.wall)
 
--- a/packages/callers/hornbeamstair_callers/jobs/inheritance.py
+++ b/packages/callers/hornbeamstair_callers/jobs/inheritance.py
@@ -7,8 +7,10 @@
 
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import parse_task_id
+from hornbeamstair_callers.jobs.records import RunExpired
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.moments import Moment
+from hornbeamstair_upstreams.work.messages import RunEnd
 from hornbeamstair_upstreams.work.runs import Run, RunState
 
 __all__ = ('InheritedRuns',)
@@ -40,11 +42,22 @@
         """Return and remove the runs of a worker that is known now."""
         return self.runs_by_worker.pop(worker, [])
 
-    def expire(self, now: float) -> list[Run]:
-        """Return and remove the runs whose leases have certainly expired."""
-        if now < self.latest_expiry:
-            return []
-        expired = [run for runs in self.runs_by_worker.values() for run in runs]
+    def expire(self, now: Moment) -> tuple[RunExpired, ...]:
+        """Remove the runs whose leases have certainly expired, and end them."""
+        if now.monotonic < self.latest_expiry:
+            return ()
+        expired = tuple(
+            RunExpired(
+                run.task,
+                run.run,
+                RunEnd.expired,
+                '',
+                now.wall,
+                run.is_proven,
+            )
+            for runs in self.runs_by_worker.values()
+            for run in runs
+        )
         self.runs_by_worker.clear()
         return expired
 
--- a/packages/callers/hornbeamstair_callers/jobs/records.py
+++ b/packages/callers/hornbeamstair_callers/jobs/records.py
@@ -23,6 +23,7 @@
     'JobsForgotten',
     'RecordListener',
     'RunEnded',
+    'RunExpired',
     'RunStarted',
 )
 
@@ -96,6 +97,14 @@
     at: float
     # The worker was known to go on well after the start of the run.
     is_proven: bool = False
+
+
+@frozen
+class RunExpired(RunEnded):
+    """End of a run on a silent worker."""
+
+    kind: ClassVar[str] = 'run_expired'
+
     # Host and port of the worker; empty if unknown.
     address: str = ''
 
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -453,22 +453,11 @@
                 session.request_stop(run)
 
     def _expire_inherited(self, now: Moment) -> None:
-        expired = self.inherited.expire(now.monotonic)
+        expired = self.inherited.expire(now)
         if expired:
-            for run in expired:
-                self.waiting.in_flight[run.task] = now.monotonic
-            records = [
-                RunEnded(
-                    run.task,
-                    run.run,
-                    RunEnd.expired,
-                    '',
-                    now.wall,
-                    run.is_proven,
-                )
-                for run in expired
-            ]
-            self.effects.append(CommitBatch(tuple(records)))
+            for record in expired:
+                self.waiting.in_flight[record.task] = now.monotonic
+            self.effects.append(CommitBatch(expired))
 
     def _log_leader_change(self, *, holds: bool) -> None:
         log_event(
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -22,6 +22,7 @@
     JobsForgotten,
     RecordListener,
     RunEnded,
+    RunExpired,
     RunStarted,
 )
 from hornbeamstair_callers.jobs.worker_records import (
@@ -55,6 +56,7 @@
         JobFailed,
         JobsForgotten,
         RunEnded,
+        RunExpired,
         RunStarted,
         WorkerDied,
         WorkerSurvived,
@@ -185,7 +187,7 @@
             task.incarnation,
             record.at,
             not record.is_proven,
-            record.address,
+            record.address if isinstance(record, RunExpired) else '',
             is_confirmed=record.end == RunEnd.crashed,
         )
         job.crash_history.add(record.task, crash)
