--- /dev/null
+++ b/tests/features/silent_hosts.feature
@@ -0,0 +1,18 @@
+Feature: Silence proves nothing about hosts
+
+  The platform may be slow, limit the rate of reads, or leave out a host for a
+  moment; a worker may be unknown to a new leader.
+
+  Scenario: A host that is missing from one list after a gap is not removed
+    Given a wave of hosts "m0 m1" whose orders have the outcomes "unknown"
+    When the hosts are reconciled for 1 seconds
+    And the list of hosts cannot be read for 10 seconds
+    And the list lacks host m0 for 1 seconds
+    Then host m0 is at the step ordered
+    And the wave is not complete
+
+  Scenario: A host that is missing from all lists for long is removed
+    Given a wave of hosts "m0 m1" whose orders have the outcomes "unknown"
+    When the hosts are reconciled for 1 seconds
+    And the list lacks host m0 for 9 seconds
+    Then host m0 is at the step over
--- /dev/null
+++ b/tests/features/steps/silent_host_steps.py
@@ -0,0 +1,220 @@
+"""Steps on hosts about which the platform or a worker is silent."""
+
+from asyncio import run
+from random import Random
+from typing import Any
+
+from attrs import evolve
+from behave import given, then, when
+
+from hornbeamstair_core.ids import HostId, PoolName, WorkerId
+from hornbeamstair_fleet.moves.messages import Move, MoveStarted
+from hornbeamstair_fleet.waves.messages import (
+    HostOutcome,
+    MaintenanceStarted,
+    MaintenanceUpdated,
+)
+from tests.support.host_lists import ScriptedHostsClient, make_listed_host
+from tests.support.waves import STEP_SECONDS, WaveModel
+from tests.support.work_model import WorkModel, replace_worker
+
+WAVE = 1
+
+
+@given('a wave of hosts "{names}" whose orders have the outcomes "{outcomes}"')
+def make_wave(context: Any, names: str, outcomes: str) -> None:
+    """Make a wave of idle hosts, and a host beside it."""
+    hosts = [
+        make_listed_host(name, WorkerId(f'before-{name}'))
+        for name in (*names.split(), 'm2')
+    ]
+    context.client = ScriptedHostsClient(
+        {host.host: host for host in hosts},
+        [HostOutcome(outcome) for outcome in outcomes.split()],
+    )
+    context.work = WorkModel(Random(1), worker_count=0)
+    context.waves = WaveModel(
+        context.work.scheduler,
+        context.client,
+        tuple(map(HostId, names.split())),
+    )
+    context.moves = context.waves.make_move_controller()
+
+
+@given('a platform that executes each order')
+def execute_orders(context: Any) -> None:
+    """Have orders replace the workers, whatever their outcome."""
+    context.client.executes = True
+
+
+@given('a move of host {name}')
+def add_move(context: Any, name: str) -> None:
+    """Record a move."""
+    host = context.client.hosts[HostId(name)]
+    move = Move(host.host, host.pool, PoolName('q'), host.worker)
+    context.waves.move_table.apply(MoveStarted(move))
+
+
+@given('runs that take {seconds:d} seconds')
+def set_run_seconds(context: Any, seconds: int) -> None:
+    """Set the duration of runs."""
+    context.work.short_seconds = seconds, seconds
+
+
+@when('the hosts are reconciled for {seconds:d} seconds')
+def reconcile(context: Any, seconds: int) -> None:
+    """Run the controllers of waves and moves."""
+    for _ in range(round(seconds / STEP_SECONDS)):
+        context.waves.run_for(STEP_SECONDS)
+        run(context.moves.reconcile(context.waves.scheduler))
+
+
+@when('the list of hosts has been read')
+def read_list(context: Any) -> None:
+    """Read the list."""
+    run(context.waves.controller.hosts.refresh(0))
+
+
+@when('the list of hosts cannot be read for {seconds:d} seconds')
+def hide_list(context: Any, seconds: int) -> None:
+    """Have the reads of the list fail for a while."""
+    context.client.is_readable = False
+    reconcile(context, seconds)
+    context.client.is_readable = True
+
+
+@when('the list lacks host {name} for {seconds:d} seconds')
+def hide_host(context: Any, name: str, seconds: int) -> None:
+    """Leave a host out of the lists."""
+    context.client.hidden = {HostId(name)}
+    reconcile(context, seconds)
+
+
+@when('another leader has the next worker of host {name} maintained')
+def maintain_elsewhere(context: Any, name: str) -> None:
+    """Record an accepted order for another worker than the listed one."""
+    host = HostId(name)
+    started = MaintenanceStarted(WAVE, host, WorkerId('next'))
+    context.waves.table.apply(started)
+    taken = MaintenanceUpdated(WAVE, host, is_taken=True, is_over=False)
+    context.waves.table.apply(taken)
+
+
+@when(
+    'this process leads again and cannot read the list for {seconds:d} seconds'
+)
+def lead_again(context: Any, seconds: int) -> None:
+    """Start another term of the process."""
+    context.work.change_leader()
+    context.waves.scheduler = context.work.scheduler
+    hide_list(context, seconds)
+
+
+@when('a wave names the host of its worker')
+def name_host(context: Any) -> None:
+    """Make a wave of the host that runs the only task."""
+    work = context.work
+    while not _find_busy(work):
+        work.step()
+    _make_wave(context, _find_busy(work))
+    run_both(context, 1)
+
+
+@when('a wave names the hosts of the workers that are not known yet')
+def name_unknown(context: Any) -> None:
+    """Make a wave of the hosts of inherited runs."""
+    unknown = context.work.scheduler.inherited.runs_by_worker
+    assert unknown
+    _make_wave(context, list(unknown))
+
+
+@when('the list cannot be read while another worker starts on that host')
+def replace_listed(context: Any) -> None:
+    """Replace the worker of the host; the task starts on the new one."""
+    work = context.work
+    context.client.is_readable = False
+    worker = _find_busy(work)[0]
+    known = set(work.workers)
+    replace_worker(work, worker)
+    host_id = context.waves.hosts[0]
+    name = next(name for name in work.workers if name not in known)
+    host = context.client.hosts[host_id]
+    context.client.hosts[host_id] = evolve(host, worker=name)
+    for other in work.workers.values():
+        # The task starts on the only worker that accepts starts.
+        other.refuses_starts = other.worker != name
+    run_both(context, 3)
+    assert _find_busy(work) == [name]
+
+
+@when('the list can be read again')
+def show_list(context: Any) -> None:
+    """Have the reads of the list succeed."""
+    context.client.is_readable = True
+
+
+@when('{seconds:d} seconds pass for the wave as well')
+def run_both(context: Any, seconds: int) -> None:
+    """Advance the workers and the controller of the wave together."""
+    work = context.work
+    end = work.now + seconds
+    while work.now < end:
+        work.run(STEP_SECONDS)
+        context.waves.now = work.now
+        run(context.waves.controller.reconcile(work.scheduler))
+
+
+@when('a move of host {name} is sent twice and throttled the second time')
+def send_twice(context: Any, name: str) -> None:
+    """Order a move and run its controller until the order is sent again."""
+    host = context.client.hosts[HostId(name)]
+    move = Move(host.host, host.pool, PoolName('q'), host.worker)
+    run(context.moves.start_moves((move,)))
+    while len(context.client.ordered) < 2:
+        context.waves.now += STEP_SECONDS
+        run(context.moves.reconcile(context.waves.scheduler))
+
+
+@then('host {name} is at the step {step}')
+def check_step(context: Any, name: str, step: str) -> None:
+    """Check the step of a host."""
+    progress = context.waves.table.waves[WAVE]
+    current = progress.steps[HostId(name)]
+    assert current.value == step, current
+
+
+@then('host {name} is moving')
+def check_moving(context: Any, name: str) -> None:
+    """Check that the move of a host is in progress."""
+    assert HostId(name) in context.waves.move_table.in_progress
+
+
+@then('host {name} is not moving')
+def check_not_moving(context: Any, name: str) -> None:
+    """Check that the move of a host is over."""
+    assert HostId(name) not in context.waves.move_table.in_progress
+
+
+@then('no order was given')
+def check_no_order(context: Any) -> None:
+    """Check the orders that the platform got."""
+    assert not context.client.ordered, context.client.ordered
+
+
+def _find_busy(work: WorkModel) -> list[WorkerId]:
+    return [name for name, worker in work.workers.items() if worker.runs]
+
+
+def _make_wave(context: Any, workers: list[WorkerId]) -> None:
+    hosts = [make_listed_host(f'm-{worker}', worker) for worker in workers]
+    context.client = ScriptedHostsClient(
+        {host.host: host for host in hosts},
+        [HostOutcome.done],
+    )
+    context.waves = WaveModel(
+        context.work.scheduler,
+        context.client,
+        tuple(context.client.hosts),
+        now=context.work.now,
+    )
+    context.moves = context.waves.make_move_controller()
