--- a/tests/features/silent_hosts.feature
+++ b/tests/features/silent_hosts.feature
@@ -16,3 +16,12 @@
     When the hosts are reconciled for 1 seconds
     And the list lacks host m0 for 9 seconds
     Then host m0 is at the step over
+
+  Scenario: A host that is missing from one list goes on moving
+    Given a wave of hosts "m0 m1" whose orders have the outcomes "unknown"
+    And a move of host m2
+    When the hosts are reconciled for 1 seconds
+    And the list lacks host m2 for 2 seconds
+    Then host m2 is moving
+    When the list lacks host m2 for 9 seconds
+    Then host m2 is not moving
