Forget the hosts seen in an earlier term of the leader

LIMIT: one host more than allowed could be down for a wave.

Cause: the list of hosts and the times of orders were kept while another process led. If this process led again and the first reads failed, its old list counted as newer than the other leader's orders: a host that was down for its maintenance was listed as up with another worker, and counted as returned.

Change: with each term the list, the absences and the times of orders begin anew. No host is ordered before the list has been read in the term.

Test: silent_hosts.feature, "A list of an earlier term does not end a maintenance": before the change the host's step was over, after it taken. fleet.feature holds, make check passes.

--- a/packages/callers/hornbeamstair_callers/endpoints/host_list.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/host_list.py
@@ -16,6 +16,7 @@
 # A host counts as removed after this time, since it may be missing from a list
 # for a moment.
 _ABSENT_SECONDS: Final = 6.0
+_NEVER: Final = -1000.0
 
 
 @define(eq=False)
@@ -25,12 +26,26 @@
     client: HostsClient
     get_time: Callable[[], float]
     hosts: dict[HostId, ListedHost] = field(factory=dict)
-    listed_at: float = -1000
+    listed_at: float = _NEVER
     # Time of the first of the lists in a row that lack a host.
     missing_since: dict[HostId, float] = field(factory=dict)
     is_known: bool = True
     # Time of the last order about a host.
     last_order_at: dict[HostId, float] = field(factory=dict)
+    # Term of this process as the leader in which all of this was seen.
+    term: int = 0
+
+    def start_term(self, term: int) -> None:
+        """Forget what was seen in an earlier term of this process.
+
+        Other leaders may have given orders since.
+        """
+        if term != self.term:
+            self.term = term
+            self.hosts = {}
+            self.listed_at = _NEVER
+            self.missing_since.clear()
+            self.last_order_at.clear()
 
     async def refresh(self, max_age_seconds: float) -> bool:
         """Read the list if it is too old; return whether there are hosts."""
@@ -57,7 +72,7 @@
 
     def is_newer_than_order(self, host: HostId) -> bool:
         """Return whether the list is newer than the last order about a host."""
-        return self.listed_at > self.last_order_at.get(host, -1000)
+        return self.listed_at > self.last_order_at.get(host, _NEVER)
 
     def is_removed(self, host: HostId) -> bool:
         """Return whether lists have lacked a host for some time."""
--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -78,6 +78,7 @@
 
     async def reconcile(self, scheduler: Scheduler) -> None:
         """Advance all waves and moves by one pass."""
+        self.hosts.start_term(scheduler.fencing_token)
         waves = list(self.table.get_incomplete())
         if waves:
             has_list = await self.hosts.refresh(_LIST_SECONDS)
--- a/tests/features/silent_hosts.feature
+++ b/tests/features/silent_hosts.feature
@@ -25,3 +25,10 @@
     Then host m2 is moving
     When the list lacks host m2 for 9 seconds
     Then host m2 is not moving
+
+  Scenario: A list of an earlier term does not end a maintenance
+    Given a wave of hosts "m0 m1" whose orders have the outcomes "refused"
+    When the list of hosts has been read
+    And another leader has the next worker of host m0 maintained
+    And this process leads again and cannot read the list for 2 seconds
+    Then host m0 is at the step taken
