Do not take the host of an unrecorded worker for idle

Cause: the table may hold runs on a worker that it does not (its record was lost with a previous leader, or it was removed and came back). Until that worker announces itself, a new leader keeps these runs apart, and the planners saw a worker without any load: a host that may be maintained at once.

Change: the loads that the planners get include the inherited runs of unknown workers, until their leases have certainly expired.

Test: silent_hosts.feature, "No order is given for a host with runs of an unrecorded worker": fails before the change (the host was ordered in the first second), passes after it. fleet.feature holds, make check passes.

--- a/packages/callers/hornbeamstair_callers/jobs/draining.py
+++ b/packages/callers/hornbeamstair_callers/jobs/draining.py
@@ -20,14 +20,19 @@
 
 
 def get_loads(scheduler: Scheduler) -> dict[WorkerId, HostLoad]:
-    """Get the load of each worker."""
+    """Get the load of each worker, and of unknown ones with inherited runs."""
+    runs_by_worker: dict[WorkerId, Collection[Run]] = {
+        worker: session.runs.values()
+        for worker, session in scheduler.sessions.items()
+    }
+    runs_by_worker.update(scheduler.inherited.runs_by_worker)
     return {
         worker: HostLoad(
-            len(session.runs),
-            max(map(_get_remaining_seconds, session.runs.values()), default=0),
-            any(run.needs.lasts for run in session.runs.values()),
+            len(runs),
+            max(map(_get_remaining_seconds, runs), default=0),
+            any(run.needs.lasts for run in runs),
         )
-        for worker, session in scheduler.sessions.items()
+        for worker, runs in runs_by_worker.items()
     }
 
 
--- a/tests/features/silent_hosts.feature
+++ b/tests/features/silent_hosts.feature
@@ -32,3 +32,11 @@
     And another leader has the next worker of host m0 maintained
     And this process leads again and cannot read the list for 2 seconds
     Then host m0 is at the step taken
+
+  Scenario: No order is given for a host with runs of an unrecorded worker
+    Given a work model with seed 18, 3 workers and no faults
+    When a job of 1 phases with 3 tasks each is accepted
+    And the leader changes and a busy worker is not recorded but returns
+    And a wave names the hosts of the workers that are not known yet
+    And the hosts are reconciled for 1 seconds
+    Then no order was given
