Keep an order without an answer open if its repetition is throttled

Duties missed: a wave is shown as running for good.

Cause: an order without an answer is sent again, and a platform that throttles the repetition was taken to say that nothing had been done. If the first order had been executed, the host was ordered once more under its next worker; the platform answered that this was done, and the wave waited for a worker after that one.

Change: a throttled repetition leaves the order open, for waves and for moves. It is sent again. A first order that is throttled was not executed, as before.

Test: silent_hosts.feature, "A throttled order does not show what became of the one before" (the wave was not complete after 15 s) and "A throttled move does not show what became of the one before" (the move was over): both fail before the change and pass after it. fleet.feature holds, make check passes.

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -1,7 +1,7 @@
 """Endpoint that executes maintenance waves while this process leads."""
 
 from asyncio import Task, create_task, gather
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from types import MappingProxyType
 from typing import Final
 
@@ -185,7 +185,7 @@
         ]
         for host in due:
             scheduler.reserve(host.worker)
-        await self._send_orders(progress, due)
+        await self._send_orders(progress, due, _REPEATED_STEPS)
 
     def _get_effective_hosts(
         self,
@@ -257,22 +257,24 @@
             await self._send_orders(
                 progress,
                 [host for host in started if host.host in ordered],
+                _STEPS,
             )
 
     async def _send_orders(
         self,
         progress: WaveProgress,
         hosts: Sequence[ListedHost],
+        steps: Mapping[HostOutcome, HostStep],
     ) -> None:
-        """Send orders about hosts and record their outcomes."""
+        """Send orders about hosts and record the steps of their outcomes."""
         outcomes = await gather(
             *(self._send_order(progress, host) for host in hosts),
         )
         await self._commit(
             [
-                _make_update(progress, host.host, step)
-                for host, step in zip(hosts, outcomes, strict=True)
-                if step != HostStep.ordered
+                _make_update(progress, host.host, steps[outcome])
+                for host, outcome in zip(hosts, outcomes, strict=True)
+                if outcome in steps
             ],
         )
 
@@ -280,11 +282,11 @@
         self,
         progress: WaveProgress,
         host: ListedHost,
-    ) -> HostStep:
-        """Send an order about a host; return the resulting step."""
+    ) -> HostOutcome:
+        """Send an order about a host; return its outcome."""
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
-            return HostStep.ordered
+            return HostOutcome.unknown
         now = self.get_moment()
         outcome = await self.hosts.client.maintain(
             HostOrder(
@@ -311,7 +313,7 @@
             # that the host has since.
             before = progress.workers.get(host.host, host.worker)
             scheduler.handle_withdrawal(before, self.get_moment())
-        return _STEPS.get(outcome, HostStep.ordered)
+        return outcome
 
     async def _commit(self, records: Sequence[Record]) -> bool:
         """Commit records, if any; return whether they were committed."""
@@ -330,6 +332,15 @@
         HostOutcome.throttled: HostStep.waiting,
     },
 )
+# Step of a host after an order that was sent again: if the platform throttles
+# it, the order before may have been executed all the same.
+_REPEATED_STEPS: Final = MappingProxyType(
+    {
+        HostOutcome.done: HostStep.taken,
+        HostOutcome.busy: HostStep.waiting,
+        HostOutcome.refused: HostStep.waiting,
+    },
+)
 
 
 def _make_update(
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -1,7 +1,7 @@
 """Endpoint that moves hosts between pools while this process leads."""
 
 from asyncio import gather
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Final
 
 from attrs import define, field
@@ -39,6 +39,9 @@
 _NO_EFFECT: Final = frozenset(
     (HostOutcome.busy, HostOutcome.refused, HostOutcome.throttled),
 )
+# The same of orders that were sent again: if the platform throttles one, the
+# order before may have been executed all the same.
+_NO_EFFECT_REPEATED: Final = _NO_EFFECT - {HostOutcome.throttled}
 # Interval at which the capacity of each pool is logged.
 _LOG_SECONDS: Final = 0.5
 
@@ -89,7 +92,7 @@
             recorded = [
                 move for move in moves if in_progress.get(move.host) == move
             ]
-            await gather(*map(self._send_order, recorded))
+            await self._send_orders(recorded, _NO_EFFECT)
 
     def get_ordered_workers(self) -> set[WorkerId]:
         """Get the workers whose hosts may be moved at any moment.
@@ -146,7 +149,19 @@
         session.is_reserved = not session.runs
         return session.is_reserved
 
-    async def _send_order(self, move: Move) -> None:
+    async def _send_orders(
+        self,
+        moves: Sequence[Move],
+        no_effect: Collection[HostOutcome],
+    ) -> None:
+        """Send the orders of moves; end those whose outcome has no effect."""
+        await gather(*(self._send_order(move, no_effect) for move in moves))
+
+    async def _send_order(
+        self,
+        move: Move,
+        no_effect: Collection[HostOutcome],
+    ) -> None:
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
             return
@@ -167,7 +182,7 @@
         )
         if outcome == HostOutcome.done:
             scheduler.handle_withdrawal(move.worker, self.get_moment())
-        elif outcome in _NO_EFFECT:
+        elif outcome in no_effect:
             if outcome == HostOutcome.refused:
                 self.planner.add_refusal(move.host, move.pool)
             await self.runner.commit((MoveFinished(move.host),))
@@ -189,7 +204,7 @@
         lost = [move for move in listed if self._should_resend(scheduler, move)]
         for move in lost:
             scheduler.reserve(self.hosts.hosts[move.host].worker)
-        await gather(*map(self._send_order, lost))
+        await self._send_orders(lost, _NO_EFFECT_REPEATED)
 
     def _is_finished(self, move: Move) -> bool:
         host = self.hosts.hosts.get(move.host)
--- a/tests/features/silent_hosts.feature
+++ b/tests/features/silent_hosts.feature
@@ -40,3 +40,14 @@
     And a wave names the hosts of the workers that are not known yet
     And the hosts are reconciled for 1 seconds
     Then no order was given
+
+  Scenario: A throttled order does not show what became of the one before
+    Given a wave of hosts "m0" whose orders have the outcomes "unknown throttled done"
+    And a platform that executes each order
+    When the hosts are reconciled for 15 seconds
+    Then the wave is complete
+
+  Scenario: A throttled move does not show what became of the one before
+    Given a wave of hosts "m0 m1" whose orders have the outcomes "unknown throttled"
+    When a move of host m2 is sent twice and throttled the second time
+    Then host m2 is moving
