Order the host of a silent worker only by a list that is fresh

AVAIL, or work thrown away: the runs of a worker that has just started on the host end with the order.

Cause: a host was taken for idle if the worker that the list shows there has no runs. A worker that crashed, or was cut off until its leases had expired, has none; its host may have the next worker, with runs, since the list was read, up to 1.2 s before for waves and 3 s for moves, and longer while reads fail. A move of a host that is only cut off gains nothing besides.

Change: a listed worker that answers is proof enough, however old the list is. For the host of one that does not answer, a wave reads the list again (0.3 s old at most) and orders only if it shows the same; for a worker that the leader does not know the list is 1.2 s old at most. Moves leave hosts of silent workers alone.

Test: silent_hosts.feature, "No order is given for a host whose worker has been replaced" and "The host of a worker that does not answer is not moved": both fail before the change (the host was ordered) and pass after it. fleet.feature holds, make check passes. The cost in reads of the list was not measured.

--- a/packages/callers/hornbeamstair_callers/endpoints/host_list.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/host_list.py
@@ -66,6 +66,10 @@
                 self.missing_since.pop(host_id, None)
         return bool(self.hosts)
 
+    def get_age(self) -> float:
+        """Get the seconds since the list was read."""
+        return self.get_time() - self.listed_at
+
     def update_order_time(self, host: HostId) -> None:
         """Set the time of the last order about a host to now."""
         self.last_order_at[host] = self.get_time()
--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -2,6 +2,7 @@
 
 from asyncio import Task, create_task, gather
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from math import inf
 from types import MappingProxyType
 from typing import Final
 
@@ -9,7 +10,11 @@
 
 from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.endpoints.moves import MoveController
-from hornbeamstair_callers.jobs.draining import drain_workers, get_loads
+from hornbeamstair_callers.jobs.draining import (
+    drain_workers,
+    get_loads,
+    is_answering,
+)
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.background import repeat
@@ -33,6 +38,7 @@
     WaveTable,
 )
 from hornbeamstair_upstreams.work.sender import ORDER_VALID_SECONDS
+from hornbeamstair_upstreams.work.session import WorkerSession
 
 __all__ = ('MaintenanceController',)
 
@@ -40,6 +46,9 @@
 # Maximum age of the host list: each read has a cost, and a host is down for
 # longer than this.
 _LIST_SECONDS: Final = 1.2
+# Maximum age of the host list for an order about the host of a worker that does
+# not answer: a new worker takes longer to start, to be polled and to get runs.
+_FRESH_LIST_SECONDS: Final = 0.3
 # Time after which an order without a clear outcome is sent again.
 _RESEND_SECONDS: Final = 1.5
 # Upper bound of a maintenance including the lag of the host list.
@@ -236,10 +245,13 @@
         progress: WaveProgress,
         planned: Sequence[ListedHost],
     ) -> None:
+        current = await self._find_current(scheduler, planned)
+        if scheduler is not self.runner.find_scheduler():
+            return
         # A run may have been placed since the plan was made.
         idle = [
             host
-            for host in planned
+            for host in current
             if not scheduler.has_runs(host.worker)
             and not self._is_down_for_another(progress, host.host)
         ]
@@ -260,6 +272,30 @@
                 _STEPS,
             )
 
+    async def _find_current(
+        self,
+        scheduler: Scheduler,
+        planned: Sequence[ListedHost],
+    ) -> list[ListedHost]:
+        """Find the planned hosts that certainly have the worker of the plan.
+
+        The host of a worker that does not answer may have another one, with
+        runs, since it was listed.
+        """
+        now = self.get_moment()
+        max_ages = {
+            host.host: _get_max_age(scheduler.sessions.get(host.worker), now)
+            for host in planned
+        }
+        await self.hosts.refresh(min(max_ages.values(), default=inf))
+        age = self.hosts.get_age()
+        return [
+            host
+            for host in planned
+            if age <= max_ages[host.host]
+            and self.hosts.hosts.get(host.host) == host
+        ]
+
     async def _send_orders(
         self,
         progress: WaveProgress,
@@ -343,6 +379,13 @@
 )
 
 
+def _get_max_age(session: WorkerSession | None, now: Moment) -> float:
+    """Get the maximum age of a list that shows a worker on a host."""
+    if session is None:
+        return _LIST_SECONDS
+    return inf if is_answering(session, now) else _FRESH_LIST_SECONDS
+
+
 def _make_update(
     progress: WaveProgress,
     host: HostId,
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -8,7 +8,7 @@
 
 from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.jobs.demand import get_demands
-from hornbeamstair_callers.jobs.draining import get_loads
+from hornbeamstair_callers.jobs.draining import get_loads, is_answering
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.events import log_event
@@ -145,6 +145,9 @@
         if session.is_reserved:
             # The worker is reserved for the maintenance of its host.
             return False
+        if not is_answering(session, self.get_moment()):
+            # The host may have another worker, with runs, since it was listed.
+            return False
         # A run may have been placed since the plan was made.
         session.is_reserved = not session.runs
         return session.is_reserved
--- a/packages/callers/hornbeamstair_callers/jobs/draining.py
+++ b/packages/callers/hornbeamstair_callers/jobs/draining.py
@@ -11,7 +11,7 @@
 from hornbeamstair_upstreams.work.runs import Run, RunState
 from hornbeamstair_upstreams.work.session import WorkerSession
 
-__all__ = ('drain_workers', 'get_loads', 'fits_elsewhere')
+__all__ = ('drain_workers', 'get_loads', 'fits_elsewhere', 'is_answering')
 
 _COMPLETE_PERCENT = 100
 # Estimated time until a long-running run is restarted elsewhere, which must
@@ -36,6 +36,12 @@
     }
 
 
+def is_answering(session: WorkerSession, now: Moment) -> bool:
+    """Return whether a worker answers, which shows that it is on its host."""
+    has_ended = session.terminated_at is not None
+    return session.is_responsive(now.monotonic) and not has_ended
+
+
 def drain_workers(
     scheduler: Scheduler,
     reserved: Collection[WorkerId],
--- a/tests/features/silent_hosts.feature
+++ b/tests/features/silent_hosts.feature
@@ -33,6 +33,17 @@
     And this process leads again and cannot read the list for 2 seconds
     Then host m0 is at the step taken
 
+  Scenario: No order is given for a host whose worker has been replaced
+    Given a work model with seed 60, 2 workers and no faults
+    And runs that take 60 seconds
+    When a job of 1 phases with 1 tasks each is accepted
+    And a wave names the host of its worker
+    And the list cannot be read while another worker starts on that host
+    Then no order was given
+    When the list can be read again
+    And 3 seconds pass for the wave as well
+    Then no order was given
+
   Scenario: No order is given for a host with runs of an unrecorded worker
     Given a work model with seed 18, 3 workers and no faults
     When a job of 1 phases with 3 tasks each is accepted
@@ -51,3 +62,11 @@
     Given a wave of hosts "m0 m1" whose orders have the outcomes "unknown throttled"
     When a move of host m2 is sent twice and throttled the second time
     Then host m2 is moving
+
+  Scenario: The host of a worker that does not answer is not moved
+    Given a work model with seed 65, 2 workers and no faults
+    When 1 seconds pass
+    And a move is planned of the host of a worker that has fallen silent
+    Then no order was given
+    When its worker answers again
+    Then the host is ordered to move
--- a/tests/features/steps/silent_host_steps.py
+++ b/tests/features/steps/silent_host_steps.py
@@ -1,14 +1,17 @@
 """Steps on hosts about which the platform or a worker is silent."""
 
 from asyncio import run
+from collections.abc import Iterator
 from random import Random
 from typing import Any
 
-from attrs import evolve
+from attrs import define, evolve
 from behave import given, then, when
 
 from hornbeamstair_core.ids import HostId, PoolName, WorkerId
+from hornbeamstair_fleet.events import PoolCapacityEvent
 from hornbeamstair_fleet.moves.messages import Move, MoveStarted
+from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
 from hornbeamstair_fleet.waves.messages import (
     HostOutcome,
     MaintenanceStarted,
@@ -19,6 +22,23 @@
 from tests.support.work_model import WorkModel, replace_worker
 
 WAVE = 1
+# By then all leases of a silent worker have expired.
+EXPIRY_SECONDS = 5
+
+
+@define(eq=False)
+class OneMovePlanner(MovePlanner):
+    """Planner that plans the same move again and again."""
+
+    move: Move | None = None
+
+    def plan(self, view: PoolView, now: float) -> list[Move]:
+        """Plan the move."""
+        return [] if self.move is None else [self.move]
+
+    def get_events(self, view: PoolView) -> Iterator[PoolCapacityEvent]:
+        """Get no events."""
+        return iter(())
 
 
 @given('a wave of hosts "{names}" whose orders have the outcomes "{outcomes}"')
@@ -175,6 +195,37 @@
         run(context.moves.reconcile(context.waves.scheduler))
 
 
+@when('a move is planned of the host of a worker that has fallen silent')
+def plan_move(context: Any) -> None:
+    """Plan to move the host of a worker whose leases have expired."""
+    work = context.work
+    worker = next(iter(work.workers))
+    host = make_listed_host('m', worker)
+    context.client = ScriptedHostsClient(
+        {host.host: host}, [HostOutcome.unknown]
+    )
+    context.waves = WaveModel(work.scheduler, context.client, ())
+    context.moves = context.waves.make_move_controller()
+    move = Move(host.host, host.pool, PoolName('q'), worker)
+    context.moves.planner = OneMovePlanner(move=move)
+    work.workers[worker].is_partitioned = True
+    reconcile_moves(context)
+
+
+@when('its worker answers again')
+def reach_worker(context: Any) -> None:
+    """Heal the partition."""
+    for worker in context.work.workers.values():
+        worker.is_partitioned = False
+    reconcile_moves(context)
+
+
+@then('the host is ordered to move')
+def check_move_ordered(context: Any) -> None:
+    """Check that the platform got the order."""
+    assert context.client.ordered == [HostId('m')], context.client.ordered
+
+
 @then('host {name} is at the step {step}')
 def check_step(context: Any, name: str, step: str) -> None:
     """Check the step of a host."""
@@ -205,6 +256,13 @@
     return [name for name, worker in work.workers.items() if worker.runs]
 
 
+def reconcile_moves(context: Any) -> None:
+    """Advance the workers, then run the controller of the moves once."""
+    context.work.run(EXPIRY_SECONDS)
+    context.waves.now = context.work.now
+    run(context.moves.reconcile(context.work.scheduler))
+
+
 def _make_wave(context: Any, workers: list[WorkerId]) -> None:
     hosts = [make_listed_host(f'm-{worker}', worker) for worker in workers]
     context.client = ScriptedHostsClient(
