Count an answer from the time at which the worker gave it

No rule is known to break by it; work was placed on a worker that may have been down for seconds, and a run counted as proven to have outlived its start (deadly tasks are found later then).

Cause: an answer to a poll counted as a sign of life at the time at which this process got to read it. If the process had been paused meanwhile, its own silence proved that the worker went on.

Change: the answer counts from the latest time at which the worker can have given it, by the worker's clock and by the longest time for which senders wait. Answers that are less than 0.8 s old count as before.

--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -17,6 +17,8 @@
 
 # A worker that goes on for this time has most likely survived the start.
 _PROVING_SECONDS: Final = 0.5
+# Longest time for which senders wait for an answer beyond that of the poll.
+_TRANSIT_SECONDS: Final = 0.8
 # A worker lists at most so many ends in one answer.
 _MAX_ENDS_PER_POLL: Final = 500
 
@@ -46,7 +48,8 @@
         ended.extend(session.end_incarnation(answer.incarnation, now))
     if session.is_unresponsive or not session.is_synced:
         session.handle_regained()
-    session.answered_at = now
+    answered_at = _get_answer_time(session, answer, sent_at, now)
+    session.answered_at = answered_at
     session.handle_sign_of_life(sent_at)
     if not session.is_synced:
         session.is_synced = True
@@ -56,7 +59,7 @@
     session.update_clock(answer.clock, now)
     ended.extend(_apply_ends(session, answer.ended))
     listed = {report.task: report for report in answer.running}
-    _apply_running(session, listed, now)
+    _apply_running(session, listed, answered_at)
     if len(answer.ended) < _MAX_ENDS_PER_POLL:
         missing = _find_missing(session, listed, sent_at)
         ended.extend(session.remove_lost(missing))
@@ -64,6 +67,23 @@
     return ended
 
 
+def _get_answer_time(
+    session: WorkerSession,
+    answer: PollAnswer,
+    sent_at: float,
+    now: float,
+) -> float:
+    """Get the latest time at which the worker can have answered.
+
+    An answer may have waited for this process while that was paused.
+    """
+    latest = sent_at + session.terms.wait + _TRANSIT_SECONDS
+    clock = session.lease.clock
+    if clock is not None and answer.clock is not None:
+        latest = min(latest, clock.get_latest_local_time(answer.clock))
+    return now if now - latest <= _TRANSIT_SECONDS else latest
+
+
 def _apply_ends(
     session: WorkerSession,
     reports: Iterable[EndReport],
