Do not await a host in its new pool that has gone down

A pool stayed short by one host for good; no rule is known to break by it.

Cause: a move stays open until the list shows its host in the new pool. A host that is lost for good while its move is open is listed as down, counts as coming all that time, and the planner asks for one host less.

Change: a host that is listed as down does not count as coming.

Test: silent_hosts.feature, "A host that went down as it moved is not awaited in its pool": fails before the change (no move planned), passes after it. fleet.feature holds, make check passes.

What remains: the move itself stays open, and the list is read as often as while hosts move, until the platform removes the host.

--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -101,7 +101,7 @@
             for host in view.hosts.values()
             if host.state == HostState.up
         )
-        incoming = Counter(view.in_progress.values())
+        incoming = _count_incoming(view)
         for pool, demand in view.demands.items():
             yield PoolCapacityEvent(
                 pool,
@@ -176,7 +176,7 @@
         now: float,
     ) -> Iterator[Move]:
         """Plan moves to pools that require more capacity than they have."""
-        incoming = Counter(view.in_progress.values())
+        incoming = _count_incoming(view)
         incoming.update(self._get_joining(view, now))
         shares = self._share_capacity(view, incoming)
         left = self._get_movable(view, idle, RetainedCapacity({}, shares))
@@ -280,6 +280,18 @@
         return host.pool != pool and (host.host, pool) not in self.refused_moves
 
 
+def _count_incoming(view: PoolView) -> 'Counter[PoolName]':
+    """Count the hosts on their way to each pool; one that is down is not."""
+    down = {
+        host.host
+        for host in view.hosts.values()
+        if host.state == HostState.down
+    }
+    return Counter(
+        pool for host, pool in view.in_progress.items() if host not in down
+    )
+
+
 def _get_total_capacity(
     view: PoolView, incoming: Mapping[PoolName, int]
 ) -> int:
--- a/tests/features/silent_hosts.feature
+++ b/tests/features/silent_hosts.feature
@@ -70,3 +70,11 @@
     Then no order was given
     When its worker answers again
     Then the host is ordered to move
+
+  Scenario: A host that went down as it moved is not awaited in its pool
+    Given a standby pool with 2 hosts and a busy pool with 2
+    When the busy pool requires 1 more host while host m0 moves there
+    Then 0 hosts move to the busy pool
+    When host m0 goes down
+    And the busy pool requires 1 more host while host m0 moves there
+    Then 1 hosts move to the busy pool
--- a/tests/features/steps/silent_host_steps.py
+++ b/tests/features/steps/silent_host_steps.py
@@ -10,18 +10,21 @@
 
 from hornbeamstair_core.ids import HostId, PoolName, WorkerId
 from hornbeamstair_fleet.events import PoolCapacityEvent
-from hornbeamstair_fleet.moves.messages import Move, MoveStarted
+from hornbeamstair_fleet.moves.messages import Move, MoveStarted, PoolDemand
 from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
 from hornbeamstair_fleet.waves.messages import (
     HostOutcome,
+    HostState,
     MaintenanceStarted,
     MaintenanceUpdated,
 )
+from tests.features.steps.fleet_steps import BUSY, STANDBY
 from tests.support.host_lists import ScriptedHostsClient, make_listed_host
 from tests.support.waves import STEP_SECONDS, WaveModel
 from tests.support.work_model import WorkModel, replace_worker
 
 WAVE = 1
+HOST_CPU = 16000
 # By then all leases of a silent worker have expired.
 EXPIRY_SECONDS = 5
 
@@ -220,6 +223,29 @@
     reconcile_moves(context)
 
 
+@when('the busy pool requires 1 more host while host {name} moves there')
+def plan_beside_move(context: Any, name: str) -> None:
+    """Plan with a move in progress to a pool that lacks one host."""
+    # 0.65 is the target utilization of the forecast.
+    usable = round(3 * HOST_CPU * 0.65)
+    demand = PoolDemand(BUSY, False, usable, 0, 2 * HOST_CPU, HOST_CPU, 0)
+    standby = PoolDemand(STANDBY, True, 0, 0, 0, 0, 0)
+    view = PoolView(
+        {BUSY: demand, STANDBY: standby},
+        context.hosts,
+        context.loads,
+        {HostId(name): BUSY},
+    )
+    context.plan = MovePlanner().plan(view, 100)
+
+
+@when('host {name} goes down')
+def lose_host(context: Any, name: str) -> None:
+    """Have the list show a host as down."""
+    host = context.hosts[HostId(name)]
+    context.hosts[host.host] = evolve(host, state=HostState.down)
+
+
 @then('the host is ordered to move')
 def check_move_ordered(context: Any) -> None:
     """Check that the platform got the order."""
