--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -1,7 +1,8 @@
 """Endpoint that executes maintenance waves while this process leads."""
 
 from asyncio import Task, create_task, gather
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from math import inf
 from types import MappingProxyType
 from typing import Final
 
@@ -9,7 +10,11 @@
 
 from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.endpoints.moves import MoveController
-from hornbeamstair_callers.jobs.draining import drain_workers, get_loads
+from hornbeamstair_callers.jobs.draining import (
+    drain_workers,
+    get_loads,
+    is_answering,
+)
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.background import repeat
@@ -33,6 +38,7 @@
     WaveTable,
 )
 from hornbeamstair_upstreams.work.sender import ORDER_VALID_SECONDS
+from hornbeamstair_upstreams.work.session import WorkerSession
 
 __all__ = ('MaintenanceController',)
 
@@ -40,13 +46,13 @@
 # Maximum age of the host list: each read has a cost, and a host is down for
 # longer than this.
 _LIST_SECONDS: Final = 1.2
+# Maximum age of the host list for an order about the host of a worker that does
+# not answer: a new worker takes longer to start, to be polled and to get runs.
+_FRESH_LIST_SECONDS: Final = 0.3
 # Time after which an order without a clear outcome is sent again.
 _RESEND_SECONDS: Final = 1.5
 # Upper bound of a maintenance including the lag of the host list.
 _MAX_MAINTENANCE_SECONDS: Final = 4.0
-# A host counts as removed after this time, since it may be missing from a list
-# for a moment.
-_ABSENT_SECONDS: Final = 6.0
 
 
 @define(eq=False)
@@ -81,6 +87,7 @@
 
     async def reconcile(self, scheduler: Scheduler) -> None:
         """Advance all waves and moves by one pass."""
+        self.hosts.start_term(scheduler.fencing_token)
         waves = list(self.table.get_incomplete())
         if waves:
             has_list = await self.hosts.refresh(_LIST_SECONDS)
@@ -155,9 +162,7 @@
         host = self.hosts.hosts.get(host_id)
         if host is None:
             # The host may have been removed from the platform.
-            is_removed = (
-                self.hosts.get_absence_seconds(host_id) > _ABSENT_SECONDS
-            )
+            is_removed = self.hosts.is_removed(host_id)
             return HostStep.over if is_removed else step
         if step == HostStep.ordered and host.state == HostState.maintenance:
             # The list does not tell for which wave a host is down.
@@ -189,7 +194,7 @@
         ]
         for host in due:
             scheduler.reserve(host.worker)
-        await self._send_orders(progress, due)
+        await self._send_orders(progress, due, _REPEATED_STEPS)
 
     def _get_effective_hosts(
         self,
@@ -240,10 +245,13 @@
         progress: WaveProgress,
         planned: Sequence[ListedHost],
     ) -> None:
+        current = await self._find_current(scheduler, planned)
+        if scheduler is not self.runner.find_scheduler():
+            return
         # A run may have been placed since the plan was made.
         idle = [
             host
-            for host in planned
+            for host in current
             if not scheduler.has_runs(host.worker)
             and not self._is_down_for_another(progress, host.host)
         ]
@@ -261,22 +269,48 @@
             await self._send_orders(
                 progress,
                 [host for host in started if host.host in ordered],
+                _STEPS,
             )
 
+    async def _find_current(
+        self,
+        scheduler: Scheduler,
+        planned: Sequence[ListedHost],
+    ) -> list[ListedHost]:
+        """Find the planned hosts that certainly have the worker of the plan.
+
+        The host of a worker that does not answer may have another one, with
+        runs, since it was listed.
+        """
+        now = self.get_moment()
+        max_ages = {
+            host.host: _get_max_age(scheduler.sessions.get(host.worker), now)
+            for host in planned
+        }
+        await self.hosts.refresh(min(max_ages.values(), default=inf))
+        age = self.hosts.get_age()
+        return [
+            host
+            for host in planned
+            if age <= max_ages[host.host]
+            and self.hosts.hosts.get(host.host) == host
+        ]
+
     async def _send_orders(
         self,
         progress: WaveProgress,
         hosts: Sequence[ListedHost],
+        steps: Mapping[HostOutcome, HostStep],
     ) -> None:
-        """Send orders about hosts and record their outcomes."""
+        """Send orders about hosts and record the steps of their outcomes."""
         outcomes = await gather(
             *(self._send_order(progress, host) for host in hosts),
         )
         await self._commit(
             [
-                _make_update(progress, host.host, step)
-                for host, step in zip(hosts, outcomes, strict=True)
-                if step != HostStep.ordered
+                _make_update(progress, host.host, steps[outcome])
+                for host, outcome in zip(hosts, outcomes, strict=True)
+                if outcome in steps
             ],
         )
 
@@ -284,11 +318,11 @@
         self,
         progress: WaveProgress,
         host: ListedHost,
-    ) -> HostStep:
-        """Send an order about a host; return the resulting step."""
+    ) -> HostOutcome:
+        """Send an order about a host; return its outcome."""
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
-            return HostStep.ordered
+            return HostOutcome.unknown
         now = self.get_moment()
         outcome = await self.hosts.client.maintain(
             HostOrder(
@@ -315,7 +349,7 @@
             # that the host has since.
             before = progress.workers.get(host.host, host.worker)
             scheduler.handle_withdrawal(before, self.get_moment())
-        return _STEPS.get(outcome, HostStep.ordered)
+        return outcome
 
     async def _commit(self, records: Sequence[Record]) -> bool:
         """Commit records, if any; return whether they were committed."""
@@ -334,6 +368,22 @@
         HostOutcome.throttled: HostStep.waiting,
     },
 )
+# Step of a host after an order that was sent again: if the platform throttles
+# it, the order before may have been executed all the same.
+_REPEATED_STEPS: Final = MappingProxyType(
+    {
+        HostOutcome.done: HostStep.taken,
+        HostOutcome.busy: HostStep.waiting,
+        HostOutcome.refused: HostStep.waiting,
+    },
+)
+
+
+def _get_max_age(session: WorkerSession | None, now: Moment) -> float:
+    """Get the maximum age of a list that shows a worker on a host."""
+    if session is None:
+        return _LIST_SECONDS
+    return inf if is_answering(session, now) else _FRESH_LIST_SECONDS
 
 
 def _make_update(
--- a/packages/callers/hornbeamstair_callers/jobs/draining.py
+++ b/packages/callers/hornbeamstair_callers/jobs/draining.py
@@ -11,7 +11,7 @@
 from hornbeamstair_upstreams.work.runs import Run, RunState
 from hornbeamstair_upstreams.work.session import WorkerSession
 
-__all__ = ('drain_workers', 'get_loads', 'fits_elsewhere')
+__all__ = ('drain_workers', 'get_loads', 'fits_elsewhere', 'is_answering')
 
 _COMPLETE_PERCENT = 100
 # Estimated time until a long-running run is restarted elsewhere, which must
@@ -20,17 +20,28 @@
 
 
 def get_loads(scheduler: Scheduler) -> dict[WorkerId, HostLoad]:
-    """Get the load of each worker."""
+    """Get the load of each worker, and of unknown ones with inherited runs."""
+    runs_by_worker: dict[WorkerId, Collection[Run]] = {
+        worker: session.runs.values()
+        for worker, session in scheduler.sessions.items()
+    }
+    runs_by_worker.update(scheduler.inherited.runs_by_worker)
     return {
         worker: HostLoad(
-            len(session.runs),
-            max(map(_get_remaining_seconds, session.runs.values()), default=0),
-            any(run.needs.lasts for run in session.runs.values()),
+            len(runs),
+            max(map(_get_remaining_seconds, runs), default=0),
+            any(run.needs.lasts for run in runs),
         )
-        for worker, session in scheduler.sessions.items()
+        for worker, runs in runs_by_worker.items()
     }
 
 
+def is_answering(session: WorkerSession, now: Moment) -> bool:
+    """Return whether a worker answers, which shows that it is on its host."""
+    has_ended = session.terminated_at is not None
+    return session.is_responsive(now.monotonic) and not has_ended
+
+
 def drain_workers(
     scheduler: Scheduler,
     reserved: Collection[WorkerId],
