Suspect no task for long of a silence that nothing explains

Cause: an expired lease isolated the task as a crash does, though silence proves none. Workers that have crashed are mostly back at about the time when the leases of their runs have expired.

Change: a crash that nothing has confirmed isolates its task for one second; a confirmed one as long as it counts.

--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -21,6 +21,9 @@
 # Number of crashes at any time at which the job fails. Bounds the damage of a
 # task that crashes its workers late, or around changes of the leader.
 _MAX_CRASHES: Final = 5
+# Workers that have crashed are mostly back at about the time when the leases of
+# their runs have expired.
+_SUSPICION_SECONDS: Final = 1.0
 # Pause of a task whose crashes would fail its job if all were confirmed. Longer
 # than a crashed worker takes to be back; doubled by each further one.
 _PAUSE_SECONDS: Final = 10.0
@@ -92,9 +95,17 @@
             crash for crash in self.crashes.get(task, ()) if crash.at > oldest
         )
 
-    def count_early(self, task: TaskId, wall: float) -> int:
-        """Count the recent crashes right after a start, confirmed or not."""
-        return sum(crash.is_early for crash in self.get_recent(task, wall))
+    def count_suspect(self, task: TaskId, wall: float) -> int:
+        """Count the crashes right after a start that a task is suspected of.
+
+        Silence that nothing has explained for a while is most likely that of a
+        worker that was cut off.
+        """
+        oldest_silent = wall - _SUSPICION_SECONDS
+        return sum(
+            crash.is_early and (crash.is_confirmed or crash.at > oldest_silent)
+            for crash in self.get_recent(task, wall)
+        )
 
     def find_exhausted(self, wall: float) -> TaskId | None:
         """Find a task that has used up the crashes that it may have."""
--- a/packages/callers/hornbeamstair_callers/jobs/job.py
+++ b/packages/callers/hornbeamstair_callers/jobs/job.py
@@ -87,7 +87,7 @@
 
         The members of a gang start together, and cannot be isolated.
         """
-        crashes = self.crash_history.count_early(task, wall)
+        crashes = self.crash_history.count_suspect(task, wall)
         if crashes and self.spec.phases[parse_task_id(task).key.phase].is_gang:
             return Isolation.none
         return get_isolation(crashes)
