Drop lost workers from the index with the crashes that are forgotten

A crash is forgotten once it is ten minutes old and another one comes under its task, but its worker stayed in the index of lost workers. Once the job had ended and was forgotten, the review raised KeyError at each tick, before any lease was checked or any task placed, until the leader changed.

Test: 2 of 2 examples raised KeyError before, and pass now.

--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -48,10 +48,20 @@
 
     crashes: dict[TaskId, tuple[Crash, ...]] = field(factory=dict)
 
-    def add(self, task: TaskId, crash: Crash) -> None:
-        """Add a crash, and forget those that are too old."""
+    def add(self, task: TaskId, crash: Crash) -> tuple[Crash, ...]:
+        """Add a crash; return those that are forgotten, since they are old."""
+        known = self.crashes.get(task, ())
         recent = self.get_recent(task, crash.at)
         self.crashes[task] = (*recent, crash)
+        return tuple(old for old in known if old not in recent)
+
+    def has_worker(self, worker: WorkerId, incarnation: int) -> bool:
+        """Return whether a worker was lost under any task."""
+        lost = (worker, incarnation)
+        return any(
+            (crash.worker, crash.incarnation) == lost
+            for crash in self.get_all()
+        )
 
     def confirm_worker(self, worker: WorkerId, incarnation: int) -> None:
         """Confirm the crashes of a worker that has gone down."""
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -188,7 +188,10 @@
             record.address,
             is_confirmed=record.end == RunEnd.crashed,
         )
-        job.crash_history.add(record.task, crash)
+        history = job.crash_history
+        for old in history.add(record.task, crash):
+            if not history.has_worker(old.worker, old.incarnation):
+                self.lost_workers.discard(job.spec.job, old)
         self.lost_workers.add(job.spec.job, crash)
 
     def _trim(self, job: Job) -> None:
--- /dev/null
+++ b/tests/features/crash_review.feature
@@ -0,0 +1,17 @@
+Feature: What became of silent workers is judged by proof
+
+  A crash that is confirmed may fail a job, and one that is taken back is
+  forgotten: neither may follow from what proves nothing.
+
+  Scenario Outline: A crash that is too old to count does not outlive its job
+    Given a work model with seed 71, 6 workers and no faults
+    When a task comes under which a worker <end> 700 seconds before another one
+    And its job is cancelled and forgotten
+    And another life of the first worker is recorded
+    And 3 seconds pass
+    Then no worker is lost under a job
+
+    Examples:
+      | end     |
+      | crashed |
+      | expired |
