Keep a task isolated after its pause

A task that waits for 2 s in vain for a worker without other starts is placed beside some. The time in which a task was paused counted as such a wait, so that a task under which three workers had been lost always started beside others, which are lost with the next one.

The wait is counted from the end of the pause. Test: failed before (isolation from suspects alone), passes now.

--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -120,11 +120,16 @@
 
     def is_paused(self, task: TaskId, wall: float) -> bool:
         """Return whether a task waits to learn what became of its workers."""
+        return self.get_wait_seconds(task, wall) < 0
+
+    def get_wait_seconds(self, task: TaskId, wall: float) -> float:
+        """Get the time since a task may start again; negative in a pause."""
         recent = self.get_recent(task, wall)
+        if not recent:
+            return math.inf
         excess = _count_excess(recent)
-        if excess < 0:
-            return False
-        return wall < recent[-1].at + math.ldexp(_PAUSE_SECONDS, excess)
+        pause = math.ldexp(_PAUSE_SECONDS, excess) if excess >= 0 else 0
+        return wall - recent[-1].at - pause
 
 
 def _count_excess(crashes: list[Crash] | tuple[Crash, ...]) -> int:
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -96,11 +96,8 @@
     ) -> list[RunStarted]:
         chosen: list[tuple[WorkerSession, Run]] = []
         wait_seconds = self.waiting.get_wait_seconds(ready, now.wall)
-        most_isolated = Isolation.from_starts
-        if wait_seconds > _ISOLATION_WAIT_SECONDS:
-            most_isolated = Isolation.from_suspects
         for task in tasks:
-            isolation = min(job.get_isolation(task, now.wall), most_isolated)
+            isolation = _get_isolation(job, task, wait_seconds, now)
             session = placement.choose(
                 ready.phase.needs,
                 ready.phase_id,
@@ -167,6 +164,22 @@
     return ready.tasks if paused and ready.phase.is_gang else paused
 
 
+def _get_isolation(
+    job: Job,
+    task: TaskId,
+    wait_seconds: float,
+    now: Moment,
+) -> Isolation:
+    """Get the isolation of a task; a pause is no wait for a worker."""
+    isolation = job.get_isolation(task, now.wall)
+    if isolation < Isolation.from_starts:
+        return isolation
+    own_seconds = job.crash_history.get_wait_seconds(task, now.wall)
+    if min(wait_seconds, own_seconds) > _ISOLATION_WAIT_SECONDS:
+        return Isolation.from_suspects
+    return isolation
+
+
 def _make_run(
     job: Job,
     ready: ReadyPhase,
--- a/tests/features/crash_review.feature
+++ b/tests/features/crash_review.feature
@@ -15,3 +15,10 @@
       | end     |
       | crashed |
       | expired |
+
+  Scenario: A pause does not end the isolation of a task
+    Given a work model with seed 72, 6 workers and no faults
+    When 1 seconds pass
+    And a task comes under which 3 workers have fallen silent
+    And 10.1 seconds pass
+    Then the task has started apart from other starts
