Bound the pause of a task when the wall clock is set back

The end of a pause is a time of the wall clock. After a step back, or on a new leader whose clock is behind, a task with three lost workers waited for the whole difference: its tasks did not run, and nothing else ended the pause if its workers stayed dark (LOST).

The pause is judged by the distance in time. A small step can still double it. Test: of steps of 5 and 3600 s back, the second failed before; both pass now.

--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -129,7 +129,8 @@
             return math.inf
         excess = _count_excess(recent)
         pause = math.ldexp(_PAUSE_SECONDS, excess) if excess >= 0 else 0
-        return wall - recent[-1].at - pause
+        # A clock that was set back since does not hold up the task.
+        return abs(wall - recent[-1].at) - pause
 
 
 def _count_excess(crashes: list[Crash] | tuple[Crash, ...]) -> int:
--- a/tests/features/crash_review.feature
+++ b/tests/features/crash_review.feature
@@ -22,3 +22,15 @@
     And a task comes under which 3 workers have fallen silent
     And 10.1 seconds pass
     Then the task has started apart from other starts
+
+  Scenario Outline: A clock that is set back holds up no task
+    Given a work model with seed 73, 6 workers and no faults
+    When 1 seconds pass
+    And a task comes under which 3 workers have fallen silent <ahead> seconds ahead
+    And 25 seconds pass
+    Then the task has started
+
+    Examples:
+      | ahead |
+      | 5     |
+      | 3600  |
