Judge an expired run by the incarnation that held it

An order to start that is sent just as its worker restarts is carried out by the next incarnation, which keeps the run. When its lease expired there, the crash named the incarnation that the start was recorded for: a later one was known at once, so that silence alone confirmed the crash, and an answer of the silent worker did not take it back. After three of these the job failed.

Test: failed before (the job is given up), passes now.

--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -60,6 +60,7 @@
             now.wall,
             run.is_proven,
             session.get_address(),
+            _get_silent_incarnation(session, ended),
         )
         if ended.end == RunEnd.failed and self._is_last_attempt(run):
             yield JobFailed(get_job_id(run.task), now.wall)
@@ -82,3 +83,13 @@
         return job.get_task(run.task).failures
     failed_runs = job.gang_failures.get(position.key.phase_id, ())
     return len(set(failed_runs) - {run.run})
+
+
+def _get_silent_incarnation(session: WorkerSession, ended: EndedRun) -> int:
+    """Get the incarnation that holds a run whose lease has expired.
+
+    An order may have reached a later incarnation than the one it was for.
+    """
+    if ended.end == RunEnd.expired:
+        return session.announced.incarnation
+    return 0
--- a/packages/callers/hornbeamstair_callers/jobs/records.py
+++ b/packages/callers/hornbeamstair_callers/jobs/records.py
@@ -98,6 +98,8 @@
     is_proven: bool = False
     # Host and port of the worker; empty if unknown.
     address: str = ''
+    # Incarnation whose lease has expired; 0 for the one that was to start it.
+    incarnation: int = 0
 
 
 class RecordListener(ABC):
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -182,7 +182,7 @@
     def _add_crash(self, job: Job, task: Task, record: RunEnded) -> None:
         crash = Crash(
             task.worker,
-            task.incarnation,
+            record.incarnation or task.incarnation,
             record.at,
             not record.is_proven,
             record.address,
--- a/tests/features/crash_review.feature
+++ b/tests/features/crash_review.feature
@@ -34,3 +34,11 @@
       | ahead |
       | 5     |
       | 3600  |
+
+  Scenario: A run that the next life of its worker has started outlives the last one
+    Given a work model with seed 74, 6 workers and no faults
+    When 1 seconds pass
+    And a job of 1 endless tasks with at most 1 unavailable
+    And its worker falls silent after each start, 4 times, and each worker restarts just before an order to start
+    And 25 seconds pass
+    Then no job has failed
