Take no crash back for an answer from before the lease expired

The answer to a poll may arrive after the leases of the runs have expired: it was held up on its way, or the leader stood still and checked the leases before it read the answer. It tells that the worker was up when the poll was answered, but it took back the crash that came after it, and with it the pause (BUDGET).

Only a poll that was sent after the expiry shows that the worker survived. Test: failed before (no worker is lost under the job), passes now.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -266,7 +266,8 @@
         self.unstarted.remove_started(report.task for report in answer.running)
         _log_responsiveness(session, was_unresponsive=was_unresponsive)
         self._commit_ends(session, ended, now)
-        self._report_survival(session, now)
+        if sent_at > session.expired_at:
+            self._report_survival(session, now)
         if session.health.quarantine_if_unhealthy(now.monotonic):
             _log_quarantine(session, 'consecutive runs failed')
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -85,6 +85,8 @@
     # The last poll was not answered, and no order has been answered since.
     is_unresponsive: bool = False
     answered_at: float = _LONG_AGO
+    # Time at which runs were last lost, since the lease had expired.
+    expired_at: float = _LONG_AGO
     terminated_at: float | None = None
     # Another worker was found at the address, and nothing was planned.
     is_replaced: bool = False
@@ -296,14 +298,14 @@
         """
         if now < self.lease.latest_expiry:
             return []
-        return self.remove_lost(
-            [
-                task
-                for task, run in self.runs.items()
-                if run.state != RunState.recorded
-            ],
-            EndProof.lease_expired,
-        )
+        lost = [
+            task
+            for task, run in self.runs.items()
+            if run.state != RunState.recorded
+        ]
+        if lost:
+            self.expired_at = now
+        return self.remove_lost(lost, EndProof.lease_expired)
 
     def terminate(self, now: float) -> None:
         """Mark the worker as terminating, unless it is already."""
--- a/tests/features/crash_review.feature
+++ b/tests/features/crash_review.feature
@@ -42,3 +42,11 @@
     And its worker falls silent after each start, 4 times, and each worker restarts just before an order to start
     And 25 seconds pass
     Then no job has failed
+
+  Scenario: An answer to a poll from before an expiry does not take a crash back
+    Given a work model with seed 76, 6 workers and no faults
+    When 1 seconds pass
+    And a job of 1 endless tasks with at most 1 unavailable
+    And its worker falls silent until a lease expires, and an older answer to a poll arrives
+    And 0.5 seconds pass
+    Then a worker is lost under a job
