Index lost workers by task, so that an explanation costs what it touches

The record that one worker died or survived rewrote the crashes of all tasks of each job that it had hit.

The index holds the tasks under which a worker was lost, and tasks with too few crashes are passed over. No test measures it; the scenarios of the crashes pass unchanged.

--- a/packages/callers/hornbeamstair_callers/jobs/crash_review.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crash_review.py
@@ -5,11 +5,11 @@
 
 from attrs import asdict, define, field
 
+from hornbeamstair_callers.jobs.crashes import Incarnation
 from hornbeamstair_callers.jobs.events import (
     JobGivenUpEvent,
     SilenceExplainedEvent,
 )
-from hornbeamstair_callers.jobs.lost_workers import Incarnation
 from hornbeamstair_callers.jobs.records import JobFailed
 from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_callers.jobs.worker_records import (
--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Iterator
-from itertools import chain
 from typing import Final
 
 from attrs import define, evolve, field, frozen
@@ -10,7 +9,9 @@
 from hornbeamstair_core.ids import TaskId, WorkerId
 from hornbeamstair_core.units import MINUTE
 
-__all__ = ('Crash', 'CrashHistory')
+__all__ = ('Crash', 'CrashHistory', 'Incarnation')
+
+Incarnation = tuple[WorkerId, int]
 
 # A task that crashes its workers is started again within minutes. Losses of
 # hosts under a task that runs for weeks are unrelated.
@@ -41,6 +42,10 @@
     # Another life of the worker was seen. Silence alone confirms nothing.
     is_confirmed: bool = False
 
+    def get_incarnation(self) -> Incarnation:
+        """Get the worker and its incarnation."""
+        return self.worker, self.incarnation
+
 
 @define(eq=False)
 class CrashHistory:
@@ -55,45 +60,30 @@
         self.crashes[task] = (*recent, crash)
         return tuple(old for old in known if old not in recent)
 
-    def has_worker(self, worker: WorkerId, incarnation: int) -> bool:
-        """Return whether a worker was lost under any task."""
-        lost = (worker, incarnation)
-        return any(
-            (crash.worker, crash.incarnation) == lost
-            for crash in self.get_all()
+    def confirm_worker(self, task: TaskId, incarnation: Incarnation) -> None:
+        """Confirm the crashes of a worker that has gone down under a task."""
+        self.crashes[task] = tuple(
+            evolve(crash, is_confirmed=True)
+            if crash.get_incarnation() == incarnation
+            else crash
+            for crash in self.crashes.get(task, ())
         )
 
-    def confirm_worker(self, worker: WorkerId, incarnation: int) -> None:
-        """Confirm the crashes of a worker that has gone down."""
-        crashed = (worker, incarnation)
-        self.crashes = {
-            task: tuple(
-                evolve(crash, is_confirmed=True)
-                if (crash.worker, crash.incarnation) == crashed
-                else crash
-                for crash in crashes
-            )
-            for task, crashes in self.crashes.items()
-        }
-
-    def remove_worker(self, worker: WorkerId, incarnation: int) -> None:
+    def remove_worker(self, task: TaskId, incarnation: Incarnation) -> None:
         """Remove the crashes of a worker that has not gone down."""
-        survived = (worker, incarnation)
-        self.crashes = {
-            task: left
-            for task, crashes in self.crashes.items()
-            if (
-                left := tuple(
-                    crash
-                    for crash in crashes
-                    if (crash.worker, crash.incarnation) != survived
-                )
-            )
-        }
-
-    def get_all(self) -> Iterator[Crash]:
+        left = tuple(
+            crash
+            for crash in self.crashes.pop(task, ())
+            if crash.get_incarnation() != incarnation
+        )
+        if left:
+            self.crashes[task] = left
+
+    def get_all(self) -> Iterator[tuple[TaskId, Crash]]:
         """Get the crashes under all tasks."""
-        return chain.from_iterable(self.crashes.values())
+        for task, crashes in self.crashes.items():
+            for crash in crashes:
+                yield task, crash
 
     def get_recent(self, task: TaskId, wall: float) -> tuple[Crash, ...]:
         """Get the crashes under a task that still count."""
@@ -108,7 +98,9 @@
 
     def find_exhausted(self, wall: float) -> TaskId | None:
         """Find a task that has used up the crashes that it may have."""
-        for task in self.crashes:
+        for task, crashes in self.crashes.items():
+            if len(crashes) < _MAX_EARLY_CRASHES:
+                continue
             confirmed = [
                 crash
                 for crash in self.get_recent(task, wall)
--- a/packages/callers/hornbeamstair_callers/jobs/lost_workers.py
+++ b/packages/callers/hornbeamstair_callers/jobs/lost_workers.py
@@ -4,22 +4,21 @@
 
 from attrs import define, field
 
-from hornbeamstair_callers.jobs.crashes import Crash
-from hornbeamstair_core.ids import JobId, WorkerId
+from hornbeamstair_callers.jobs.crashes import Crash, Incarnation
+from hornbeamstair_callers.jobs.messages import get_job_id
+from hornbeamstair_core.ids import JobId, TaskId
 
-__all__ = ('Incarnation', 'LostWorker', 'LostWorkers')
-
-Incarnation = tuple[WorkerId, int]
+__all__ = ('LostWorker', 'LostWorkers')
 
 
 @define(eq=False)
 class LostWorker:
-    """Incarnation of a worker that fell silent or went down under jobs."""
+    """Incarnation of a worker that fell silent or went down under tasks."""
 
     # Host and port; empty if unknown.
     address: str
     is_confirmed: bool = False
-    jobs: set[JobId] = field(factory=set)
+    tasks: set[TaskId] = field(factory=set)
 
 
 @define(eq=False)
@@ -32,36 +31,35 @@
         """Return whether an incarnation was lost under an open job."""
         return incarnation in self.workers
 
-    def add(self, job: JobId, crash: Crash) -> None:
-        """Add a crash under a job."""
+    def add(self, task: TaskId, crash: Crash) -> None:
+        """Add a crash under a task."""
         lost = self.workers.setdefault(
-            (crash.worker, crash.incarnation),
+            crash.get_incarnation(),
             LostWorker(crash.address),
         )
         lost.is_confirmed = lost.is_confirmed or crash.is_confirmed
-        lost.jobs.add(job)
+        lost.tasks.add(task)
 
-    def discard(self, job: JobId, crash: Crash) -> None:
-        """Remove a crash under a job that has ended."""
-        incarnation = (crash.worker, crash.incarnation)
-        lost = self.workers.get(incarnation)
+    def discard(self, task: TaskId, crash: Crash) -> None:
+        """Remove a crash under a task whose job has ended, or an old one."""
+        lost = self.workers.get(crash.get_incarnation())
         if lost is not None:
-            lost.jobs.discard(job)
-            if not lost.jobs:
-                self.workers.pop(incarnation)
+            lost.tasks.discard(task)
+            if not lost.tasks:
+                self.workers.pop(crash.get_incarnation())
 
-    def confirm(self, incarnation: Incarnation) -> set[JobId]:
-        """Mark an incarnation as gone down; return the jobs that it hit."""
+    def confirm(self, incarnation: Incarnation) -> set[TaskId]:
+        """Mark an incarnation as gone down; return the tasks that it hit."""
         lost = self.workers.get(incarnation)
         if lost is None:
             return set()
         lost.is_confirmed = True
-        return lost.jobs
+        return lost.tasks
 
-    def remove(self, incarnation: Incarnation) -> set[JobId]:
-        """Remove an incarnation that is up; return the jobs that it hit."""
+    def remove(self, incarnation: Incarnation) -> set[TaskId]:
+        """Remove an incarnation that is up; return the tasks that it hit."""
         lost = self.workers.pop(incarnation, None)
-        return set() if lost is None else lost.jobs
+        return set() if lost is None else lost.tasks
 
     def get_silent(self) -> Iterator[tuple[Incarnation, str]]:
         """Get the incarnations of silent workers with their addresses."""
@@ -77,8 +75,8 @@
     def get_hit_jobs(self) -> set[JobId]:
         """Get the jobs under which workers are known to have gone down."""
         return {
-            job
+            get_job_id(task)
             for lost in self.workers.values()
             if lost.is_confirmed
-            for job in lost.jobs
+            for task in lost.tasks
         }
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -93,8 +93,8 @@
         self.jobs = {job.spec.job: job for job in jobs}
         self.lost_workers = LostWorkers()
         for restored_job in jobs:
-            for crash in restored_job.crash_history.get_all():
-                self.lost_workers.add(restored_job.spec.job, crash)
+            for task, crash in restored_job.crash_history.get_all():
+                self.lost_workers.add(task, crash)
 
     def _apply(self, record: Record) -> bool:
         match record:
@@ -188,16 +188,15 @@
             record.address,
             is_confirmed=record.end == RunEnd.crashed,
         )
-        history = job.crash_history
-        for old in history.add(record.task, crash):
-            if not history.has_worker(old.worker, old.incarnation):
-                self.lost_workers.discard(job.spec.job, old)
-        self.lost_workers.add(job.spec.job, crash)
+        for old in job.crash_history.add(record.task, crash):
+            self.lost_workers.discard(record.task, old)
+        for recent in job.crash_history.crashes[record.task]:
+            self.lost_workers.add(record.task, recent)
 
     def _trim(self, job: Job) -> None:
         if not job.is_open:
-            for crash in job.crash_history.get_all():
-                self.lost_workers.discard(job.spec.job, crash)
+            for task, crash in job.crash_history.get_all():
+                self.lost_workers.discard(task, crash)
         job.trim()
 
     def _explain_silence(self, record: WorkerDied | WorkerSurvived) -> bool:
@@ -205,13 +204,14 @@
         match record:
             case WorkerDied():
                 hit = self.lost_workers.confirm(incarnation)
-                for confirmed_job in hit:
-                    history = self.jobs[confirmed_job].crash_history
-                    history.confirm_worker(*incarnation)
+                for hit_task in hit:
+                    history = self.jobs[get_job_id(hit_task)].crash_history
+                    history.confirm_worker(hit_task, incarnation)
             case WorkerSurvived():
                 hit = self.lost_workers.remove(incarnation)
-                for job in hit:
-                    self.jobs[job].crash_history.remove_worker(*incarnation)
+                for task in hit:
+                    history = self.jobs[get_job_id(task)].crash_history
+                    history.remove_worker(task, incarnation)
         return bool(hit)
 
     def _complete_task(
