--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -65,7 +65,9 @@
             run.is_proven,
         )
         if ended.end == RunEnd.expired:
-            yield RunExpired(*common, session.get_address())
+            # An order may have reached a later incarnation than it was for.
+            incarnation = session.announced.incarnation
+            yield RunExpired(*common, session.get_address(), incarnation)
         else:
             yield RunEnded(*common)
         if ended.end == RunEnd.failed and self._is_last_attempt(run):
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -266,7 +266,8 @@
         self.unstarted.remove_started(report.task for report in answer.running)
         _log_responsiveness(session, was_unresponsive=was_unresponsive)
         self._commit_ends(session, ended, now)
-        self._report_survival(session, now)
+        if sent_at > session.expired_at:
+            self._report_survival(session, now)
         if session.health.quarantine_if_unhealthy(now.monotonic):
             _log_quarantine(session, 'consecutive runs failed')
 
@@ -571,11 +572,12 @@
 
     def _forget_session(self, session: WorkerSession) -> None:
         announced = session.announced
+        explained = self.crash_review.get_last_records(session)
         self.sessions.pop(announced.worker)
         session.observer = None
         self.index.remove(session)
-        record = WorkerGone(announced.worker, announced.incarnation)
-        self.effects.append(CommitBatch((record,)))
+        gone = WorkerGone(announced.worker, announced.incarnation)
+        self.effects.append(CommitBatch((gone, *explained)))
 
     def _forget_jobs(self, now: Moment) -> None:
         old = tuple(
