Take a host for removed only after lists in a row that lack it

Callers could see MIXED: a wave that is said to be completed although a host of it has had no maintenance.

Cause: the absence of a host was measured from the last list that had it. After the list could not be read for 6 s, or on a process that had led before, one single list without the host was enough. A move ended at once when one list lacked its host, so that the host could get work, or a second move, while the first order could still be executed.

Change: the absence counts from the first list that lacked the host, and anew after 6 s without lists; waves and moves ask the same question.

Test: silence.feature, 3 scenarios. "A host that one list lacks after an outage is not removed" and "A move goes on although one list lacks its host" failed before the change and pass after it; the third holds with and without it. silence.feature and fleet.feature: 43 passed, 0 failed.

--- a/packages/callers/hornbeamstair_callers/endpoints/host_list.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/host_list.py
@@ -1,6 +1,7 @@
 """Cached list of the hosts of the platform."""
 
 from collections.abc import Callable
+from typing import Final
 
 from attrs import define, field
 
@@ -12,6 +13,10 @@
 
 __all__ = ('HostList',)
 
+# A host counts as removed after this time, since it may be missing from a list
+# for a moment.
+_ABSENT_SECONDS: Final = 6.0
+
 
 @define(eq=False)
 class HostList:
@@ -21,8 +26,8 @@
     get_time: Callable[[], float]
     hosts: dict[HostId, ListedHost] = field(factory=dict)
     listed_at: float = -1000
-    # Time of the last list that contained a host.
-    last_seen_at: dict[HostId, float] = field(factory=dict)
+    # Time of the first of the latest lists that all lacked a host.
+    missing_since: dict[HostId, float] = field(factory=dict)
     is_known: bool = True
     # Time of the last order about a host.
     last_order_at: dict[HostId, float] = field(factory=dict)
@@ -38,8 +43,8 @@
             log_event(HostListEvent(self.is_known, len(listed or ())))
         if listed is not None:
             self.hosts = {host.host: host for host in listed}
+            self._update_missing(started_at)
             self.listed_at = started_at
-            self.last_seen_at.update(dict.fromkeys(self.hosts, started_at))
         return bool(self.hosts)
 
     def update_order_time(self, host: HostId) -> None:
@@ -50,12 +55,21 @@
         """Return whether the list is newer than the last order about a host."""
         return self.listed_at > self.last_order_at.get(host, -1000)
 
-    def get_absence_seconds(self, host: HostId) -> float:
-        """Get the seconds for which a host has been missing from the lists."""
-        last_seen_at = self.last_seen_at.setdefault(host, self.get_time())
-        return max(self.listed_at - last_seen_at, 0)
+    def is_removed(self, host: HostId) -> bool:
+        """Return whether the lists have lacked a host for long."""
+        if host in self.hosts:
+            return False
+        missing_since = self.missing_since.setdefault(host, self.listed_at)
+        return self.listed_at - missing_since > _ABSENT_SECONDS
 
     def get_seconds_since_order(self, host: HostId) -> float:
         """Get the seconds from the last order about a host to the list."""
         last_order_at = self.last_order_at.setdefault(host, self.get_time())
         return self.listed_at - last_order_at
+
+    def _update_missing(self, listed_at: float) -> None:
+        if listed_at - self.listed_at > _ABSENT_SECONDS:
+            # Nothing tells whether the host was there between the lists.
+            self.missing_since.clear()
+        for host in self.missing_since.keys() & self.hosts.keys():
+            self.missing_since.pop(host)
--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -44,9 +44,6 @@
 _RESEND_SECONDS: Final = 1.5
 # Upper bound of a maintenance including the lag of the host list.
 _MAX_MAINTENANCE_SECONDS: Final = 4.0
-# A host counts as removed after this time, since it may be missing from a list
-# for a moment.
-_ABSENT_SECONDS: Final = 6.0
 
 
 @define(eq=False)
@@ -154,10 +151,7 @@
         """Find the step of a host from the list."""
         host = self.hosts.hosts.get(host_id)
         if host is None:
-            # The host may have been removed from the platform.
-            is_removed = (
-                self.hosts.get_absence_seconds(host_id) > _ABSENT_SECONDS
-            )
+            is_removed = self.hosts.is_removed(host_id)
             return HostStep.over if is_removed else step
         if step == HostStep.ordered and host.state == HostState.maintenance:
             # The list does not tell for which wave a host is down.
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -194,7 +194,7 @@
     def _is_finished(self, move: Move) -> bool:
         host = self.hosts.hosts.get(move.host)
         if host is None:
-            return True
+            return self.hosts.is_removed(move.host)
         return host.pool == move.pool and host.state == HostState.up
 
     def _is_listed_elsewhere(self, move: Move) -> bool:
