Keep an unanswered order about a host open when its resend is refused

Callers could see LIMIT or AVAIL: an order without an answer was sent again and refused for the moment (429, or 409 `busy`), and the host counted as up again: it got work, and another host of the wave could go down, while the first order could still be executed, or had been and the list did not show it yet.

Cause: the refusal of the second order was taken for the outcome of the first.

Change: a host whose order is sent again stays ordered, and a move stays in progress, unless the platform accepts the order, or refuses it for good, or the host is listed as down; a host that is lost for good must not block its wave. The order is sent again every 1.5 s, as before.

Test: silence.feature, "A refused order does not disprove an earlier one without an answer" and "A refused move does not disprove an earlier one without an answer", two examples each; all four failed before the change and pass after it. "A host that is down waits again after its order was refused" and "A move that the platform refuses as impossible ends" hold with and without it. silence.feature, fleet.feature and orders.feature: 59 passed, 0 failed.

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -183,7 +183,7 @@
         ]
         for host in due:
             scheduler.reserve(host.worker)
-        await self._send_orders(progress, due)
+        await self._send_orders(progress, due, is_resend=True)
 
     def _get_effective_hosts(
         self,
@@ -261,10 +261,12 @@
         self,
         progress: WaveProgress,
         hosts: Sequence[ListedHost],
+        *,
+        is_resend: bool = False,
     ) -> None:
         """Send orders about hosts and record their outcomes."""
         outcomes = await gather(
-            *(self._send_order(progress, host) for host in hosts),
+            *(self._send_order(progress, host, is_resend) for host in hosts),
         )
         await self._commit(
             [
@@ -278,6 +280,7 @@
         self,
         progress: WaveProgress,
         host: ListedHost,
+        is_resend: bool,
     ) -> HostStep:
         """Send an order about a host; return the resulting step."""
         scheduler = self.runner.find_scheduler()
@@ -309,6 +312,9 @@
             # that the host has since.
             before = progress.workers.get(host.host, host.worker)
             scheduler.handle_withdrawal(before, self.get_moment())
+        if is_resend and host.state != HostState.down:
+            # The first order may still be executed.
+            return _RESEND_STEPS.get(outcome, HostStep.ordered)
         return _STEPS.get(outcome, HostStep.ordered)
 
     async def _commit(self, records: Sequence[Record]) -> bool:
@@ -328,6 +334,13 @@
         HostOutcome.throttled: HostStep.waiting,
     },
 )
+# The same for an order whose first attempt had no answer.
+_RESEND_STEPS: Final = MappingProxyType(
+    {
+        HostOutcome.done: HostStep.taken,
+        HostOutcome.refused: HostStep.waiting,
+    },
+)
 
 
 def _make_update(
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -1,7 +1,7 @@
 """Endpoint that moves hosts between pools while this process leads."""
 
 from asyncio import gather
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Final
 
 from attrs import define, field
@@ -39,6 +39,9 @@
 _NO_EFFECT: Final = frozenset(
     (HostOutcome.busy, HostOutcome.refused, HostOutcome.throttled),
 )
+# The same for an order whose first attempt had no answer, and may still have
+# an effect.
+_NO_EFFECT_OF_RESEND: Final = frozenset((HostOutcome.refused,))
 # Interval at which the capacity of each pool is logged.
 _LOG_SECONDS: Final = 0.5
 
@@ -146,7 +149,11 @@
         session.is_reserved = not session.runs
         return session.is_reserved
 
-    async def _send_order(self, move: Move) -> None:
+    async def _send_order(
+        self,
+        move: Move,
+        no_effect: Collection[HostOutcome] = _NO_EFFECT,
+    ) -> None:
         scheduler = self.runner.find_scheduler()
         if scheduler is None:
             return
@@ -167,7 +174,7 @@
         )
         if outcome == HostOutcome.done:
             scheduler.handle_withdrawal(move.worker, self.get_moment())
-        elif outcome in _NO_EFFECT:
+        elif outcome in no_effect:
             if outcome == HostOutcome.refused:
                 self.planner.add_refusal(move.host, move.pool)
             await self.runner.commit((MoveFinished(move.host),))
@@ -189,7 +196,9 @@
         lost = [move for move in listed if self._should_resend(scheduler, move)]
         for move in lost:
             scheduler.reserve(self.hosts.hosts[move.host].worker)
-        await gather(*map(self._send_order, lost))
+        await gather(
+            *(self._send_order(move, _NO_EFFECT_OF_RESEND) for move in lost)
+        )
 
     def _is_finished(self, move: Move) -> bool:
         host = self.hosts.hosts.get(move.host)
--- a/tests/features/silence.feature
+++ b/tests/features/silence.feature
@@ -24,3 +24,41 @@
     Then the move of host m0 is in progress
     When the host list lacks host m0 for 12 passes of the move controller
     Then no move is in progress
+
+  # Guards against LIMIT: the first order is executed beside another one.
+  Scenario Outline: A refused order does not disprove an earlier one without an answer
+    Given a wave of 2 hosts with at most 1 down, whose orders get no answer
+    And a platform that answers later orders as <refusal>
+    When the wave controller runs for 12 seconds
+    Then only host m0 was ordered down, more than once
+    And host m0 may be down
+
+    Examples:
+      | refusal   |
+      | throttled |
+      | busy      |
+
+  Scenario: A host that is down waits again after its order was refused
+    Given a wave of 2 hosts with at most 1 down, whose orders get no answer
+    And a platform that answers later orders as busy
+    When the wave controller runs for 1 seconds
+    And host m0 goes down
+    And the wave controller runs for 12 seconds
+    Then host m1 was ordered down
+
+  Scenario Outline: A refused move does not disprove an earlier one without an answer
+    Given a move of host m0 whose order gets no answer
+    And a platform that answers later orders as <refusal>
+    When the move controller runs 6 passes
+    Then the move of host m0 is in progress
+
+    Examples:
+      | refusal   |
+      | throttled |
+      | busy      |
+
+  Scenario: A move that the platform refuses as impossible ends
+    Given a move of host m0 whose order gets no answer
+    And a platform that answers later orders as refused
+    When the move controller runs 6 passes
+    Then no move is in progress
