Report no refusal of a job whose earlier attempt was not answered

Callers could see REFUSED: a job that runs although its only answer was a 404. Order of events: an entry process sends the job to the leader; the leader commits it, and its answer is lost or later than 0.7 s; a manifest without the queue comes into force; the entry process sends the job again and passes on "no such queue".

Cause: the channel forgot the unanswered attempt as soon as another attempt was answered, and only "no leader" was qualified by an earlier attempt in doubt. Class of fault: one answer is taken for the answer to all copies of a call.

Change: the attempts of a call keep whether one of them may have been carried out; then a refused submission is `not_committed` (504), and the caller sends it again. Reads are answered as before.

--- a/packages/callers/hornbeamstair_callers/jobs/requests.py
+++ b/packages/callers/hornbeamstair_callers/jobs/requests.py
@@ -32,6 +32,8 @@
     """Accept a job; a job that is already known is not changed."""
 
     kind: ClassVar[str] = 'submit_job'
+    # The queue may have been removed since an earlier attempt.
+    is_refusal_final: ClassVar[bool] = False
 
     place: QueueAddress
     spec: JobSpec
--- a/packages/core/hornbeamstair_core/requests.py
+++ b/packages/core/hornbeamstair_core/requests.py
@@ -16,6 +16,8 @@
     """Request to the leader; its handling is idempotent."""
 
     kind: ClassVar[str]
+    # Whether a refusal tells that no earlier attempt was accepted.
+    is_refusal_final: ClassVar[bool] = True
 
     def get_subject(self) -> str:
         """Get the identifier of its subject for the event log."""
--- a/packages/replicas/hornbeamstair_replicas/calls/attempts.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/attempts.py
@@ -35,6 +35,8 @@
     last_ended_at: float
     attempts: int = 0
     last_target: VoterId = VoterId('')
+    # An attempt without a clear outcome may have been carried out.
+    may_have_run: bool = False
     seconds: dict[AttemptResult, float] = field(factory=dict)
 
     def add(
--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/channel.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/channel.py
@@ -96,17 +96,16 @@
         started_at = self.get_time()
         call_attempts = call_attempts or CallAttempts(started_at)
         deadline = started_at + seconds
-        may_have_run = False
         while True:
             answer = await self._attempt(payload, deadline, call_attempts)
             if answer is not None and answer.is_leader:
                 return Ok(answer.payload)
-            may_have_run = may_have_run or answer is None
+            call_attempts.may_have_run |= answer is None
             if self._is_over(started_at, deadline):
                 break
             self.metrics.count_retry('leader_call')
             await sleep(_RETRY_INTERVAL_SECONDS)
-        if may_have_run:
+        if call_attempts.may_have_run:
             return Error(NotCommittedFailure('the leader did not answer'))
         return Error(NotLeaderFailure(self.targets.leader))
 
--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
@@ -57,17 +57,18 @@
         started_at = self.get_time()
         payload = self.codec.encode_request(request)
         call_attempts = CallAttempts(started_at)
-        may_have_run = False
         while True:
             left = started_at + seconds - self.get_time()
             answer = await self.channel.ask(payload, left, call_attempts)
             outcome = answer.bind(self.codec.decode_outcome)
             if not _is_transient(outcome) or self._is_over(started_at, left):
                 break
-            may_have_run = may_have_run or outcome.error.may_have_run
+            if outcome.error.may_have_run:
+                call_attempts.may_have_run = True
             await sleep(_RETRY_INTERVAL_SECONDS)
-        if may_have_run and _is_transient(outcome):
-            outcome = Error(NotCommittedFailure('the leader changed'))
+        if call_attempts.may_have_run and _is_doubtful(request, outcome):
+            reason = 'an earlier attempt has no clear outcome'
+            outcome = Error(NotCommittedFailure(reason))
         self._report(
             request, outcome, call_attempts, self.get_time() - started_at
         )
@@ -119,6 +120,13 @@
     return outcome.is_error() and isinstance(outcome.error, _TRANSIENT_FAILURES)
 
 
+def _is_doubtful(request: Request, outcome: Result[Reply, Failure]) -> bool:
+    """Return whether a refusal leaves open what became of other attempts."""
+    if outcome.is_ok() or outcome.error.may_have_run:
+        return False
+    return _is_transient(outcome) or not request.is_refusal_final
+
+
 @define(eq=False)
 class RequestService(LeaderService):
     """Handles requests of other processes while this process leads."""
--- a/tests/features/leader_calls.feature
+++ b/tests/features/leader_calls.feature
@@ -21,6 +21,25 @@
     When a call is made with a timeout of 3 seconds
     Then it is answered
 
+  # Guards against REFUSED: a job that runs although it was refused.
+  Scenario Outline: A refusal after an unanswered attempt is not reported as not run
+    Given a channel whose leader answered a moment ago and now answers all
+    And a leader that leaves <unanswered> calls unanswered and refuses others
+    When a job is submitted within 3 seconds
+    Then it fails within 2 seconds with code <code>
+    And the leader was sent <sent> calls
+
+    Examples:
+      | unanswered | code | sent |
+      | 0          | 2101 | 1    |
+      | 1          | 5001 | 2    |
+
+  Scenario: The state of a job is reported after an unanswered attempt
+    Given a channel whose leader answered a moment ago and now answers all
+    And a leader that leaves 1 calls unanswered and refuses others
+    When the job is requested within 3 seconds
+    Then it fails within 2 seconds with code 2101
+
   Scenario: A slow leader answers
     Given a channel whose leader answered a moment ago and now is slow to act
     When a call is made with a timeout of 3 seconds
--- a/tests/features/steps/leader_call_steps.py
+++ b/tests/features/steps/leader_call_steps.py
@@ -6,14 +6,20 @@
 
 from attrs import define, field
 from behave import given, then, when
-from expression import Ok, Result
-
-from hornbeamstair_callers.jobs.messages import JobState
-from hornbeamstair_callers.jobs.requests import JobReply, QueueAddress, ShowJob
+from expression import Error, Ok, Result
+
+from hornbeamstair_callers.jobs.failures import QueueUnknownFailure
+from hornbeamstair_callers.jobs.messages import JobSpec, JobState
+from hornbeamstair_callers.jobs.requests import (
+    JobReply,
+    QueueAddress,
+    ShowJob,
+    SubmitJob,
+)
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import JobId
 from hornbeamstair_core.metrics import Metrics
-from hornbeamstair_core.requests import Reply
+from hornbeamstair_core.requests import Reply, Request
 from hornbeamstair_replicas.calls.codec import RequestCodec
 from hornbeamstair_replicas.calls.endpoints.channel import LeaderChannel
 from hornbeamstair_replicas.calls.endpoints.client import LeaderClient
@@ -23,11 +29,13 @@
 from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.transport.base import LocalTransport
 from tests.support.logs import capture_log, read_log
+from tests.support.work_model import make_phase
 
 LEADER = VoterId('v/1')
 # Longer than several commits.
 SLOW_ANSWER_SECONDS = 0.5
 JOB = JobId('00000000000000aa')
+CODEC = RequestCodec((ShowJob, SubmitJob), (JobReply,))
 # The pause after the last attempt, and rounding.
 MARGIN_MS = 120
 
@@ -41,6 +49,8 @@
     # Payload of the answers of the leader; empty to echo the call.
     reply: bytes = b''
     answer_seconds: float | None = 0
+    # Number of calls that are left unanswered before the others.
+    unanswered: int = 0
     sent: list[bytes] = field(factory=list)
 
     def send(self, envelope: Envelope) -> None:
@@ -52,6 +62,8 @@
         seconds = self.answer_seconds
         if not call.payload:
             seconds = 0 if self.answers_probes else None
+        elif len(self.sent) <= self.unanswered:
+            seconds = None
         if seconds is not None:
             get_running_loop().call_later(seconds, self._answer, call)
 
@@ -85,6 +97,35 @@
         context.transport.answer_seconds = SLOW_ANSWER_SECONDS
 
 
+@given(
+    'a leader that leaves {count:d} calls unanswered and refuses others',
+)
+def refuse_calls(context: Any, count: int) -> None:
+    """Have the leader leave some calls unanswered and refuse the others."""
+    context.transport.unanswered = count
+    refusal = QueueUnknownFailure('h', '/q/', 2)
+    context.transport.reply = CODEC.encode_outcome(Error(refusal))
+
+
+@when('a job is submitted within {seconds:d} seconds')
+def submit_job(context: Any, seconds: int) -> None:
+    """Submit a job to the leader."""
+    spec = JobSpec(JOB, '', (make_phase(1, 1000),))
+    request = SubmitJob(QueueAddress('h', '/q/'), spec, seconds)
+    began = monotonic()
+    context.outcome = run(_ask(context, request, seconds))
+    context.seconds = monotonic() - began
+
+
+@when('the job is requested within {seconds:d} seconds')
+def show_job(context: Any, seconds: int) -> None:
+    """Request the state of the job from the leader."""
+    request = ShowJob(QueueAddress('h', '/q/'), JOB)
+    began = monotonic()
+    context.outcome = run(_ask(context, request, seconds))
+    context.seconds = monotonic() - began
+
+
 @when('a call is made with a timeout of {seconds:d} seconds')
 def make_call(context: Any, seconds: int) -> None:
     """Make a call and measure its time."""
@@ -134,6 +175,13 @@
     assert context.seconds < seconds, context.seconds
 
 
+@then('the leader was sent {count:d} calls')
+def check_sent(context: Any, count: int) -> None:
+    """Check how often the call was sent."""
+    calls = [payload for payload in context.transport.sent if payload]
+    assert len(calls) == count, calls
+
+
 @then('it may have run')
 def check_unknown(context: Any) -> None:
     """Check that the failure allows for the call to have run."""
@@ -167,16 +215,24 @@
 
 
 async def _ask_job(context: Any, seconds: int) -> Result[Reply, Failure]:
-    codec = RequestCodec((ShowJob,), (JobReply,))
     reply = JobReply(JOB, JobState.running)
-    context.transport.reply = codec.encode_outcome(Ok(reply))
+    context.transport.reply = CODEC.encode_outcome(Ok(reply))
+    request = ShowJob(QueueAddress('h', '/q/'), JOB)
+    return await _ask(context, request, seconds)
+
+
+async def _ask(
+    context: Any,
+    request: Request,
+    seconds: int,
+) -> Result[Reply, Failure]:
     client = LeaderClient(
         _start_channel(context),
-        codec,
+        CODEC,
         Metrics(),
         get_running_loop().time,
     )
-    return await client.ask(ShowJob(QueueAddress('h', '/q/'), JOB), seconds)
+    return await client.ask(request, seconds)
 
 
 def _start_channel(context: Any) -> LeaderChannel:
