Do not take a key for unsent when another claim of it has no answer

Callers could see TWICE: a keyed call that runs again while it is running. Found by reading. Order of events: a caller sends a call twice at the same time with one key through one process; the first claim is committed and its call is sent; the second claim gets no answer, and the key is marked as claimed but not sent; the next resend takes the claim over and runs.

Cause: that a claim had no answer was taken for proof that no call with the key was sent, also if another claim of the same process had succeeded.

Change: a process claims, reads and sends one call of a key at a time; another one at the same time is told that the call is in progress.

--- a/packages/callers/hornbeamstair_callers/key_store.py
+++ b/packages/callers/hornbeamstair_callers/key_store.py
@@ -45,7 +45,10 @@
     state_machine: KeyStateMachine
     owner: str
     get_wall_time: Callable[[], float]
+    # Keys that this process claimed, or may have, without sending the call.
     unsent_keys: set[KeyId] = field(factory=set)
+    # Keys of the calls that are being claimed or have been sent.
+    active_keys: set[KeyId] = field(factory=set)
 
     async def find(self, call: CallRequest) -> CallResult | None:
         """Find the answer to a resend of a call; None if it may run.
@@ -66,13 +69,17 @@
         An unconfirmed claim may still be committed. The call is refused as not
         run, and a resend through this process takes over the claim.
         """
-        committed = await self._propose_claim(call)
-        if committed.is_error():
-            return Error(KeyNotClaimedFailure(committed.error.name))
-        known = committed.ok
-        answer = None if known is None else self._replay(call, known)
+        key_id = _get_key_id(call)
+        if key_id in self.active_keys:
+            return Error(KeyInProgressFailure())
+        self.active_keys.add(key_id)
+        try:
+            answer = await self._claim(call)
+        finally:
+            self.active_keys.discard(key_id)
         if answer is None:
-            self.unsent_keys.discard(_get_key_id(call))
+            self.active_keys.add(key_id)
+            self.unsent_keys.discard(key_id)
         return answer
 
     async def record(self, call: CallRequest, outcome: CallResult) -> None:
@@ -83,7 +90,10 @@
         `KeyOutcomeUnknownFailure` from the others.
         """
         command = self._get_outcome_command(call, outcome)
-        recorded = await self._propose(command)
+        try:
+            recorded = await self._propose(command)
+        finally:
+            self.active_keys.discard(_get_key_id(call))
         if recorded.is_error():
             log_event(
                 KeyOutcomeLostEvent(
@@ -93,7 +103,29 @@
                 ),
             )
 
+    async def _claim(self, call: CallRequest) -> CallResult | None:
+        committed = await self._propose_claim(call)
+        if committed.is_error():
+            return Error(KeyNotClaimedFailure(committed.error.name))
+        known = committed.ok
+        return None if known is None else self._replay(call, known)
+
     async def _find_in_log(self, call: CallRequest) -> CallResult | None:
+        """Read the newest record, unless a call with the key is active."""
+        key_id = _get_key_id(call)
+        if key_id in self.active_keys:
+            return Error(KeyInProgressFailure())
+        self.active_keys.add(key_id)
+        try:
+            return await self._read_record(call, key_id)
+        finally:
+            self.active_keys.discard(key_id)
+
+    async def _read_record(
+        self,
+        call: CallRequest,
+        key_id: KeyId,
+    ) -> CallResult | None:
         """Read the newest record; claiming a taken key does not change it."""
         committed = await self._propose_claim(call)
         if committed.is_error():
@@ -101,7 +133,6 @@
         if committed.ok is not None:
             return self._replay(call, committed.ok)
         # The key was free again; the call claims it when it has a slot.
-        key_id = _get_key_id(call)
         self.unsent_keys.add(key_id)
         await self._propose(ReleaseKey(key_id, self.owner))
         return None
--- a/tests/features/calls.feature
+++ b/tests/features/calls.feature
@@ -59,3 +59,20 @@
     And the log commits nothing
     When its outcome is recorded through "entry-1"
     Then an event with its key is logged
+
+  # Guards against TWICE: a key that is claimed counted as not sent.
+  Scenario: A claim without an answer does not free the key of a running call
+    Given a keyed call that "entry-1" has sent and that is running
+    When the log commits nothing and "entry-1" claims the same key
+    And the call is sent again through "entry-1"
+    Then it is refused as in progress
+
+  Scenario: A call whose claim got no answer may be sent again
+    Given a call whose claim through "entry-1" was committed without an answer
+    When the call is sent again through "entry-1"
+    Then it gets no answer and may claim its key
+
+  Scenario: A call that was not run frees its key for the next one
+    Given a keyed call that "entry-1" claimed and did not run
+    When the call is sent again through "entry-1"
+    Then it gets no answer and may claim its key
--- a/tests/features/steps/key_steps.py
+++ b/tests/features/steps/key_steps.py
@@ -1,5 +1,6 @@
 """Steps with idempotency keys and processes whose log lags."""
 
+from math import inf
 from typing import Any
 from unittest.mock import patch
 
@@ -7,8 +8,13 @@
 from expression import Error, Ok
 
 from hornbeamstair_callers.events import KeyOutcomeLostEvent
-from hornbeamstair_callers.failures import KeyOutcomeUnknownFailure
+from hornbeamstair_callers.failures import (
+    KeyInProgressFailure,
+    KeyNotClaimedFailure,
+    KeyOutcomeUnknownFailure,
+)
 from hornbeamstair_core.failures import StoppingFailure
+from hornbeamstair_replicas.failures import NotCommittedFailure
 from tests.support.keys import ANSWER, CALL, KeyProcesses
 
 KEY_MODULE = 'hornbeamstair_callers.key_store'
@@ -30,6 +36,51 @@
     context.keys.record(name, Error(StoppingFailure()))
 
 
+@given('a keyed call that "{name}" has sent and that is running')
+def send_call(context: Any, name: str) -> None:
+    """Claim the key and record no outcome."""
+    context.keys = KeyProcesses()
+    assert context.keys.claim(name) is None
+
+
+@given(
+    'a call whose claim through "{name}" was committed without an answer',
+)
+def claim_unanswered(context: Any, name: str) -> None:
+    """Have a claim committed whose answer is lost."""
+    context.keys = KeyProcesses()
+    context.keys.log.answered = 0
+    assert context.keys.claim(name) is not None
+    context.keys.log.answered = inf
+
+
+@when('the log commits nothing and "{name}" claims the same key')
+def claim_concurrently(context: Any, name: str) -> None:
+    """Claim the key of a running call as a call at the same time does."""
+    context.keys.log.is_blocked = True
+    assert context.keys.claim(name) is not None
+    context.keys.log.is_blocked = False
+
+
+@given('the log loses its answers after {count:d} commands')
+def lose_answers(context: Any, count: int) -> None:
+    """Have the answers to all further commands lost."""
+    context.keys.log.answered = count
+
+
+@then('it is refused as not run')
+def check_not_run(context: Any) -> None:
+    """Check the refusal."""
+    expected = KeyNotClaimedFailure(NotCommittedFailure.name)
+    assert context.found == Error(expected), context.found
+
+
+@then('it is refused as in progress')
+def check_in_progress(context: Any) -> None:
+    """Check the refusal."""
+    assert context.found == Error(KeyInProgressFailure()), context.found
+
+
 @given('"{name}" has applied only its claim')
 def add_lagging(context: Any, name: str) -> None:
     """Add a process that has applied the first command only."""
--- a/tests/support/keys.py
+++ b/tests/support/keys.py
@@ -1,6 +1,7 @@
 """Processes that share idempotency keys, each with its own log position."""
 
 from asyncio import run
+from math import inf
 
 from attrs import define, field
 from expression import Error, Ok, Result
@@ -30,13 +31,18 @@
     machine: KeyStateMachine = field(factory=KeyStateMachine)
     payloads: list[bytes] = field(factory=list)
     is_blocked: bool = False
+    # Number of commands after which the answers are lost.
+    answered: float = inf
 
     async def propose(self, payload: bytes) -> Result[object, Failure]:
         """Commit a command, unless the log is blocked."""
         if self.is_blocked:
             return Error(NotCommittedFailure('no quorum in time'))
         self.payloads.append(payload)
-        return Ok(self.machine.apply(len(self.payloads), payload))
+        answer = self.machine.apply(len(self.payloads), payload)
+        if len(self.payloads) > self.answered:
+            return Error(NotCommittedFailure('no answer from the leader'))
+        return Ok(answer)
 
 
 @define(eq=False)
