Refuse a keyed call as not run while the release of its key is unconfirmed

Callers could see TWICE: a process that reads a key through the log claims and releases it before its call claims it again. If the release had no answer, the call was sent all the same; a release that is committed later frees the key while the call runs, and a resend runs again. Found by reading; it takes a release that arrives after a claim that was sent later, by another connection.

Change: the call is refused as not run, which is true; a resend through this process takes over the claim, if it is still there.

Test: calls.feature, "A call does not run while the release of its key is unconfirmed" failed before the change and passes after it. calls.feature: 16 passed, 0 failed.

--- a/packages/callers/hornbeamstair_callers/key_store.py
+++ b/packages/callers/hornbeamstair_callers/key_store.py
@@ -134,7 +134,10 @@
             return self._replay(call, committed.ok)
         # The key was free again; the call claims it when it has a slot.
         self.unsent_keys.add(key_id)
-        await self._propose(ReleaseKey(key_id, self.owner))
+        released = await self._propose(ReleaseKey(key_id, self.owner))
+        if released.is_error():
+            # A late release would free the key while the call runs.
+            return Error(KeyNotClaimedFailure(released.error.name))
         return None
 
     async def _propose_claim(
--- a/tests/features/calls.feature
+++ b/tests/features/calls.feature
@@ -76,3 +76,11 @@
     Given a keyed call that "entry-1" claimed and did not run
     When the call is sent again through "entry-1"
     Then it gets no answer and may claim its key
+
+  # Guards against TWICE: a late release frees the key of a running call.
+  Scenario: A call does not run while the release of its key is unconfirmed
+    Given a keyed call that "entry-1" claimed and did not run
+    And "entry-2" has applied only its claim
+    And the log loses its answers after 3 commands
+    When the call is sent again through "entry-2"
+    Then it is refused as not run
