Take a restarted voter for recent only once it has applied what is committed

Callers could see a withdrawn contract, limit or key in use again after a restart, as other operators have reported. Found by reading. A learner that restarted at the same time took the old state of that voter for the newest one and was ready with it until its next poll.

Cause: contact with a leader was taken for proof of a recent state.

Change: a voter has caught up once it has applied all entries that a leader is known to have committed, the last of them of the current term; until then a new leader does not know either what is committed.

--- a/packages/replicas/hornbeamstair_replicas/groups/node.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/node.py
@@ -104,6 +104,17 @@
         self.is_unsynced = True
         self._store(self.voter.drain_outputs().writes)
 
+    def is_up_to_date(self) -> bool:
+        """Return whether all that a leader has committed is applied here.
+
+        Entries of previous terms are known to be committed only once an entry
+        of the current term is.
+        """
+        state = self.voter.state
+        if not state.leader or self.applied_index < state.announced_index:
+            return False
+        return state.log.find_term(self.applied_index) == state.term
+
     def get_batch_delay(self) -> float:
         """Get the seconds until the next batch may be written."""
         return self.throttle.get_delay(self.get_time())
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -88,7 +88,7 @@
         init=False,
     )
     leader: VoterId = field(default=VoterId(''), init=False)
-    has_known_leader: bool = field(default=False, init=False)
+    has_caught_up: bool = field(default=False, init=False)
     recovery: StorageRecovery = field(
         default=Factory(_make_recovery, takes_self=True),
         init=False,
@@ -146,10 +146,10 @@
         return self.node.applied_index
 
     def is_caught_up(self) -> bool:
-        """Return whether it votes and has known a leader since its start."""
+        """Return whether it votes and has caught up since its start."""
         if self.recovery.failure is not None:
             return False
-        return self.has_known_leader and self.node.voter.state.is_voter()
+        return self.has_caught_up and self.node.voter.state.is_voter()
 
     def get_status(self) -> GroupStatus:
         """Get the state of the group as seen by this process."""
@@ -305,7 +305,7 @@
 
     def _update_leader(self) -> None:
         state = self.node.voter.state
-        self.has_known_leader = self.has_known_leader or bool(state.leader)
+        self.has_caught_up = self.has_caught_up or self.node.is_up_to_date()
         if state.leader != self.leader:
             self.leader = state.leader
             log_event(LeaderChangedEvent(self.group, state.leader, state.term))
--- a/packages/replicas/hornbeamstair_replicas/voting/receiver.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/receiver.py
@@ -25,6 +25,7 @@
     def append(self, sender: VoterId, request: AppendRequest) -> None:
         """Append the entries if the previous one matches, and answer."""
         state = self.state
+        state.update_announced_index(request.commit_index)
         if not self._matches(request):
             hint = min(state.log.last_index, request.previous_index - 1)
             self.refuse(sender, request.sent_at, max(hint, state.commit_index))
@@ -59,6 +60,7 @@
     def install(self, sender: VoterId, chunk: SnapshotChunk) -> None:
         """Add a chunk; install the snapshot when it is complete."""
         state = self.state
+        state.update_announced_index(chunk.snapshot_index)
         is_installed = self._is_covered(chunk) or self._add_chunk(chunk)
         state.send(
             sender,
--- a/packages/replicas/hornbeamstair_replicas/voting/state.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/state.py
@@ -42,6 +42,8 @@
     log: EntryLog
     vote: VoteRecord
     commit_index: int = 0
+    # Highest index that a leader is known to have committed.
+    announced_index: int = 0
     leader: VoterId = _NO_LEADER
     leader_contact_at: float = 0
     synced_index: int = 0
@@ -96,6 +98,10 @@
         self.leader = leader
         self.leader_contact_at = now
 
+    def update_announced_index(self, index: int) -> None:
+        """Update the index up to which entries are known to be committed."""
+        self.announced_index = max(self.announced_index, index)
+
     def enter_term(self, term: int) -> None:
         """Enter a newer term without voting in it."""
         self._set_vote(VoteRecord(term))
