Report a change of the voters without an answer as in doubt

Operators were told "nothing was committed" (5003) when the leader did not answer a change of the voters within 2 s, though the leader may have made it. Found by reading.

Change: such a change fails as `not_committed` (5001); 5003 is left for a process that knows no leader, which fails at once and sends nothing.

--- a/packages/replicas/hornbeamstair_replicas/groups/admin.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/admin.py
@@ -20,6 +20,7 @@
 )
 from hornbeamstair_replicas.failures import (
     MembershipFailure,
+    NotCommittedFailure,
     NotLeaderFailure,
 )
 from hornbeamstair_replicas.groups.base import ReplicaGroup
@@ -76,7 +77,9 @@
         if self.group.find_leader_role().is_ok():
             return Ok(self._get_versions())
         answer = await self._ask(VersionsRequest)
-        return answer.map(lambda response: response.versions)
+        if answer is None:
+            return Error(NotLeaderFailure(self._get_leader()))
+        return Ok(answer.versions)
 
     async def change_voters(
         self,
@@ -86,11 +89,13 @@
         """Add or remove a voter, or transfer the leadership to it."""
         if self.group.find_leader_role().is_ok():
             return self._change(action, voter)
+        if not self._get_leader():
+            return Error(NotLeaderFailure(''))
         answer = await self._ask(VoterChangeRequest, action, voter)
-        if answer.is_error():
-            return Error(answer.error)
-        if answer.ok.reason:
-            return Error(MembershipFailure(answer.ok.reason))
+        if answer is None:
+            return Error(NotCommittedFailure('the leader did not answer'))
+        if answer.reason:
+            return Error(MembershipFailure(answer.reason))
         return Ok(None)
 
     def _report(self) -> None:
@@ -134,7 +139,8 @@
         self,
         request_class: Callable[..., PeerMessage],
         *fields: object,
-    ) -> Result[Any, Failure]:
+    ) -> Any:
+        """Ask the leader; None if it does not answer in time."""
         leader = self._get_leader()
         self.last_number += 1
         number = self.last_number
@@ -143,9 +149,9 @@
         self._send(leader, request_class(number, *fields))
         try:
             async with timeout(_ANSWER_TIMEOUT_SECONDS):
-                return Ok(await answer)
+                return await answer
         except TimeoutError:
-            return Error(NotLeaderFailure(leader))
+            return None
         finally:
             self.waiting.pop(number)
 
--- a/tests/features/silence.feature
+++ b/tests/features/silence.feature
@@ -62,3 +62,13 @@
     And a platform that answers later orders as refused
     When the move controller runs 6 passes
     Then no move is in progress
+
+  Scenario: A change of the voters without an answer is not reported as not made
+    Given a process whose leader "b/1" answers nothing
+    When an operator has voter "c/1" removed through it
+    Then the change fails with code 5001 and may have been made
+
+  Scenario: A change of the voters without a leader is reported as not made
+    Given a process that knows no leader
+    When an operator has voter "c/1" removed through it
+    Then the change fails with code 5003 and was not made
