Refuse late announcements of an upstream that has left

Callers could see failed calls, or calls that reach another server at the same address: an announcement that was delayed for longer than the lease brought back an upstream that had left, as other operators have reported. Found by reading.

Cause: an upstream that the directory no longer held counted as a new one.

Change: the directory remembers for a minute which incarnation of a removed upstream may return: a newer one if it had left, the same one if only its lease had expired, since it may have been partitioned.

Test: silence.feature, "A late announcement does not bring back an upstream that has left" failed before the change and passes after it; "Upstreams that have left are forgotten in the end" tests the new memory; the third scenario holds with and without the change. silence, calls, path and upstream_faults features: 52 passed, 0 failed.

What remains: the memory is that of the process; one that has just started knows no upstream that left before.

--- a/packages/upstreams/hornbeamstair_upstreams/directory.py
+++ b/packages/upstreams/hornbeamstair_upstreams/directory.py
@@ -3,12 +3,13 @@
 from collections import defaultdict
 from typing import Final
 
-from attrs import define, field
+from attrs import define, field, frozen
 from expression import Error, Ok, Result
 
 from hornbeamstair_core.events import Event
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import ServiceName, UpstreamId
+from hornbeamstair_core.units import MINUTE
 from hornbeamstair_upstreams.events import (
     UpstreamEjectedEvent,
     UpstreamJoinedEvent,
@@ -34,6 +35,18 @@
 LEASE_SECONDS: Final = 1.5
 RENEW_SECONDS: Final = 0.5
 
+# An announcement that a partition delayed for longer than this is not expected.
+_DEPARTED_SECONDS: Final = MINUTE
+
+
+@frozen
+class DepartedUpstream:
+    """Upstream that was removed."""
+
+    # Oldest incarnation that may return.
+    oldest_incarnation: int
+    removed_at: float
+
 
 @define
 class UpstreamDirectory:
@@ -44,6 +57,8 @@
         factory=lambda: defaultdict(dict),
     )
     events: list[Event] = field(factory=list)
+    # Upstreams removed lately, in the order of their removal.
+    departed: dict[UpstreamId, DepartedUpstream] = field(factory=dict)
 
     def announce(
         self,
@@ -52,18 +67,16 @@
     ) -> Result[AnnouncementAnswer, Failure]:
         """Register an upstream or renew its lease."""
         known = self.upstreams.get(announcement.upstream)
-        if known is None:
-            self._add(announcement, now)
-            return Ok(AnnouncementAnswer(LEASE_SECONDS, RENEW_SECONDS))
-        known_incarnation = known.announcement.incarnation
-        if announcement.incarnation < known_incarnation:
+        oldest = self._get_oldest_incarnation(announcement.upstream)
+        if announcement.incarnation < oldest:
+            # The announcement was delayed in transit.
             return Error(
-                AnnouncementConflictFailure(
-                    announcement.upstream,
-                    known_incarnation,
-                ),
+                AnnouncementConflictFailure(announcement.upstream, oldest),
             )
-        self._renew(known, announcement, now)
+        if known is None:
+            self._add(announcement, now)
+        else:
+            self._renew(known, announcement, now)
         return Ok(AnnouncementAnswer(LEASE_SECONDS, RENEW_SECONDS))
 
     def depart(self, departure: Departure, now: float) -> None:
@@ -79,7 +92,7 @@
         """Remove upstreams whose lease expired, and end ejections."""
         for known in list(self.upstreams.values()):
             if known.lease_until <= now:
-                self._remove(known)
+                self._remove(known, now)
             elif known.is_ejected and known.health.ejected_until <= now:
                 change_state(known, UpstreamTrigger.reinstate)
                 known.health.end_ejection()
@@ -87,6 +100,8 @@
                     UpstreamReinstatedEvent(known.announcement.upstream),
                 )
 
+        self._forget_departed(now)
+
     def find_free(self, service: ServiceName, now: float) -> list[Upstream]:
         """Find the upstreams of a service that can take a call now."""
         return [
@@ -143,7 +158,7 @@
     ) -> None:
         previous = known.announcement
         if announcement.service != previous.service:
-            self._remove(known)
+            self._remove(known, now)
             self._add(announcement, now)
             return
         if announcement.incarnation > previous.incarnation:
@@ -153,8 +168,29 @@
         known.announcement = announcement
         known.lease_until = now + LEASE_SECONDS
 
-    def _remove(self, known: Upstream) -> None:
+    def _get_oldest_incarnation(self, upstream: UpstreamId) -> int:
+        """Get the oldest incarnation that may announce itself."""
+        known = self.upstreams.get(upstream)
+        if known is not None:
+            return known.announcement.incarnation
+        departed = self.departed.get(upstream)
+        return 0 if departed is None else departed.oldest_incarnation
+
+    def _forget_departed(self, now: float) -> None:
+        while self.departed:
+            oldest = next(iter(self.departed))
+            if now - self.departed[oldest].removed_at < _DEPARTED_SECONDS:
+                return
+            self.departed.pop(oldest)
+
+    def _remove(self, known: Upstream, now: float) -> None:
         announced = known.announcement
+        # An upstream that did not leave may have been partitioned.
+        oldest_incarnation = announced.incarnation + known.is_leaving
+        self.departed.pop(announced.upstream, None)
+        self.departed[announced.upstream] = DepartedUpstream(
+            oldest_incarnation, now
+        )
         if known.is_serving or known.is_ejected:
             self.events.append(UpstreamLapsedEvent(announced.upstream))
         change_state(known, UpstreamTrigger.lapse)
--- a/tests/features/silence.feature
+++ b/tests/features/silence.feature
@@ -72,3 +72,23 @@
     Given a process that knows no leader
     When an operator has voter "c/1" removed through it
     Then the change fails with code 5003 and was not made
+
+  # Seen by other operators: a server that had left was in use again.
+  Scenario: A late announcement does not bring back an upstream that has left
+    Given an upstream of incarnation 2 that has left and whose lease has expired
+    When an announcement of its incarnation 2 arrives late
+    Then it gets no calls
+    When an announcement of its incarnation 1 arrives late
+    Then it gets no calls
+    When it announces its incarnation 3
+    Then it may get calls
+
+  Scenario: An upstream whose lease has expired comes back with an announcement
+    Given an upstream of incarnation 2 whose lease has expired
+    When it announces its incarnation 2
+    Then it may get calls
+
+  Scenario: Upstreams that have left are forgotten in the end
+    Given an upstream of incarnation 2 that has left and whose lease has expired
+    When the directory is idle for 61 seconds
+    Then the directory holds nothing of it
