Check a change only at its place in the log

Operators could see a change refused that is in force. Found by reading. Order of events: a change is committed and its answer is lost; it is sent again, with its request id, to a leader that has been replaced and does not know it yet, or to one that has it in its log but has not applied it; that one refuses it by its own state, for example since the contract to remove does not exist.

Cause: that a process was in the role of the leader was taken for proof that its state is recent.

Change: no check before the commit. A refusal is recorded under the request id, as it was for changes through other processes, so that a resend gets the same answer; its HTTP status is 409 with the code, as it was there. An invalid change now costs an entry of the log.

--- a/packages/operators/hornbeamstair_operators/service.py
+++ b/packages/operators/hornbeamstair_operators/service.py
@@ -45,16 +45,14 @@
         self,
         request: ChangeRequest,
     ) -> Result[ChangeAnswer, Failure]:
-        """Commit a change; a resend gets the first answer."""
+        """Commit a change; a resend gets the first answer.
+
+        The change is checked when its entry is applied: the state of any
+        process may be outdated before, also that of a leader.
+        """
         previous = self.get_state().find_answer(request.request_id)
         if previous is not None:
             return Ok(previous)
-        if self.group.find_leader_role().is_ok():
-            # The state of a process that does not lead may be outdated, so
-            # there the change is only checked when its entry is applied.
-            checked = self.get_state().check(request)
-            if checked.is_error():
-                return Error(checked.error)
         committed = await self.group.propose(encode_change_request(request))
         return committed.map(lambda answer: cast('ChangeAnswer', answer))
 
--- a/tests/features/silence.feature
+++ b/tests/features/silence.feature
@@ -92,3 +92,15 @@
     Given an upstream of incarnation 2 that has left and whose lease has expired
     When the directory is idle for 61 seconds
     Then the directory holds nothing of it
+
+  # Guards against CONFIG: a change that is in force was refused when it was
+  # sent again through a leader that had been replaced.
+  Scenario: A leader without a quorum does not refuse a change by its own state
+    Given a leader that has no quorum and does not know a contract
+    When an operator has the contract removed through it
+    Then the change is in doubt
+
+  Scenario: A leader refuses a change by the state at its place in the log
+    Given a leader with a quorum that does not know a contract
+    When an operator has the contract removed through it
+    Then the change is refused with code 4001
