--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -1,7 +1,7 @@
 """Endpoint that executes maintenance waves while this process leads."""
 
 from asyncio import Task, create_task, gather
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from math import inf
 from types import MappingProxyType
 from typing import Final
@@ -194,7 +194,7 @@
         ]
         for host in due:
             scheduler.reserve(host.worker)
-        await self._send_orders(progress, due, _REPEATED_STEPS)
+        await self._send_orders(progress, due, is_repeated=True)
 
     def _get_effective_hosts(
         self,
@@ -269,7 +269,6 @@
             await self._send_orders(
                 progress,
                 [host for host in started if host.host in ordered],
-                _STEPS,
             )
 
     async def _find_current(
@@ -300,17 +299,22 @@
         self,
         progress: WaveProgress,
         hosts: Sequence[ListedHost],
-        steps: Mapping[HostOutcome, HostStep],
+        *,
+        is_repeated: bool = False,
     ) -> None:
         """Send orders about hosts and record the steps of their outcomes."""
         outcomes = await gather(
             *(self._send_order(progress, host) for host in hosts),
         )
+        steps = [
+            (host, _find_step_after(host, outcome, is_repeated=is_repeated))
+            for host, outcome in zip(hosts, outcomes, strict=True)
+        ]
         await self._commit(
             [
-                _make_update(progress, host.host, steps[outcome])
-                for host, outcome in zip(hosts, outcomes, strict=True)
-                if outcome in steps
+                _make_update(progress, host.host, step)
+                for host, step in steps
+                if step != HostStep.ordered
             ],
         )
 
@@ -369,16 +373,28 @@
     },
 )
 # Step of a host after an order that was sent again: if the platform throttles
-# it, the order before may have been executed all the same.
+# it or is busy with the host, the order before may have been executed.
 _REPEATED_STEPS: Final = MappingProxyType(
     {
         HostOutcome.done: HostStep.taken,
-        HostOutcome.busy: HostStep.waiting,
         HostOutcome.refused: HostStep.waiting,
     },
 )
 
 
+def _find_step_after(
+    host: ListedHost,
+    outcome: HostOutcome,
+    *,
+    is_repeated: bool,
+) -> HostStep:
+    """Find the step of a host after an order; ordered while it is open."""
+    # A host that is down executes nothing.
+    may_be_executed = is_repeated and host.state != HostState.down
+    steps = _REPEATED_STEPS if may_be_executed else _STEPS
+    return steps.get(outcome, HostStep.ordered)
+
+
 def _get_max_age(session: WorkerSession | None, now: Moment) -> float:
     """Get the maximum age of a list that shows a worker on a host."""
     if session is None:
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -39,9 +39,9 @@
 _NO_EFFECT: Final = frozenset(
     (HostOutcome.busy, HostOutcome.refused, HostOutcome.throttled),
 )
-# The same of orders that were sent again: if the platform throttles one, the
-# order before may have been executed all the same.
-_NO_EFFECT_REPEATED: Final = _NO_EFFECT - {HostOutcome.throttled}
+# The same of orders that were sent again: if the platform throttles one or is
+# busy with the host, the order before may have been executed all the same.
+_NO_EFFECT_REPEATED: Final = frozenset((HostOutcome.refused,))
 # Interval at which the capacity of each pool is logged.
 _LOG_SECONDS: Final = 0.5
 
