Report a daemon that ends before it is ready, and let it be killed

Cause: the step `a daemon` waited 10 s for a daemon that had already ended, then told only that it was late. after_scenario killed it; asyncio raises ProcessLookupError for a process that has ended, which hid the failure of the step and left the folder of the scenario open. KNOWN-RED.txt took it for an error of after_step; that hook prints without an error.

Evidence: with a port of the second daemon in use, for upstreams and then for operators, the feature gave exactly these counts both times, with "HOOK-ERROR in after_scenario: ProcessLookupError". A daemon that is only late gives "1 error", not a hook error, since a running process can be killed; so it had ended.

Change: the start fails at once with the exit code and the end of the log, and a process that has ended is not sent a signal. The scenario failed before: "the daemon did not become ready in time", then the hook error.

--- a/packages/tools/hornbeamstair_tools/processes.py
+++ b/packages/tools/hornbeamstair_tools/processes.py
@@ -34,6 +34,8 @@
 _PORTS_PER_PROCESS: Final = 97
 _READY_POLL_SECONDS: Final = 0.05
 _READY_ATTEMPTS: Final = 200
+# Last lines of the log of a daemon that ended, which tell why.
+_REPORTED_LINES: Final = 5
 # Value of PR_SET_PDEATHSIG, see prctl(2).
 _PR_SET_PDEATHSIG: Final = 1
 
@@ -99,6 +101,11 @@
         """Base URL for operators."""
         return f'http://127.0.0.1:{self.operators_port}'
 
+    @property
+    def log_path(self) -> Path:
+        """File to which the daemon writes its log."""
+        return self.folder / 'log'
+
     def write_settings(self) -> Path:
         """Write the settings file and return its path."""
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -121,9 +128,12 @@
         return path
 
     async def start(self) -> None:
-        """Start the daemon and wait until ready; TimeoutError if too late."""
+        """Start the daemon and wait until ready.
+
+        Raise RuntimeError if it ends before, TimeoutError if it is too late.
+        """
         path = self.write_settings()
-        with (self.folder / 'log').open('ab') as log:
+        with self.log_path.open('ab') as log:
             self.process = await create_subprocess_exec(
                 sys.executable,
                 '-m',
@@ -166,6 +176,7 @@
         async with HTTPClient() as client:
             for _ in range(_READY_ATTEMPTS):
                 await sleep(_READY_POLL_SECONDS)
+                self._check_running()
                 try:
                     await client.get(f'{self.callers_url}/-/ready')
                 except (OSError, AiosonicError):
@@ -173,10 +184,20 @@
                 return
         raise TimeoutError('the daemon did not become ready in time')
 
+    def _check_running(self) -> None:
+        exit_code = None if self.process is None else self.process.returncode
+        if exit_code is not None:
+            lines = self.log_path.read_text().splitlines()
+            end_of_log = '\n'.join(lines[-_REPORTED_LINES:])
+            raise RuntimeError(
+                f'the daemon ended with exit code {exit_code}:\n{end_of_log}'
+            )
+
     async def _stop_with_signal(self, signal: int) -> int:
         if self.process is None:
             return 0
-        self.process.send_signal(signal)
+        if self.process.returncode is None:
+            self.process.send_signal(signal)
         exit_code = await self.process.wait()
         self.process = None
         return exit_code
