Give each run loopback ports of its own

Cause: all runs drew from one range, each from another first port. A port was free when it was drawn and was bound only by the daemon, more than a second later; a run that caught up with another drew the same ports meanwhile.

Change: a run owns a block of 500 ports by keeping the first one bound, and draws from its block only; when none is free it says so instead of looking on for ever.

--- a/packages/tools/hornbeamstair_tools/bench_jobs.py
+++ b/packages/tools/hornbeamstair_tools/bench_jobs.py
@@ -14,7 +14,8 @@
 
 from hornbeamstair_core.codec import json_converter
 from hornbeamstair_core.ids import TaskId, WorkerId
-from hornbeamstair_tools.processes import get_free_port, set_parent_death_signal
+from hornbeamstair_tools.ports import get_free_port
+from hornbeamstair_tools.processes import set_parent_death_signal
 from hornbeamstair_upstreams.endpoints.http_workers import (
     START_PATH,
     HttpWorkerSender,
--- a/packages/tools/hornbeamstair_tools/bench_path.py
+++ b/packages/tools/hornbeamstair_tools/bench_path.py
@@ -10,7 +10,8 @@
 from yaml import safe_dump
 
 from hornbeamstair_tools.load import LoadPlan, LoadReport, run_load
-from hornbeamstair_tools.processes import DaemonProcess, get_free_port
+from hornbeamstair_tools.ports import get_free_port
+from hornbeamstair_tools.processes import DaemonProcess
 
 __all__ = ('main', 'make_contract', 'start_stand_in')
 
--- a/packages/tools/hornbeamstair_tools/deployment.py
+++ b/packages/tools/hornbeamstair_tools/deployment.py
@@ -6,7 +6,8 @@
 
 from attrs import define, field, frozen
 
-from hornbeamstair_tools.processes import DaemonProcess, get_free_port
+from hornbeamstair_tools.ports import get_free_port
+from hornbeamstair_tools.processes import DaemonProcess
 
 __all__ = ('Deployment', 'ProcessPlan')
 
--- a/packages/tools/hornbeamstair_tools/loopback_system.py
+++ b/packages/tools/hornbeamstair_tools/loopback_system.py
@@ -13,7 +13,8 @@
 from attrs import define, field
 from yaml import safe_dump
 
-from hornbeamstair_tools.processes import get_free_port, set_parent_death_signal
+from hornbeamstair_tools.ports import get_free_port
+from hornbeamstair_tools.processes import set_parent_death_signal
 
 WAIT_TIMEOUT_SECONDS = 20
 POLL_SECONDS = 0.1
--- a/packages/tools/hornbeamstair_tools/processes.py
+++ b/packages/tools/hornbeamstair_tools/processes.py
@@ -3,13 +3,9 @@
 import sys
 from asyncio import sleep
 from asyncio.subprocess import PIPE, Process, create_subprocess_exec
-from contextlib import suppress
 from ctypes import CDLL
-from itertools import cycle, islice
-from os import getpid
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
-from socket import socket
 from typing import Any, Final
 
 from aiosonic import HTTPClient
@@ -17,6 +13,7 @@
 from attrs import define, field, frozen
 from yaml import safe_dump
 
+from hornbeamstair_tools.ports import get_free_port
 from hornbeamstair_tools.usage import ProcessUsage, get_usage
 
 __all__ = (
@@ -24,14 +21,10 @@
     'DaemonProcess',
     'OPERATORS_TOKEN',
     'set_parent_death_signal',
-    'get_free_port',
     'run_command',
 )
 
 OPERATORS_TOKEN: Final = 'loopback-demo-token'
-# Below the range of ephemeral ports, which outgoing connections use.
-_PORT_RANGE: Final = range(20000, 32000)
-_PORTS_PER_PROCESS: Final = 97
 _READY_POLL_SECONDS: Final = 0.05
 _READY_ATTEMPTS: Final = 200
 # Last lines of the log of a daemon that ended, which tell why.
@@ -39,20 +32,6 @@
 # Value of PR_SET_PDEATHSIG, see prctl(2).
 _PR_SET_PDEATHSIG: Final = 1
 
-# Each process begins at another port, so that concurrent runs do not collide.
-_port_candidates: Final = islice(
-    cycle(_PORT_RANGE), getpid() * _PORTS_PER_PROCESS % len(_PORT_RANGE), None
-)
-
-
-def get_free_port() -> int:
-    """Return a free loopback port outside the ephemeral range."""
-    while True:
-        port = next(_port_candidates)
-        with socket() as candidate_socket, suppress(OSError):
-            candidate_socket.bind(('127.0.0.1', port))
-            return port
-
 
 def set_parent_death_signal() -> None:
     """Have the kernel kill this process when its parent ends.
--- a/tests/features/steps/process_steps.py
+++ b/tests/features/steps/process_steps.py
@@ -1,12 +1,23 @@
-"""Steps that start daemons beside other programs."""
+"""Steps that start daemons and draw ports beside other programs."""
 
+import sys
 from socket import socket
+from subprocess import PIPE, Popen
 from typing import Any
 
 from behave import given, then, when
 
 from hornbeamstair_tools.processes import DaemonProcess
 
+# Draws ports until its standard input is closed.
+DRAW_PORTS = """
+import os, sys
+os.getpid = lambda: 7
+from hornbeamstair_tools.ports import get_free_port
+for _ in sys.stdin:
+    print(get_free_port(), flush=True)
+"""
+
 
 @given('a daemon whose port for operators is in use')
 def create_daemon(context: Any) -> None:
@@ -40,3 +51,40 @@
     """Check that a daemon that has ended can be killed as any other."""
     exit_code = context.world.run(context.world.daemon.kill())
     assert exit_code == code, exit_code
+
+
+@given('{count:d} runs with the same process id')
+def start_runs(context: Any, count: int) -> None:
+    """Start processes that draw ports."""
+    context.runs = []
+    for _ in range(count):
+        run = Popen(
+            [sys.executable, '-c', DRAW_PORTS],
+            stdin=PIPE,
+            stdout=PIPE,
+            text=True,
+        )
+        context.add_cleanup(run.communicate)
+        context.runs.append(run)
+
+
+@when('each of them asks for {count:d} ports')
+def draw_ports(context: Any, count: int) -> None:
+    """Draw ports from all runs in turn."""
+    context.ports = [
+        _draw_port(run) for _ in range(count) for run in context.runs
+    ]
+
+
+@then('{count:d} different ports were given')
+def check_ports(context: Any, count: int) -> None:
+    """Check that no port was given twice."""
+    assert len(set(context.ports)) == count, context.ports
+
+
+def _draw_port(run: Popen[str]) -> int:
+    assert run.stdin is not None
+    assert run.stdout is not None
+    run.stdin.write('\n')
+    run.stdin.flush()
+    return int(run.stdout.readline())
--- a/tests/features/steps/transport_steps.py
+++ b/tests/features/steps/transport_steps.py
@@ -21,7 +21,7 @@
 )
 from hornbeamstair_replicas.transport.websocket import WebsocketTransport
 from hornbeamstair_replicas.voter_ids import get_address
-from hornbeamstair_tools.processes import get_free_port
+from hornbeamstair_tools.ports import get_free_port
 
 GROUP = 'calls'
 ANSWER_SECONDS = 2
