--- a/packages/tools/hornbeamstair_tools/processes.py
+++ b/packages/tools/hornbeamstair_tools/processes.py
@@ -3,13 +3,9 @@
 import sys
 from asyncio import sleep
 from asyncio.subprocess import PIPE, Process, create_subprocess_exec
-from contextlib import suppress
 from ctypes import CDLL
-from itertools import cycle, islice
-from os import getpid
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
-from socket import socket
 from typing import Any, Final
 
 from aiosonic import HTTPClient
@@ -17,6 +13,7 @@
 from attrs import define, field, frozen
 from yaml import safe_dump
 
+from hornbeamstair_tools.ports import get_free_port
 from hornbeamstair_tools.usage import ProcessUsage, get_usage
 
 __all__ = (
@@ -24,33 +21,17 @@
     'DaemonProcess',
     'OPERATORS_TOKEN',
     'set_parent_death_signal',
-    'get_free_port',
     'run_command',
 )
 
 OPERATORS_TOKEN: Final = 'loopback-demo-token'
-# Below the range of ephemeral ports, which outgoing connections use.
-_PORT_RANGE: Final = range(20000, 32000)
-_PORTS_PER_PROCESS: Final = 97
 _READY_POLL_SECONDS: Final = 0.05
 _READY_ATTEMPTS: Final = 200
+# Last lines of the log of a daemon that ended, which tell why.
+_REPORTED_LINES: Final = 5
 # Value of PR_SET_PDEATHSIG, see prctl(2).
 _PR_SET_PDEATHSIG: Final = 1
 
-# Each process begins at another port, so that concurrent runs do not collide.
-_port_candidates: Final = islice(
-    cycle(_PORT_RANGE), getpid() * _PORTS_PER_PROCESS % len(_PORT_RANGE), None
-)
-
-
-def get_free_port() -> int:
-    """Return a free loopback port outside the ephemeral range."""
-    while True:
-        port = next(_port_candidates)
-        with socket() as candidate_socket, suppress(OSError):
-            candidate_socket.bind(('127.0.0.1', port))
-            return port
-
 
 def set_parent_death_signal() -> None:
     """Have the kernel kill this process when its parent ends.
@@ -99,6 +80,11 @@
         """Base URL for operators."""
         return f'http://127.0.0.1:{self.operators_port}'
 
+    @property
+    def log_path(self) -> Path:
+        """File to which the daemon writes its log."""
+        return self.folder / 'log'
+
     def write_settings(self) -> Path:
         """Write the settings file and return its path."""
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -121,9 +107,12 @@
         return path
 
     async def start(self) -> None:
-        """Start the daemon and wait until ready; TimeoutError if too late."""
+        """Start the daemon and wait until ready.
+
+        Raise RuntimeError if it ends before, TimeoutError if it is too late.
+        """
         path = self.write_settings()
-        with (self.folder / 'log').open('ab') as log:
+        with self.log_path.open('ab') as log:
             self.process = await create_subprocess_exec(
                 sys.executable,
                 '-m',
@@ -166,6 +155,7 @@
         async with HTTPClient() as client:
             for _ in range(_READY_ATTEMPTS):
                 await sleep(_READY_POLL_SECONDS)
+                self._check_running()
                 try:
                     await client.get(f'{self.callers_url}/-/ready')
                 except (OSError, AiosonicError):
@@ -173,10 +163,20 @@
                 return
         raise TimeoutError('the daemon did not become ready in time')
 
+    def _check_running(self) -> None:
+        exit_code = None if self.process is None else self.process.returncode
+        if exit_code is not None:
+            lines = self.log_path.read_text().splitlines()
+            end_of_log = '\n'.join(lines[-_REPORTED_LINES:])
+            raise RuntimeError(
+                f'the daemon ended with exit code {exit_code}:\n{end_of_log}'
+            )
+
     async def _stop_with_signal(self, signal: int) -> int:
         if self.process is None:
             return 0
-        self.process.send_signal(signal)
+        if self.process.returncode is None:
+            self.process.send_signal(signal)
         exit_code = await self.process.wait()
         self.process = None
         return exit_code
