--- a/tests/features/silence.feature
+++ b/tests/features/silence.feature
@@ -42,7 +42,7 @@
     Given a wave of 2 hosts with at most 1 down, whose orders get no answer
     And a platform that answers later orders as busy
     When the wave controller runs for 1 seconds
-    And host m0 goes down
+    And the list shows host m0 as down
     And the wave controller runs for 12 seconds
     Then host m1 was ordered down
 
--- a/tests/features/steps/silence_steps.py
+++ b/tests/features/steps/silence_steps.py
@@ -57,7 +57,7 @@
     client.unlisted.clear()
 
 
-@when('host {host} goes down')
+@when('the list shows host {host} as down')
 def take_host_down(context: Any, host: str) -> None:
     """Have the list show a host as down."""
     hosts = context.waves.client.hosts
