Test each proof that confirms a crash by itself

Each of these parts could be taken out of the review without a failing test: that a worker has to answer at the address, that a later incarnation is a proof wherever it is, that another life in the answer is one, and that a record that is not applied is proposed again. Each removal fails one example now.

--- a/tests/features/crash_review.feature
+++ b/tests/features/crash_review.feature
@@ -70,3 +70,18 @@
       | maintained | new   | 15      |
       | maintained | old   | 1       |
       | maintained | old   | 15      |
+
+  Scenario Outline: A crash is confirmed by each proof alone, and by nothing less
+    Given a work model with seed 77, 6 workers and no faults
+    When 1 seconds pass
+    And a job of 1 endless tasks with at most 1 unavailable
+    And its worker is silent until a lease expires, and then <seen>
+    And 3 seconds pass
+    Then <count> lost worker is confirmed
+
+    Examples:
+      | seen                                         | count |
+      | is announced under another name              | 0     |
+      | returns elsewhere under its name             | 1     |
+      | another one answers that has not announced   | 1     |
+      | returns while the first explanation is lost  | 1     |
--- a/tests/features/steps/crash_review_steps.py
+++ b/tests/features/steps/crash_review_steps.py
@@ -20,6 +20,7 @@
     ModelWorker,
     WorkModel,
     make_phase,
+    make_worker_announcement,
     poll_worker,
     replace_worker,
 )
@@ -218,3 +219,44 @@
                 return
         work.step()
     raise AssertionError(f'{task} is not placed')
+
+
+@when('its worker is silent until a lease expires, and then {seen}')
+def show_proof(context: Any, seen: str) -> None:
+    """Show one proof of what became of the worker of the first task."""
+    work = context.work
+    worker = _find_worker(work, TaskId(f'{"1" * 16}.0.0.0'))
+    worker.is_partitioned = True
+    work.run(5)
+    if seen.startswith('is announced'):
+        announced = evolve(
+            make_worker_announcement(WorkerId('forged'), 1000), port=worker.port
+        )
+        work.poll_seconds = MAX_STEPS
+        work.scheduler.handle_announcement(announced, work.get_moment())
+        return
+    if seen.startswith('another'):
+        worker.is_unannounced = True
+        replace_worker(work, worker.worker)
+    else:
+        worker.crash(work.now)
+        worker.port += len(work.workers)
+    worker.is_partitioned = False
+    if seen.endswith('lost'):
+        work.run(1)
+        _lose_explanation(work)
+
+
+@then('{count:d} lost worker is confirmed')
+def check_confirmed(context: Any, count: int) -> None:
+    """Check how many workers are known to have gone down."""
+    lost = context.work.tables.jobs.lost_workers.workers
+    confirmed = [life for life in lost if lost[life].is_confirmed]
+    assert len(confirmed) == count, lost
+
+
+def _lose_explanation(work: WorkModel) -> None:
+    """Undo the record of an explanation, as if it had been refused."""
+    for lost in work.tables.jobs.lost_workers.workers.values():
+        assert lost.is_confirmed
+        lost.is_confirmed = False
