--- a/packages/callers/hornbeamstair_callers/jobs/crashes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crashes.py
@@ -99,12 +99,15 @@
         """Count the crashes right after a start that a task is suspected of.
 
         Silence that nothing has explained for a while is most likely that of a
-        worker that was cut off.
+        worker that was cut off, unless many workers fell silent.
         """
+        recent = self.get_recent(task, wall)
         oldest_silent = wall - _SUSPICION_SECONDS
+        if _count_excess(recent) >= 0:
+            oldest_silent = -math.inf
         return sum(
             crash.is_early and (crash.is_confirmed or crash.at > oldest_silent)
-            for crash in self.get_recent(task, wall)
+            for crash in recent
         )
 
     def find_exhausted(self, wall: float) -> TaskId | None:
