Move the host of a silent worker by a list that was just read

What callers would see: while the workers of a pool are cut off, hosts stay with them for longer.

Cause: moves no host whose worker doesn't answer, since a list of up to 3 s ago may name a worker that the host has no longer. Waves order such hosts by a list of at most 0.3 s.

Change: moves do the same.

--- a/packages/callers/hornbeamstair_callers/endpoints/host_list.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/host_list.py
@@ -11,8 +11,11 @@
 from hornbeamstair_fleet.hosts import HostsClient
 from hornbeamstair_fleet.waves.messages import ListedHost
 
-__all__ = ('HostList',)
+__all__ = ('FRESH_LIST_SECONDS', 'HostList')
 
+# Maximum age of the list for an order about the host of a worker that does not
+# answer: a new worker takes longer to start, to be polled and to get runs.
+FRESH_LIST_SECONDS: Final = 0.3
 # A host counts as removed after this time, since it may be missing from a list
 # for a moment.
 _ABSENT_SECONDS: Final = 6.0
--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -8,7 +8,10 @@
 
 from attrs import define, evolve, field
 
-from hornbeamstair_callers.endpoints.host_list import HostList
+from hornbeamstair_callers.endpoints.host_list import (
+    FRESH_LIST_SECONDS,
+    HostList,
+)
 from hornbeamstair_callers.endpoints.moves import MoveController
 from hornbeamstair_callers.jobs.draining import (
     drain_workers,
@@ -46,9 +49,6 @@
 # Maximum age of the host list: each read has a cost, and a host is down for
 # longer than this.
 _LIST_SECONDS: Final = 1.2
-# Maximum age of the host list for an order about the host of a worker that does
-# not answer: a new worker takes longer to start, to be polled and to get runs.
-_FRESH_LIST_SECONDS: Final = 0.3
 # Time after which an order without a clear outcome is sent again.
 _RESEND_SECONDS: Final = 1.5
 # Upper bound of a maintenance including the lag of the host list.
@@ -399,7 +399,7 @@
     """Get the maximum age of a list that shows a worker on a host."""
     if session is None:
         return _LIST_SECONDS
-    return inf if is_answering(session, now) else _FRESH_LIST_SECONDS
+    return inf if is_answering(session, now) else FRESH_LIST_SECONDS
 
 
 def _make_update(
--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -6,7 +6,10 @@
 
 from attrs import define, field
 
-from hornbeamstair_callers.endpoints.host_list import HostList
+from hornbeamstair_callers.endpoints.host_list import (
+    FRESH_LIST_SECONDS,
+    HostList,
+)
 from hornbeamstair_callers.jobs.demand import get_demands
 from hornbeamstair_callers.jobs.draining import get_loads, is_answering
 from hornbeamstair_callers.jobs.runner import WorkRunner
@@ -145,7 +148,8 @@
         if session.is_reserved:
             # The worker is reserved for the maintenance of its host.
             return False
-        if not is_answering(session, self.get_moment()):
+        is_certain = self.hosts.get_age() <= FRESH_LIST_SECONDS
+        if not is_certain and not is_answering(session, self.get_moment()):
             # The host may have another worker, with runs, since it was listed.
             return False
         # A run may have been placed since the plan was made.
