Authenticate calls by the keys of workspaces

Cause: manifests name workspaces with keys, weights and limits, of which nothing was known to the code: calls of withdrawn or unknown keys were served.

Change: a manifest may define workspaces; the leader authenticates each call by the manifest in force, by the digest of its key. A job belongs to the workspace of its caller. Manifests and jobs without workspaces load as before and need no keys. Run times and admission become policies of the scheduler, which trust the declared estimates and admit every job for now.

--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of jobs: which are accepted, and when others may return."""
--- a/packages/callers/hornbeamstair_callers/front_ends/system.py
+++ b/packages/callers/hornbeamstair_callers/front_ends/system.py
@@ -1,10 +1,9 @@
 """HTTP interface to jobs, workers, hosts and the manifest."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any, ClassVar, Final, TypeVar
+from typing import ClassVar, Final
 
-from attrs import define
-from cattrs import BaseValidationError
+from attrs import define, evolve
 from expression import Error, Ok, Result
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -12,6 +11,11 @@
 from starlette.routing import Route
 from starlette.types import ASGIApp
 
+from hornbeamstair_callers.front_ends.messages import (
+    get_key_digest,
+    get_queue_address,
+    read_message,
+)
 from hornbeamstair_callers.jobs.listing import (
     ListHosts,
     ListJobs,
@@ -19,17 +23,15 @@
 )
 from hornbeamstair_callers.jobs.requests import (
     CancelJob,
-    QueueAddress,
     ShowJob,
     SubmitJob,
 )
 from hornbeamstair_core.codec import encode_failure, json_converter
-from hornbeamstair_core.failures import Failure, UnreadablePayloadFailure
-from hornbeamstair_core.front_end import HttpFrontEnd, read_body
+from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.front_end import HttpFrontEnd
 from hornbeamstair_core.ids import JobId, WorkerId
 from hornbeamstair_core.requests import Reply
 from hornbeamstair_core.requests import Request as LeaderRequest
-from hornbeamstair_core.units import MIB
 from hornbeamstair_operators.manifest.messages import Manifest
 from hornbeamstair_operators.manifest.requests import (
     PutManifest,
@@ -45,17 +47,7 @@
 __all__ = ('SystemFrontEnd',)
 
 _ANSWER_SECONDS: Final = 2.5
-_MAX_BODY_BYTES: Final = 8 * MIB
-_DECODE_ERRORS: Final = (
-    BaseValidationError,
-    KeyError,
-    OverflowError,
-    RecursionError,
-    TypeError,
-    ValueError,
-)
 
-Message = TypeVar('Message')
 Reader = Callable[[Request], Awaitable[Result[LeaderRequest, Failure]]]
 
 
@@ -107,26 +99,6 @@
         return JSONResponse({'reply': outcome.ok.kind, **fields})
 
 
-async def _read(
-    request: Request,
-    message_class: type[Message],
-) -> Result[Message, Failure]:
-    body = await read_body(request, _MAX_BODY_BYTES)
-    return body.bind(lambda content: _decode(content, message_class))
-
-
-def _decode(body: bytes, message_class: Any) -> Result[Any, Failure]:
-    try:
-        return Ok(json_converter.loads(body, message_class))
-    except _DECODE_ERRORS as error:
-        return Error(UnreadablePayloadFailure(repr(error)))
-
-
-def _get_queue_address(request: Request) -> QueueAddress:
-    query = request.query_params
-    return QueueAddress(query.get('host', ''), query.get('path', ''))
-
-
 async def _list_jobs(request: Request) -> Result[LeaderRequest, Failure]:
     return Ok(ListJobs())
 
@@ -140,21 +112,27 @@
 
 
 async def _submit(request: Request) -> Result[LeaderRequest, Failure]:
-    return await _read(request, SubmitJob)
+    submitted = await read_message(request, SubmitJob)
+    # The header alone tells the key of the caller.
+    return submitted.map(
+        lambda call: evolve(
+            call, place=evolve(call.place, key_digest=get_key_digest(request))
+        ),
+    )
 
 
 async def _show(request: Request) -> Result[LeaderRequest, Failure]:
     job = JobId(request.path_params['job'])
-    return Ok(ShowJob(_get_queue_address(request), job))
+    return Ok(ShowJob(get_queue_address(request), job))
 
 
 async def _cancel(request: Request) -> Result[LeaderRequest, Failure]:
     job = JobId(request.path_params['job'])
-    return Ok(CancelJob(_get_queue_address(request), job))
+    return Ok(CancelJob(get_queue_address(request), job))
 
 
 async def _announce(request: Request) -> Result[LeaderRequest, Failure]:
-    announced = await _read(request, WorkerAnnouncement)
+    announced = await read_message(request, WorkerAnnouncement)
     return announced.map(AnnounceWorker)
 
 
@@ -167,5 +145,5 @@
 
 
 async def _put_manifest(request: Request) -> Result[LeaderRequest, Failure]:
-    manifest = await _read(request, Manifest)
+    manifest = await read_message(request, Manifest)
     return manifest.map(PutManifest)
--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -40,6 +40,8 @@
     tasks: int
     manifest_version: int
     commit_ms: int
+    # Workspace of the caller; empty for a call to an open queue.
+    workspace: str = ''
 
 
 @register_event
--- a/packages/callers/hornbeamstair_callers/jobs/job.py
+++ b/packages/callers/hornbeamstair_callers/jobs/job.py
@@ -17,6 +17,7 @@
     ServiceName,
     TaskId,
     WorkerId,
+    WorkspaceName,
 )
 from hornbeamstair_upstreams.work.isolation import Isolation, get_isolation
 
@@ -62,6 +63,8 @@
     done: dict[str, int] = field(factory=dict)
     crash_history: CrashHistory = field(factory=CrashHistory)
     ended_at: float = 0
+    # Workspace of its caller; empty for a job of an open queue.
+    workspace: WorkspaceName = WorkspaceName('')
 
     @property
     def is_open(self) -> bool:
--- a/packages/callers/hornbeamstair_callers/jobs/job_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/job_event_log.py
@@ -5,6 +5,7 @@
 from hornbeamstair_callers.jobs.events import JobEndedEvent
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ranking import get_objective
+from hornbeamstair_callers.jobs.run_times import RunTimes
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import JobId
 from hornbeamstair_core.units import to_milliseconds
@@ -18,6 +19,7 @@
     """Logs the end of each job; shows whether a late job waited or ran long."""
 
     manifest: ManifestTable
+    run_times: RunTimes
     # Wall-clock times of the first starts recorded under this leader.
     begun: dict[JobId, float] = field(factory=dict)
     # Jobs whose end was logged.
@@ -56,4 +58,5 @@
         queue = self.manifest.find_queue_by_name(job.queue)
         if queue is None or job.spec.lasts:
             return None
-        return to_milliseconds(get_objective(job, queue) - job.accepted_at)
+        objective = get_objective(job, queue, self.run_times)
+        return to_milliseconds(objective - job.accepted_at)
--- a/packages/callers/hornbeamstair_callers/jobs/ranking.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ranking.py
@@ -8,6 +8,8 @@
 
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import JobSpec
+from hornbeamstair_callers.jobs.run_times import RunTimes
+from hornbeamstair_core.ids import QueueName
 from hornbeamstair_operators.manifest.messages import Queue
 
 __all__ = (
@@ -57,6 +59,8 @@
 
     name: ClassVar[str] = 'objective'
 
+    run_times: RunTimes
+
     def get_key(
         self,
         job: Job,
@@ -76,24 +80,30 @@
         """Get the time after which the job misses its objective."""
         if job.spec.lasts:
             return inf
-        latest = _get_latest_resume_time(job, queue)
+        latest = _get_latest_resume_time(job, queue, self.run_times)
         return inf if wall > latest else latest
 
     def misses_objective(self, job: Job, queue: Queue, wall: float) -> bool:
         """Compare the estimate of the remaining work with the objective."""
-        return not job.spec.lasts and wall > _get_latest_resume_time(job, queue)
+        if job.spec.lasts:
+            return False
+        return wall > _get_latest_resume_time(job, queue, self.run_times)
 
 
-def get_critical_path_seconds(spec: JobSpec) -> float:
-    """Get the length of the critical path by the estimates of the job."""
+def get_critical_path_seconds(
+    spec: JobSpec,
+    queue: QueueName,
+    run_times: RunTimes,
+) -> float:
+    """Get the length of the critical path by the expected run times."""
     ends: list[float] = []
     for phase in spec.phases:
         before = max((ends[number] for number in phase.after), default=0)
-        ends.append(before + phase.needs.estimate_seconds)
+        ends.append(before + run_times.get_seconds(queue, phase.needs))
     return max(ends, default=0)
 
 
-def get_remaining_seconds(job: Job) -> float:
+def get_remaining_seconds(job: Job, run_times: RunTimes) -> float:
     """Get the length of the critical path over unfinished phases.
 
     Only the first occurrence of a repeating job counts.
@@ -101,14 +111,16 @@
     ends: list[float] = []
     for number, phase in enumerate(job.spec.phases):
         before = max((ends[required] for required in phase.after), default=0)
-        own = phase.needs.estimate_seconds
+        own = run_times.get_seconds(job.queue, phase.needs)
         ends.append(before + own * (not job.is_phase_done(0, number)))
     return max(ends, default=0)
 
 
-def get_objective(job: Job, queue: Queue) -> float:
+def get_objective(job: Job, queue: Queue, run_times: RunTimes) -> float:
     """Get the wall-clock time by which a job should be done."""
-    critical_path_seconds = get_critical_path_seconds(job.spec)
+    critical_path_seconds = get_critical_path_seconds(
+        job.spec, job.queue, run_times
+    )
     return (
         _get_release_time(job)
         + critical_path_seconds * queue.stretch
@@ -121,7 +133,12 @@
     return max(job.accepted_at, job.spec.get_due(0))
 
 
-def _get_latest_resume_time(job: Job, queue: Queue) -> float:
+def _get_latest_resume_time(
+    job: Job,
+    queue: Queue,
+    run_times: RunTimes,
+) -> float:
     """Get the latest time to resume a job so that it meets its objective."""
-    objective = get_objective(job, queue)
-    return objective - get_remaining_seconds(job) * (1 + _ESTIMATE_MARGIN_SHARE)
+    objective = get_objective(job, queue, run_times)
+    remaining_seconds = get_remaining_seconds(job, run_times)
+    return objective - remaining_seconds * (1 + _ESTIMATE_MARGIN_SHARE)
--- a/packages/callers/hornbeamstair_callers/jobs/records.py
+++ b/packages/callers/hornbeamstair_callers/jobs/records.py
@@ -12,6 +12,7 @@
     ServiceName,
     TaskId,
     WorkerId,
+    WorkspaceName,
 )
 from hornbeamstair_core.records import Record
 from hornbeamstair_upstreams.work.messages import RunEnd
@@ -39,6 +40,8 @@
     service: ServiceName
     # Wall-clock seconds.
     accepted_at: float
+    # Workspace of the caller; empty for a call to an open queue.
+    workspace: WorkspaceName = WorkspaceName('')
 
 
 @frozen
--- a/packages/callers/hornbeamstair_callers/jobs/requests.py
+++ b/packages/callers/hornbeamstair_callers/jobs/requests.py
@@ -21,10 +21,12 @@
 
 @frozen
 class QueueAddress:
-    """Host and path by which a caller addresses a queue."""
+    """Host and path by which a caller addresses a queue, and its key."""
 
     host: str
     path: str
+    # Digest of the caller's key; empty if the call carries none.
+    key_digest: str = ''
 
 
 @frozen
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -16,13 +16,12 @@
 from hornbeamstair_callers.jobs.ends import EndRecorder
 from hornbeamstair_callers.jobs.events import (
     HolderChangedEvent,
-    WorkerBelievedEvent,
-    WorkerQuarantinedEvent,
 )
 from hornbeamstair_callers.jobs.inheritance import InheritedRuns
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.job_event_log import JobEventLog
 from hornbeamstair_callers.jobs.messages import get_job_id
+from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.ranking import ObjectiveRanking
 from hornbeamstair_callers.jobs.record_event_log import RecordEventLog
 from hornbeamstair_callers.jobs.records import (
@@ -43,6 +42,7 @@
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_event_log import WaitingEventLog
 from hornbeamstair_callers.jobs.waiting_queue import WaitingQueue
+from hornbeamstair_callers.jobs.worker_event_log import WorkerEventLog
 from hornbeamstair_callers.jobs.worker_records import WorkerSurvived
 from hornbeamstair_core.effects import Effect
 from hornbeamstair_core.events import log_event
@@ -110,12 +110,14 @@
     fencing_token: int
     terms: LeaseTerms
     sessions: dict[WorkerId, WorkerSession] = field(factory=dict)
+    policies: SchedulingPolicies = field(factory=SchedulingPolicies)
     index: WorkerIndex = field(factory=WorkerIndex, init=False)
     effects: list[Effect] = field(factory=list)
     jobs_forgotten_at: float = 0
     inherited: InheritedRuns = field(factory=lambda: InheritedRuns(0))
     unstarted: UnstartedJobs = field(factory=UnstartedJobs, init=False)
     stats: PlacementStats = field(factory=PlacementStats, init=False)
+    worker_event_log: WorkerEventLog = field(factory=WorkerEventLog, init=False)
     job_event_log: JobEventLog = field(init=False)
     run_event_log: RunEventLog = field(init=False)
     waiting: WaitingJobs = field(init=False)
@@ -132,7 +134,7 @@
         self.waiting = WaitingJobs(
             state.jobs,
             state.manifest,
-            ObjectiveRanking(),
+            ObjectiveRanking(self.policies.run_times),
         )
         self.waiting_event_log = WaitingEventLog(self.waiting)
         self.unconfirmed_event_log = UnconfirmedEventLog(self.fencing_token)
@@ -140,7 +142,9 @@
             self.fencing_token,
             self.waiting,
         )
-        self.job_event_log = JobEventLog(state.manifest)
+        self.job_event_log = JobEventLog(
+            state.manifest, self.policies.run_times
+        )
         self.run_event_log = RunEventLog(self.fencing_token)
         self.starts = StartPlanner(
             self.waiting,
@@ -243,7 +247,7 @@
         is_news = recorded is None or announced.differs(recorded)
         if is_news:
             state = 'leaving' if announced.is_leaving else 'up'
-            _log_worker_state(announced, state)
+            self.worker_event_log.log_state(announced, state)
         return is_news
 
     def handle_withdrawal(self, worker: WorkerId, now: Moment) -> None:
@@ -251,7 +255,7 @@
         session = self.sessions.get(worker)
         if session is not None and session.terminated_at is None:
             session.terminate(now.monotonic)
-            _log_worker_state(session.announced, 'gone')
+            self.worker_event_log.log_state(session.announced, 'gone')
 
     def handle_poll(
         self,
@@ -264,12 +268,16 @@
         was_unresponsive = session.is_unresponsive
         ended = handle_poll_answer(session, answer, sent_at, now.monotonic)
         self.unstarted.remove_started(report.task for report in answer.running)
-        _log_responsiveness(session, was_unresponsive=was_unresponsive)
+        self.worker_event_log.log_responsiveness(
+            session, was_unresponsive=was_unresponsive
+        )
         self._commit_ends(session, ended, now)
         if sent_at > session.expired_at:
             self._report_survival(session, now)
         if session.health.quarantine_if_unhealthy(now.monotonic):
-            _log_quarantine(session, 'consecutive runs failed')
+            self.worker_event_log.log_quarantine(
+                session, 'consecutive runs failed'
+            )
 
     def handle_start_answer(
         self,
@@ -283,7 +291,9 @@
         ended = session.handle_start_answer(order, answer, now.monotonic)
         if answer.outcome == OrderOutcome.done:
             self.unstarted.remove_started((order.task,))
-        _log_responsiveness(session, was_unresponsive=was_unresponsive)
+        self.worker_event_log.log_responsiveness(
+            session, was_unresponsive=was_unresponsive
+        )
         self._commit_ends(session, ended, now)
 
     def handle_stop_answer(
@@ -532,7 +542,9 @@
             return None
         if session.is_start_overdue(run, now.monotonic):
             session.abandon_start(run, now.monotonic)
-            _log_quarantine(session, 'start orders have no answer')
+            self.worker_event_log.log_quarantine(
+                session, 'start orders have no answer'
+            )
             return None
         return session.make_start(run, job.spec.text, now.monotonic)
 
@@ -590,22 +602,6 @@
             self.effects.append(CommitBatch((JobsForgotten(old),)))
 
 
-def _log_worker_state(announced: WorkerAnnouncement, state: str) -> None:
-    log_event(
-        WorkerBelievedEvent(
-            announced.worker,
-            announced.service,
-            state,
-            announced.incarnation,
-        ),
-    )
-
-
-def _log_quarantine(session: WorkerSession, reason: str) -> None:
-    worker = session.announced.worker
-    log_event(WorkerQuarantinedEvent(worker, reason))
-
-
 def _make_first_start(
     session: WorkerSession,
     run: Run,
@@ -630,14 +626,6 @@
         session.remove_run(run.task)
 
 
-def _log_responsiveness(
-    session: WorkerSession, *, was_unresponsive: bool
-) -> None:
-    if session.is_unresponsive != was_unresponsive:
-        state = 'silent' if session.is_unresponsive else 'answering'
-        _log_worker_state(session.announced, state)
-
-
 def _is_expired_session(session: WorkerSession, now: Moment) -> bool:
     if session.runs or now.monotonic < session.lease.latest_expiry:
         return False
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -15,6 +15,7 @@
     QueueUnknownFailure,
 )
 from hornbeamstair_callers.jobs.job import Job
+from hornbeamstair_callers.jobs.messages import JobSpec
 from hornbeamstair_callers.jobs.records import (
     JobAccepted,
     JobCancelled,
@@ -30,6 +31,7 @@
     SubmitJob,
 )
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
+from hornbeamstair_callers.workspaces.access import QueueAccess, find_access
 from hornbeamstair_core.committing import Committer
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
@@ -41,8 +43,6 @@
     RequestHandler,
 )
 from hornbeamstair_core.units import to_milliseconds
-from hornbeamstair_operators.failures import NoManifestFailure
-from hornbeamstair_operators.manifest.messages import Queue
 from hornbeamstair_replicas.failures import NotLeaderFailure
 
 __all__ = ('JobRequestHandler', 'RecordCommitter')
@@ -86,40 +86,63 @@
         raise TypeError(request)
 
     async def _submit(self, request: SubmitJob) -> Result[Reply, Failure]:
-        queue = self._find_queue(request.place)
-        if queue.is_error():
-            return Error(queue.error)
+        access = find_access(self.state.manifest, request.place)
+        if access.is_error():
+            return Error(access.error)
         checked = check_job(request.spec)
         if checked.is_error():
             return Error(checked.error)
-        if queue.ok.advice is not None:
-            return Error(AdviceUnsupportedFailure(queue.ok.queue))
-        job_id = request.spec.job
-        if job_id in self.state.jobs.jobs:
+        queue = access.ok.queue
+        if queue.advice is not None:
+            return Error(AdviceUnsupportedFailure(queue.queue))
+        if request.spec.job in self.state.jobs.jobs:
             return Ok(DoneReply())
-        accepted_at = self.get_moment()
+        return await self._accept(request.spec, access.ok)
+
+    async def _accept(
+        self,
+        spec: JobSpec,
+        access: QueueAccess,
+    ) -> Result[Reply, Failure]:
+        started = self.get_moment()
         record = JobAccepted(
-            request.spec,
-            queue.ok.queue,
-            queue.ok.service,
-            accepted_at.wall,
+            spec,
+            access.queue.queue,
+            access.queue.service,
+            started.wall,
+            access.workspace,
         )
+        admitted = self._admit(record, started)
+        if admitted.is_error():
+            return Error(admitted.error)
         committed = await self.committer.commit((record,))
         if committed.is_error():
             return Error(committed.error)
-        seconds = self.get_moment().monotonic - accepted_at.monotonic
+        seconds = self.get_moment().monotonic - started.monotonic
         log_event(
             JobAcceptedEvent(
-                job_id,
-                queue.ok.queue,
-                queue.ok.service,
-                sum(phase.count for phase in request.spec.phases),
+                spec.job,
+                record.queue,
+                record.service,
+                sum(phase.count for phase in spec.phases),
                 self.state.manifest.version,
                 to_milliseconds(seconds),
+                record.workspace,
             ),
         )
         return Ok(DoneReply())
 
+    def _admit(
+        self,
+        record: JobAccepted,
+        now: Moment,
+    ) -> Result[None, Failure]:
+        scheduler = self.committer.find_scheduler()
+        if scheduler is None:
+            # The commit fails and tells the caller.
+            return Ok(None)
+        return scheduler.policies.admission.check(record, now)
+
     async def _cancel(self, request: CancelJob) -> Result[Reply, Failure]:
         job = self._find_job(request)
         if job.is_error():
@@ -135,37 +158,27 @@
         self,
         request: ShowJob | CancelJob,
     ) -> Result[Job, Failure]:
-        queue = self._find_queue(request.place)
-        if queue.is_error():
-            return Error(queue.error)
+        access = find_access(self.state.manifest, request.place)
+        if access.is_error():
+            return Error(access.error)
         job = self.state.jobs.jobs.get(request.job)
-        if job is None:
+        if job is None or not access.ok.may_access(job.workspace):
             return Error(JobUnknownFailure(request.job))
         return Ok(job)
 
-    def _find_queue(self, place: QueueAddress) -> Result[Queue, Failure]:
-        manifest = self.state.manifest
-        if manifest.manifest is None:
-            return Error(NoManifestFailure())
-        queue = manifest.find_queue(place.host, place.path)
-        if queue is None:
-            return Error(
-                QueueUnknownFailure(place.host, place.path, manifest.version),
-            )
-        return Ok(queue)
-
     def _count(self, place: QueueAddress) -> Result[Reply, Failure]:
-        queue = self._find_queue(place)
-        if queue.is_error():
-            return Error(queue.error)
-        if place.path != queue.ok.path_prefix:
+        access = find_access(self.state.manifest, place)
+        if access.is_error():
+            return Error(access.error)
+        queue = access.ok.queue
+        if place.path != queue.path_prefix:
             # What follows the prefix is not the ID of a job.
             version = self.state.manifest.version
             return Error(QueueUnknownFailure(place.host, place.path, version))
         scheduler = self.committer.find_scheduler()
         if scheduler is None:
             return Error(NotLeaderFailure(''))
-        return Ok(PendingReply(scheduler.unstarted.count(queue.ok.queue)))
+        return Ok(PendingReply(scheduler.unstarted.count(queue.queue)))
 
 
 def _show(job: Job) -> Reply:
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -125,6 +125,7 @@
             record.queue,
             record.service,
             record.accepted_at,
+            workspace=record.workspace,
         )
         return True
 
--- /dev/null
+++ b/packages/callers/hornbeamstair_callers/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces of callers: keys, limits and shares."""
--- a/packages/core/hornbeamstair_core/ids.py
+++ b/packages/core/hornbeamstair_core/ids.py
@@ -16,6 +16,7 @@
     'TaskId',
     'UpstreamId',
     'WorkerId',
+    'WorkspaceName',
     'ZoneName',
     'is_name',
 )
@@ -32,6 +33,7 @@
 TaskId = NewType('TaskId', str)
 UpstreamId = NewType('UpstreamId', str)
 WorkerId = NewType('WorkerId', str)
+WorkspaceName = NewType('WorkspaceName', str)
 ZoneName = NewType('ZoneName', str)
 
 _NAME_PATTERN: Final = re.compile('[a-z0-9](?:[a-z0-9._-]{0,62}[a-z0-9])?')
--- a/packages/operators/hornbeamstair_operators/manifest/messages.py
+++ b/packages/operators/hornbeamstair_operators/manifest/messages.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from hornbeamstair_core.ids import QueueName, ServiceName
+from hornbeamstair_core.ids import QueueName, ServiceName, WorkspaceName
 from hornbeamstair_core.records import Record
 
 __all__ = (
@@ -14,6 +14,7 @@
     'ManifestState',
     'Queue',
     'WorkService',
+    'Workspace',
 )
 
 
@@ -47,6 +48,8 @@
     stretch: float
     target_seconds: float
     advice: AdviceTerms | None = None
+    # Calls to an open queue need no key and belong to no workspace.
+    is_open: bool = False
 
 
 @frozen
@@ -61,6 +64,24 @@
     is_standby: bool
 
 
+@frozen
+class Workspace:
+    """Group of callers with its keys and its share of the workers."""
+
+    workspace: WorkspaceName
+    # Hexadecimal SHA-256 digests of the keys; the keys themselves occur only
+    # in the document of the manifest.
+    key_digests: tuple[str, ...] = ()
+    # Share of the resources when all are in use, and the jobs a second that
+    # the workspace is promised.
+    weight: float = 1
+    # Limits on the resources of its active runs on all workers; 0 for none.
+    # CPU in thousandths of a core, memory in MB.
+    max_cpu: int = 0
+    max_memory: int = 0
+    max_accelerators: int = 0
+
+
 @frozen
 class Manifest:
     """Queues and services of one version, with the document as received."""
@@ -69,6 +90,8 @@
     queues: tuple[Queue, ...]
     services: tuple[WorkService, ...]
     document: bytes
+    # None if the manifest defines no workspaces, so that calls need no keys.
+    workspaces: tuple[Workspace, ...] | None = None
 
 
 @frozen
--- a/packages/operators/hornbeamstair_operators/manifest/table.py
+++ b/packages/operators/hornbeamstair_operators/manifest/table.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from hornbeamstair_core.ids import QueueName, ServiceName
+from hornbeamstair_core.ids import QueueName, ServiceName, WorkspaceName
 from hornbeamstair_core.invariants import check_invariant
 from hornbeamstair_core.records import Record, RecordTable
 from hornbeamstair_operators.manifest.messages import (
@@ -13,6 +13,7 @@
     ManifestState,
     Queue,
     WorkService,
+    Workspace,
 )
 
 __all__ = ('ManifestTable',)
@@ -33,6 +34,8 @@
     # hold some.
     dropped: dict[QueueName, Queue] = field(factory=dict)
     queues_by_host: dict[str, list[Queue]] = field(factory=dict)
+    workspaces: dict[WorkspaceName, Workspace] = field(factory=dict)
+    workspaces_by_key: dict[str, Workspace] = field(factory=dict)
 
     @property
     def version(self) -> int:
@@ -53,6 +56,16 @@
                 return queue
         return None
 
+    @property
+    def needs_keys(self) -> bool:
+        """Whether calls to queues that are not open need a key."""
+        manifest = self.manifest
+        return manifest is not None and manifest.workspaces is not None
+
+    def find_workspace(self, key_digest: str) -> Workspace | None:
+        """Find the workspace that holds a key in the manifest in force."""
+        return self.workspaces_by_key.get(key_digest)
+
     def find_queue_by_name(self, name: QueueName) -> Queue | None:
         """Find a queue by name, in force or dropped."""
         return self.queues.get(name) or self.dropped.get(name)
@@ -67,6 +80,8 @@
         self.queues = {}
         self.services = {}
         self.queues_by_host = {}
+        self.workspaces = {}
+        self.workspaces_by_key = {}
         self.dropped = {}
         if state is None:
             return
@@ -93,3 +108,11 @@
         )
         for queue in by_prefix_length:
             self.queues_by_host.setdefault(queue.host, []).append(queue)
+        self.workspaces = {
+            found.workspace: found for found in manifest.workspaces or ()
+        }
+        self.workspaces_by_key = {
+            digest: found
+            for found in manifest.workspaces or ()
+            for digest in found.key_digests
+        }
--- a/tests/features/steps/adapter_steps.py
+++ b/tests/features/steps/adapter_steps.py
@@ -66,6 +66,14 @@
             },
         ],
         'services': [{'name': 's', 'standby': False}],
+        'tenants': [
+            {
+                'name': 't',
+                'api_keys': ['k'],
+                'weight': 3,
+                'max_count': {'cpu': 4, 'mem_mb': 5},
+            },
+        ],
     },
     'job': {
         'spec': 'text',
--- a/tests/features/steps/planning_steps.py
+++ b/tests/features/steps/planning_steps.py
@@ -11,6 +11,7 @@
 from hornbeamstair_callers.jobs.messages import JobSpec
 from hornbeamstair_callers.jobs.ranking import ObjectiveRanking
 from hornbeamstair_callers.jobs.requests import QueueAddress, SubmitJob
+from hornbeamstair_callers.jobs.run_times import DeclaredRunTimes
 from hornbeamstair_callers.jobs.service import JobRequestHandler
 from hornbeamstair_core.ids import (
     JobId,
@@ -170,7 +171,7 @@
 @given('the job order by objective')
 def make_order(context: Any) -> None:
     """Create the job order."""
-    context.order = ObjectiveRanking()
+    context.order = ObjectiveRanking(DeclaredRunTimes())
     context.queue = make_manifest().queues[0]
 
 
