Report calls to the leader that were never written as not run

Cause: an attempt that timed out in the queue of a lost connection counted as one that may have run, so that callers got 504 for requests that had reached nobody.

Change: the transport returns a posting for a call, which the channel withdraws when the attempt ends. A withdrawn posting is never written; one that was not written before has not run.

--- a/packages/replicas/hornbeamstair_replicas/calls/attempts.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/attempts.py
@@ -23,6 +23,8 @@
     unreached = 'unreached'
     # The call was sent and had no answer.
     unanswered = 'unanswered'
+    # The call was withdrawn before any byte of it was written.
+    unwritten = 'unwritten'
     # There is no connection to the process that was asked.
     unconnected = 'unconnected'
 
--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/channel.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/channel.py
@@ -35,6 +35,11 @@
 # likely to know the leader.
 _UNREACHABLE_AFTER_SECONDS: Final = 1.2
 
+# In place of the answer to a call that was never written.
+_WITHDRAWN: Final = LeaderAnswer(
+    0, b'', is_leader=False, leader=VoterId(''), voters=()
+)
+
 
 class LeaderService(ABC):
     """Handler of the calls that this process receives as leader."""
@@ -163,7 +168,9 @@
         default: AttemptResult,
     ) -> None:
         attempt = default
-        if answer is not None:
+        if answer is _WITHDRAWN:
+            attempt = AttemptResult.unwritten
+        elif answer is not None:
             leads = answer.is_leader
             attempt = (
                 AttemptResult.answered if leads else AttemptResult.not_leading
@@ -182,14 +189,21 @@
         number = self.last_number
         answer: Future[LeaderAnswer] = get_running_loop().create_future()
         self.waiting[number] = answer
-        self._send(target, LeaderCall(number, payload))
+        posting = self.transport.post(
+            Envelope(
+                _CHANNEL,
+                self.transport.own,
+                target,
+                LeaderCall(number, payload),
+            ),
+        )
         seconds = min(_ATTEMPT_TIMEOUT_SECONDS, deadline - self.get_time())
         try:
             async with timeout(seconds):
                 return await answer
         except TimeoutError:
             self.targets.forget_leader(target)
-            return None
+            return _WITHDRAWN if posting.withdraw() else None
         finally:
             self.waiting.pop(number)
 
@@ -261,7 +275,3 @@
     def _answer(self, receiver: VoterId, answer: LeaderAnswer) -> None:
         own = self.transport.own
         self.transport.answer(Envelope(_CHANNEL, own, receiver, answer))
-
-    def _send(self, receiver: VoterId, message: PeerMessage) -> None:
-        own = self.transport.own
-        self.transport.send(Envelope(_CHANNEL, own, receiver, message))
--- a/packages/replicas/hornbeamstair_replicas/transport/base.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/base.py
@@ -9,6 +9,7 @@
 from hornbeamstair_core.step_failures import log_step_failure
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
+from hornbeamstair_replicas.transport.posting import Posting
 from hornbeamstair_replicas.voter_ids import get_address, get_process
 
 __all__ = ('LocalTransport', 'PeerTransport')
@@ -37,6 +38,11 @@
     def send(self, envelope: Envelope) -> None:
         """Send a message, or drop it if it cannot be sent soon."""
 
+    def post(self, envelope: Envelope) -> Posting:
+        """Send a message that can be withdrawn until it is written."""
+        self.send(envelope)
+        return Posting(is_written=True)
+
     def answer(self, envelope: Envelope) -> None:
         """Send an answer to a message that was just received."""
         self.send(envelope)
--- a/packages/replicas/hornbeamstair_replicas/transport/outbox.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/outbox.py
@@ -14,6 +14,7 @@
 from hornbeamstair_replicas.events import MessageTooLargeEvent
 from hornbeamstair_replicas.limits import MAX_MESSAGE_BYTES
 from hornbeamstair_replicas.peer_messages import Envelope
+from hornbeamstair_replicas.transport.posting import Posting
 
 __all__ = ('Outbox',)
 
@@ -25,34 +26,35 @@
     """Bounded queue of encoded messages; a full one drops its oldest."""
 
     metrics: Metrics
-    queue: 'deque[bytes]' = field(
+    queue: 'deque[Posting]' = field(
         factory=lambda: deque(maxlen=_MAX_QUEUED_MESSAGES),
     )
     ready: Event = field(factory=Event)
 
-    def put_envelope(self, envelope: Envelope) -> None:
+    def put_envelope(self, envelope: Envelope) -> Posting:
         """Queue a message, unless it is larger than its receiver accepts.
 
         The receiver would close the connection, and lose the other messages.
         """
-        payload = encode_envelope(envelope)
-        if len(payload) <= MAX_MESSAGE_BYTES:
-            self.put(payload)
-            return
+        posting = Posting(encode_envelope(envelope))
+        if len(posting.payload) <= MAX_MESSAGE_BYTES:
+            self.put(posting)
+            return posting
         self.metrics.count_retry('peer_message_too_large')
         log_event(
             MessageTooLargeEvent(
                 envelope.message.kind,
                 envelope.receiver,
-                len(payload),
+                len(posting.payload),
             ),
         )
+        return posting
 
-    def put(self, payload: bytes) -> None:
+    def put(self, posting: Posting) -> None:
         """Queue a message."""
         if len(self.queue) == _MAX_QUEUED_MESSAGES:
             self.metrics.count_retry('peer_queue_full')
-        self.queue.append(payload)
+        self.queue.append(posting)
         self.ready.set()
 
     def wake(self) -> None:
@@ -69,4 +71,6 @@
         """Send the queued messages; raise ConnectionClosed if it is closed."""
         self.ready.clear()
         while self.queue:
-            await connection.send(self.queue.popleft())
+            posting = self.queue.popleft()
+            if posting.begin_write():
+                await connection.send(posting.payload)
--- a/packages/replicas/hornbeamstair_replicas/transport/websocket.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/websocket.py
@@ -33,6 +33,7 @@
     PeerAddress,
     PeerConnection,
 )
+from hornbeamstair_replicas.transport.posting import Posting
 from hornbeamstair_replicas.transport.resolvers import (
     FixedPeersResolver,
     PeerResolver,
@@ -108,11 +109,15 @@
 
     def send(self, envelope: Envelope) -> None:
         """Queue a message; a full queue drops its oldest message."""
+        self.post(envelope)
+
+    def post(self, envelope: Envelope) -> Posting:
+        """Queue a message that can be withdrawn until it is written."""
         peer = self._find_peer(get_process(envelope.receiver))
         if peer is None:
-            return
+            return Posting()
         peer.last_used_at = get_monotonic_time()
-        peer.outbox.put_envelope(envelope)
+        return peer.outbox.put_envelope(envelope)
 
     def answer(self, envelope: Envelope) -> None:
         """Send an answer over the connection of its question, if it is open.
--- a/tests/features/leader_calls.feature
+++ b/tests/features/leader_calls.feature
@@ -16,6 +16,19 @@
     Then it fails within 2 seconds with code 5003
     And it has not run, and the leader was sent only probes
 
+  # Seen on days with cuts: 504 for calls that reached nobody.
+  Scenario Outline: A call that was never written is reported as not run
+    Given a channel whose leader answered a moment ago and now answers nothing
+    And a connection that writes <written> calls and then no more
+    When a call is made with a timeout of 3 seconds
+    Then it fails within 2 seconds with code <code>
+    And the connection never writes the calls that were withdrawn
+
+    Examples:
+      | written | code |
+      | 0       | 5003 |
+      | 1       | 5001 |
+
   Scenario: A leader without recent calls answers
     Given a channel whose leader answered 5 seconds ago and now answers all
     When a call is made with a timeout of 3 seconds
--- a/tests/features/steps/leader_call_steps.py
+++ b/tests/features/steps/leader_call_steps.py
@@ -28,6 +28,7 @@
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.transport.posting import Posting
 from tests.support.logs import capture_log, read_log
 from tests.support.work_model import make_phase
 
@@ -52,6 +53,10 @@
     # Number of calls that are left unanswered before the others.
     unanswered: int = 0
     sent: list[bytes] = field(factory=list)
+    # Number of calls that the connection writes; None for all.
+    writable: int | None = None
+    postings: list[Posting] = field(factory=list)
+    stuck: list[Posting] = field(factory=list)
 
     def send(self, envelope: Envelope) -> None:
         """Answer a call after a delay, or never."""
@@ -67,6 +72,18 @@
         if seconds is not None:
             get_running_loop().call_later(seconds, self._answer, call)
 
+    def post(self, envelope: Envelope) -> Posting:
+        """Queue a call; write it only if the connection still does."""
+        posting = Posting(b'call')
+        is_stuck = len(self.postings) == self.writable
+        if is_stuck:
+            self.stuck.append(posting)
+            return posting
+        self.postings.append(posting)
+        posting.begin_write()
+        self.send(envelope)
+        return posting
+
     def is_connected(self, receiver: VoterId) -> bool:
         """Return whether the leader is connected."""
         return self.has_connection
@@ -107,6 +124,19 @@
     context.transport.reply = CODEC.encode_outcome(Error(refusal))
 
 
+@given('a connection that writes {count:d} calls and then no more')
+def limit_writes(context: Any, count: int) -> None:
+    """Have the connection to the leader get stuck."""
+    context.transport.writable = count
+
+
+@then('the connection never writes the calls that were withdrawn')
+def check_withdrawn(context: Any) -> None:
+    """Check that no later write sends a withdrawn call."""
+    assert all(not posting.begin_write() for posting in context.transport.stuck)
+    assert context.transport.stuck
+
+
 @when('a job is submitted within {seconds:d} seconds')
 def submit_job(context: Any, seconds: int) -> None:
     """Submit a job to the leader."""
