Report reads without an answer as not run

Cause: a count or a state that the leader did not answer was answered 504, as if it might have changed something.

Change: requests that only read say so; an unknown outcome of one is reported as 503 with a time to return. Logs and metrics keep the outcome of the attempts.

--- a/packages/callers/hornbeamstair_callers/jobs/listing.py
+++ b/packages/callers/hornbeamstair_callers/jobs/listing.py
@@ -24,6 +24,7 @@
     """List the jobs."""
 
     kind: ClassVar[str] = 'list_jobs'
+    is_read: ClassVar[bool] = True
 
 
 @frozen
@@ -31,6 +32,7 @@
     """List the workers and their observed states."""
 
     kind: ClassVar[str] = 'list_workers'
+    is_read: ClassVar[bool] = True
 
 
 @frozen
@@ -38,6 +40,7 @@
     """List the hosts as last reported by the platform."""
 
     kind: ClassVar[str] = 'list_hosts'
+    is_read: ClassVar[bool] = True
 
 
 @frozen
--- a/packages/callers/hornbeamstair_callers/jobs/requests.py
+++ b/packages/callers/hornbeamstair_callers/jobs/requests.py
@@ -52,6 +52,7 @@
     """Show the state of a job."""
 
     kind: ClassVar[str] = 'show_job'
+    is_read: ClassVar[bool] = True
 
     place: QueueAddress
     job: JobId
@@ -80,6 +81,7 @@
     """Count the jobs of a queue without a started task."""
 
     kind: ClassVar[str] = 'count_pending'
+    is_read: ClassVar[bool] = True
 
     place: QueueAddress
 
--- a/packages/core/hornbeamstair_core/requests.py
+++ b/packages/core/hornbeamstair_core/requests.py
@@ -18,6 +18,9 @@
     kind: ClassVar[str]
     # Whether a refusal tells that no earlier attempt was accepted.
     is_refusal_final: ClassVar[bool] = True
+    # Whether the request changes nothing, so that one without an answer may
+    # be reported as not run.
+    is_read: ClassVar[bool] = False
 
     def get_subject(self) -> str:
         """Get the identifier of its subject for the event log."""
--- a/packages/fleet/hornbeamstair_fleet/waves/requests.py
+++ b/packages/fleet/hornbeamstair_fleet/waves/requests.py
@@ -27,6 +27,7 @@
     """Show the progress of a wave."""
 
     kind: ClassVar[str] = 'show_wave'
+    is_read: ClassVar[bool] = True
 
     number: int
 
--- a/packages/operators/hornbeamstair_operators/manifest/requests.py
+++ b/packages/operators/hornbeamstair_operators/manifest/requests.py
@@ -24,6 +24,7 @@
     """Request for the manifest in force."""
 
     kind: ClassVar[str] = 'read_manifest'
+    is_read: ClassVar[bool] = True
 
 
 @frozen
--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
@@ -72,6 +72,9 @@
         self._report(
             request, outcome, call_attempts, self.get_time() - started_at
         )
+        if request.is_read and _may_have_run(outcome):
+            # A read that may have run has changed nothing.
+            return Error(NotLeaderFailure(call_attempts.last_target))
         return outcome
 
     def _report(
@@ -120,6 +123,10 @@
     return outcome.is_error() and isinstance(outcome.error, _TRANSIENT_FAILURES)
 
 
+def _may_have_run(outcome: Result[Reply, Failure]) -> bool:
+    return _is_transient(outcome) and outcome.error.may_have_run
+
+
 def _is_doubtful(request: Request, outcome: Result[Reply, Failure]) -> bool:
     """Return whether a refusal leaves open what became of other attempts."""
     if outcome.is_ok() or outcome.error.may_have_run:
--- a/tests/features/leader_calls.feature
+++ b/tests/features/leader_calls.feature
@@ -53,6 +53,16 @@
     When the job is requested within 3 seconds
     Then it fails within 2 seconds with code 2101
 
+  Scenario Outline: Only a request that changes something may have an unknown outcome
+    Given a channel whose leader answered a moment ago and now answers nothing
+    When <request> within 3 seconds
+    Then it fails within 2 seconds with code <code>
+
+    Examples:
+      | request              | code |
+      | a job is submitted   | 5001 |
+      | the job is requested | 5003 |
+
   Scenario: A slow leader answers
     Given a channel whose leader answered a moment ago and now is slow to act
     When a call is made with a timeout of 3 seconds
