--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/client.py
@@ -54,6 +54,17 @@
         seconds: float,
     ) -> Result[Reply, Failure]:
         """Have the leader handle a request within a number of seconds."""
+        outcome = await self._ask(request, seconds)
+        if request.is_read and _may_have_run(outcome):
+            # A read that may have run has changed nothing.
+            return Error(NotLeaderFailure(''))
+        return outcome
+
+    async def _ask(
+        self,
+        request: Request,
+        seconds: float,
+    ) -> Result[Reply, Failure]:
         started_at = self.get_time()
         payload = self.codec.encode_request(request)
         call_attempts = CallAttempts(started_at)
@@ -72,9 +83,6 @@
         self._report(
             request, outcome, call_attempts, self.get_time() - started_at
         )
-        if request.is_read and _may_have_run(outcome):
-            # A read that may have run has changed nothing.
-            return Error(NotLeaderFailure(call_attempts.last_target))
         return outcome
 
     def _report(
