Keep workspaces within their quotas and share full services by weight

Cause: the limits and weights of workspaces were read and used nowhere.

Change: the job table sums up the active runs of each workspace, from the record of the start to that of the end; the leader adds the starts that it is recording. A task starts only if it fits into what is left. A workspace at its limit drops out of a placement pass, holds no other workspace back, asks for no host, and is tried again when its usage changes. Jobs are taken by class, priority, weighted dominant share, then release time; jobs beyond the promised rate of their workspace follow all others. A job with a task or a gang that never fits is refused. Jobs without workspaces are ranked as before.

--- a/packages/callers/hornbeamstair_callers/jobs/demand.py
+++ b/packages/callers/hornbeamstair_callers/jobs/demand.py
@@ -8,6 +8,7 @@
 from hornbeamstair_callers.jobs.draining import fits_elsewhere
 from hornbeamstair_callers.jobs.messages import get_job_id
 from hornbeamstair_callers.jobs.scheduler import Scheduler
+from hornbeamstair_callers.jobs.startable import StartableWork
 from hornbeamstair_callers.jobs.waiting_queue import WaitingJob
 from hornbeamstair_core.ids import JobId, PoolName, ServiceName
 from hornbeamstair_core.moments import Moment
@@ -28,13 +29,10 @@
 ) -> dict[PoolName, PoolDemand]:
     """Get the demand of each pool; a pool has the name of its service."""
     waiting = scheduler.waiting.get_waiting(now.wall)
-    host_cpu = max(
-        (session.announced.room.cpu for session in scheduler.sessions.values()),
-        default=0,
-    )
+    startable = StartableWork(scheduler.workspaces.quotas)
     demands: dict[PoolName, PoolDemand] = {}
     for name, service in scheduler.state.manifest.services.items():
-        jobs = waiting.get(name, [])
+        jobs = startable.select(waiting.get(name, []))
         usable = scheduler.get_usable_sessions(name, now)
         cpu_by_job = _get_usable_cpu(scheduler, name, jobs, now)
         demands[PoolName(name)] = PoolDemand(
@@ -43,7 +41,10 @@
             usable=round(sum(cpu_by_job.values())),
             largest=round(max(cpu_by_job.values(), default=0)),
             capacity=sum(map(_get_finite_work_cpu, usable)),
-            host_capacity=max(map(_get_total_cpu, usable), default=host_cpu),
+            host_capacity=max(
+                map(_get_total_cpu, usable or scheduler.sessions.values()),
+                default=0,
+            ),
             unplaced=sum(map(_count_long_running, jobs))
             + _count_backfill_hosts(scheduler, jobs, now)
             + sum(_find_blocked_workers(scheduler, name, now)),
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -21,9 +21,13 @@
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.job_event_log import JobEventLog
 from hornbeamstair_callers.jobs.messages import get_job_id
+from hornbeamstair_callers.jobs.passes import PlacementPasses
 from hornbeamstair_callers.jobs.policies import SchedulingPolicies
-from hornbeamstair_callers.jobs.ranking import ObjectiveRanking
 from hornbeamstair_callers.jobs.record_event_log import RecordEventLog
+from hornbeamstair_callers.jobs.recorded_runs import (
+    discard_recorded_run,
+    make_first_start,
+)
 from hornbeamstair_callers.jobs.records import (
     JobAccepted,
     JobCancelled,
@@ -41,9 +45,9 @@
 from hornbeamstair_callers.jobs.unstarted import UnstartedJobs
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_event_log import WaitingEventLog
-from hornbeamstair_callers.jobs.waiting_queue import WaitingQueue
 from hornbeamstair_callers.jobs.worker_event_log import WorkerEventLog
 from hornbeamstair_callers.jobs.worker_records import WorkerSurvived
+from hornbeamstair_callers.workspaces.policies import WorkspacePolicies
 from hornbeamstair_core.effects import Effect
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure, InvalidFieldFailure
@@ -63,9 +67,8 @@
     WorkerAnnouncement,
     WorkerGone,
 )
-from hornbeamstair_upstreams.work.placement import Placement
 from hornbeamstair_upstreams.work.polls import handle_poll_answer
-from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
+from hornbeamstair_upstreams.work.runs import EndedRun, Run
 from hornbeamstair_upstreams.work.sender import ORDER_VALID_SECONDS
 from hornbeamstair_upstreams.work.session import WorkerSession
 from hornbeamstair_upstreams.work.stats import PlacementStats
@@ -84,9 +87,6 @@
     RunEnd.expired,
     RunEnd.crashed,
 )
-# Unplaced jobs that one scan examines. Beyond this, the scan takes longer
-# than the handling of a run end and a start.
-_MAX_UNPLACED_JOBS: Final = 48
 
 
 @frozen
@@ -124,17 +124,23 @@
     waiting_event_log: WaitingEventLog = field(init=False)
     unconfirmed_event_log: UnconfirmedEventLog = field(init=False)
     record_event_log: RecordEventLog = field(init=False)
+    workspaces: WorkspacePolicies = field(init=False)
     starts: StartPlanner = field(init=False)
+    passes: PlacementPasses = field(init=False)
     ends: EndRecorder = field(init=False)
     crash_review: CrashReview = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the components that share the index of waiting jobs."""
         state = self.state
-        self.waiting = WaitingJobs(
-            state.jobs,
+        self.workspaces = WorkspacePolicies.make(
             state.manifest,
-            ObjectiveRanking(self.policies.run_times),
+            state.jobs.usage,
+            state.jobs.jobs.values(),
+            self.policies.run_times,
+        )
+        self.waiting = WaitingJobs(
+            state.jobs, state.manifest, self.workspaces.ranking
         )
         self.waiting_event_log = WaitingEventLog(self.waiting)
         self.unconfirmed_event_log = UnconfirmedEventLog(self.fencing_token)
@@ -150,6 +156,14 @@
             self.waiting,
             self.run_event_log,
             self.stats,
+            self.workspaces.quotas,
+        )
+        self.passes = PlacementPasses(
+            self.waiting,
+            self.starts,
+            self.index,
+            self.workspaces.quotas,
+            self.workspaces.shares,
         )
         self.ends = EndRecorder(
             state.jobs,
@@ -211,7 +225,7 @@
                 self._log_job_end(job_id, at)
             case JobAccepted():
                 self.waiting.mark_stale((record.spec.job,))
-                self.unstarted.add_job(self.state.jobs.jobs[record.spec.job])
+                self._add_accepted(record.spec.job)
             case JobCancelled(job, at) | JobFailed(job, at):
                 self._stop_job(job)
                 self.unstarted.discard(job)
@@ -330,11 +344,15 @@
         """Place ready tasks of services with new work or freed resources."""
         services = self.waiting.drain_changed_services(now.wall)
         services |= self.index.drain_freed()
+        services |= self.waiting.get_services(
+            self.workspaces.quotas.drain_eased()
+        )
         queues = self.waiting.get_queues(now.wall)
         records: list[Record] = []
         for service in sorted(services.intersection(queues)):
-            placement = self._make_placement(service, now)
-            self._place_from(0, queues[service], placement, now, records)
+            records.extend(
+                self.passes.place_first(service, queues[service], now)
+            )
         self._emit_effects(records, now)
 
     def is_current_session(self, session: WorkerSession) -> bool:
@@ -395,39 +413,12 @@
         Workers may have become usable without any event.
         """
         records: list[Record] = []
+        self.workspaces.quotas.retry_held()
+        self.workspaces.shares.refresh(self.sessions.values(), now.monotonic)
         for service, queue in self.waiting.get_queues(now.wall).items():
-            placement = self._make_placement(service, now)
-            at = self._place_from(0, queue, placement, now, records)
-            at = max(at, queue.get_resume_index())
-            at = self._place_from(at, queue, placement, now, records)
-            queue.set_resume_index(at)
+            records.extend(self.passes.place_all(service, queue, now))
         self._emit_effects(records, now)
 
-    def _make_placement(self, service: ServiceName, now: Moment) -> Placement:
-        return Placement(self.index, service, now.monotonic, self.stats)
-
-    def _place_from(
-        self,
-        start_index: int,
-        queue: WaitingQueue,
-        placement: Placement,
-        now: Moment,
-        records: list[Record],
-    ) -> int:
-        """Place jobs from an index on; return the index where the scan ended.
-
-        The scan stops after a fixed number of jobs that stay unplaced, so
-        that a long backlog does not make the pass slow. Later jobs are
-        scanned in turns for the resources that the first ones cannot use.
-        """
-        at = start_index
-        while at < min(len(queue.jobs), start_index + _MAX_UNPLACED_JOBS):
-            waiting = queue.jobs[at]
-            records.extend(self.starts.place_job(waiting, placement, now))
-            # A job leaves the queue once all its tasks are placed.
-            at += self.waiting.has_tasks_left(waiting)
-        return at
-
     def _emit_effects(self, records: list[Record], now: Moment) -> None:
         if records:
             self.effects.append(CommitBatch(tuple(records)))
@@ -483,22 +474,28 @@
     def _find_job(self, task: TaskId) -> Job | None:
         return self.state.jobs.jobs.get(get_job_id(task))
 
+    def _add_accepted(self, job_id: JobId) -> None:
+        job = self.state.jobs.jobs[job_id]
+        self.workspaces.promises.add_job(job)
+        self.unstarted.add_job(job)
+
     def _handle_started(self, record: RunStarted, now: Moment) -> None:
         self.job_event_log.add_start(get_job_id(record.task), now.wall)
         self.waiting.in_flight.pop(record.task, None)
+        self.workspaces.quotas.settle(record.task)
         session = self.sessions.get(record.worker)
         run = None if session is None else session.runs.get(record.task)
         job = self._find_job(record.task)
         if job is None or not job.is_current_run(record):
             # The job has ended, or a start of a previous leader came first.
             if session is not None and run is not None:
-                _discard_recorded_run(session, run, record)
+                discard_recorded_run(session, run, record)
             return
         if session is None or run is None or run.run != record.run:
             # The worker's incarnation ended while the start was being recorded.
             self._commit_lost_run(record, now)
             return
-        order = _make_first_start(session, run, job, now)
+        order = make_first_start(session, run, job, now)
         if order is None:
             session.remove_run(run.task)
             self._commit_lost_run(record, now)
@@ -569,6 +566,7 @@
     def _log_job_end(self, job_id: JobId, at: float) -> None:
         job = self.state.jobs.jobs.get(job_id)
         if job is not None and not job.is_open:
+            self.workspaces.promises.discard(job_id)
             self.job_event_log.log_end(job, at)
 
     def _stop_job(self, job_id: JobId) -> None:
@@ -602,30 +600,6 @@
             self.effects.append(CommitBatch((JobsForgotten(old),)))
 
 
-def _make_first_start(
-    session: WorkerSession,
-    run: Run,
-    job: Job,
-    now: Moment,
-) -> StartOrder | None:
-    """Make the start order of a recorded run; None if it may not start."""
-    if not job.is_open or run.is_stop_requested:
-        return None
-    if session.is_ending() or session.is_overcommitted():
-        # The worker leaves or has announced less since the run was placed.
-        return None
-    return session.make_start(run, job.spec.text, now.monotonic)
-
-
-def _discard_recorded_run(
-    session: WorkerSession,
-    run: Run,
-    record: RunStarted,
-) -> None:
-    if run.run == record.run and run.state == RunState.recorded:
-        session.remove_run(run.task)
-
-
 def _is_expired_session(session: WorkerSession, now: Moment) -> bool:
     if session.runs or now.monotonic < session.lease.latest_expiry:
         return False
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -32,6 +32,7 @@
 )
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.workspaces.access import QueueAccess, find_access
+from hornbeamstair_callers.workspaces.quotas import check_quota
 from hornbeamstair_core.committing import Committer
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
@@ -137,6 +138,11 @@
         record: JobAccepted,
         now: Moment,
     ) -> Result[None, Failure]:
+        fitting = check_quota(
+            self.state.manifest, record.workspace, record.spec
+        )
+        if fitting.is_error():
+            return fitting
         scheduler = self.committer.find_scheduler()
         if scheduler is None:
             # The commit fails and tells the caller.
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -11,6 +11,8 @@
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_queue import WaitingJob
+from hornbeamstair_callers.workspaces.quotas import StartQuotas
+from hornbeamstair_callers.workspaces.usage import ActiveRun
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_core.invariants import check_invariant
 from hornbeamstair_core.moments import Moment
@@ -34,6 +36,7 @@
     waiting: WaitingJobs
     run_event_log: RunEventLog
     stats: PlacementStats
+    quotas: StartQuotas
 
     def place_job(
         self,
@@ -96,7 +99,10 @@
     ) -> list[RunStarted]:
         chosen: list[tuple[WorkerSession, Run]] = []
         wait_seconds = self.waiting.get_wait_seconds(ready, now.wall)
-        for task in tasks:
+        startable = self.quotas.count_startable(
+            job.workspace, ready.phase, len(tasks)
+        )
+        for task in tasks[:startable]:
             isolation = _get_isolation(job, task, wait_seconds, now)
             session = placement.choose(
                 ready.phase.needs,
@@ -126,6 +132,10 @@
                 now,
             )
         self.stats.placed += len(chosen)
+        for _, run in chosen:
+            self.quotas.reserve(
+                run.task, ActiveRun(job.workspace, placement.service, run.needs)
+            )
         return [self._make_record(*pair, now) for pair in chosen]
 
     def _make_record(
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -29,6 +29,7 @@
     WorkerDied,
     WorkerSurvived,
 )
+from hornbeamstair_callers.workspaces.usage import ActiveRun, WorkspaceUsage
 from hornbeamstair_core.ids import JobId, TaskId
 from hornbeamstair_core.records import Record, RecordTable
 from hornbeamstair_upstreams.work.messages import RunEnd
@@ -65,6 +66,8 @@
 
     jobs: dict[JobId, Job] = field(factory=dict)
     lost_workers: LostWorkers = field(factory=LostWorkers)
+    # Follows from the active runs of the tasks.
+    usage: WorkspaceUsage = field(factory=WorkspaceUsage)
     record_listener: RecordListener | None = None
 
     def apply(self, record: Record) -> object:
@@ -94,7 +97,9 @@
             job.trim()
         self.jobs = {job.spec.job: job for job in jobs}
         self.lost_workers = LostWorkers()
+        self.usage.clear()
         for restored_job in jobs:
+            self._restore_usage(restored_job)
             for task, crash in restored_job.crash_history.get_all():
                 self.lost_workers.add(task, crash)
 
@@ -139,8 +144,10 @@
         return True
 
     def _forget_jobs(self, jobs: tuple[JobId, ...]) -> bool:
-        for job in jobs:
-            self.jobs.pop(job, None)
+        for job_id in jobs:
+            job = self.jobs.pop(job_id, None)
+            for task in () if job is None else job.tasks:
+                self.usage.remove(task)
         return True
 
     def _start_run(self, record: RunStarted) -> bool:
@@ -158,6 +165,7 @@
         task.incarnation = record.incarnation
         task.started_at = record.at
         job.state = JobState.running
+        self._add_usage(job, record.task, position)
         return True
 
     def _end_run(self, record: RunEnded) -> bool:
@@ -171,6 +179,7 @@
         if record.end in _CRASH_ENDS and job.is_open:
             self._add_crash(job, task, record)
         task.worker = NO_WORKER
+        self.usage.remove(record.task)
         task.checkpoint = record.checkpoint or task.checkpoint
         if record.end == RunEnd.failed:
             task.failures += 1
@@ -182,6 +191,20 @@
         self._trim(job)
         return True
 
+    def _add_usage(
+        self,
+        job: Job,
+        task: TaskId,
+        position: TaskPosition,
+    ) -> None:
+        needs = job.spec.phases[position.key.phase].needs
+        self.usage.add(task, ActiveRun(job.workspace, job.service, needs))
+
+    def _restore_usage(self, job: Job) -> None:
+        for task_id, task in job.tasks.items():
+            if task.worker:
+                self._add_usage(job, task_id, parse_task_id(task_id))
+
     def _add_crash(self, job: Job, task: Task, record: RunEnded) -> None:
         address = ''
         incarnation = task.incarnation
--- a/packages/callers/hornbeamstair_callers/jobs/waiting.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting.py
@@ -10,8 +10,8 @@
 from hornbeamstair_callers.jobs.ranking import JobRankingPolicy
 from hornbeamstair_callers.jobs.ready import ReadyPhase, find_ready
 from hornbeamstair_callers.jobs.table import JobTable
-from hornbeamstair_callers.jobs.waiting_queue import WaitingJob, WaitingQueue
-from hornbeamstair_core.ids import JobId, ServiceName, TaskId
+from hornbeamstair_callers.jobs.waiting_queue import ServiceQueue, WaitingJob
+from hornbeamstair_core.ids import JobId, ServiceName, TaskId, WorkspaceName
 from hornbeamstair_operators.manifest.messages import Manifest
 from hornbeamstair_operators.manifest.table import ManifestTable
 
@@ -30,8 +30,8 @@
     manifest: ManifestTable
     ranking_policy: JobRankingPolicy
     ready: dict[JobId, WaitingJob] = field(factory=dict)
-    queues: defaultdict[ServiceName, WaitingQueue] = field(
-        factory=lambda: defaultdict(WaitingQueue),
+    queues: defaultdict[ServiceName, ServiceQueue] = field(
+        factory=lambda: defaultdict(ServiceQueue),
     )
     stale: dict[JobId, None] = field(factory=dict)
     # Open jobs with several occurrences.
@@ -56,7 +56,7 @@
         """Schedule repeating jobs for recomputation; occurrences become due."""
         self.mark_stale(self.repeating)
 
-    def get_queues(self, wall: float) -> dict[ServiceName, WaitingQueue]:
+    def get_queues(self, wall: float) -> dict[ServiceName, ServiceQueue]:
         """Get the waiting jobs of each service in placement order."""
         self._refresh(wall)
         return self.queues
@@ -66,10 +66,20 @@
         wall: float,
     ) -> dict[ServiceName, list[WaitingJob]]:
         """Get the waiting jobs of each service that has any."""
-        return {
-            service: queue.jobs
+        waiting = {
+            service: queue.get_jobs()
             for service, queue in self.get_queues(wall).items()
-            if queue.jobs
+        }
+        return {service: jobs for service, jobs in waiting.items() if jobs}
+
+    def get_services(
+        self, workspaces: Iterable[WorkspaceName]
+    ) -> set[ServiceName]:
+        """Get the services for which jobs of workspaces wait."""
+        return {
+            service
+            for service, queue in self.queues.items()
+            if any(map(queue.has_jobs_of, workspaces))
         }
 
     def drain_changed_services(self, wall: float) -> set[ServiceName]:
--- a/packages/callers/hornbeamstair_callers/jobs/waiting_queue.py
+++ b/packages/callers/hornbeamstair_callers/jobs/waiting_queue.py
@@ -6,9 +6,9 @@
 
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ready import ReadyPhase
-from hornbeamstair_core.ids import JobId, ServiceName
+from hornbeamstair_core.ids import JobId, ServiceName, WorkspaceName
 
-__all__ = ('WaitingJob', 'WaitingQueue')
+__all__ = ('ServiceQueue', 'WaitingJob', 'WaitingQueue')
 
 # Sort key and ID of a job; the ID makes the position unique.
 _Position = tuple[tuple[float, ...], JobId]
@@ -63,3 +63,34 @@
 
     def _find_index(self, position: _Position) -> int:
         return bisect_left(self.jobs, position, key=WaitingJob.get_position)
+
+
+@define(eq=False)
+class ServiceQueue:
+    """Waiting jobs of one service, in the order of each workspace."""
+
+    by_workspace: dict[WorkspaceName, WaitingQueue] = field(factory=dict)
+
+    def add(self, waiting: WaitingJob) -> None:
+        """Insert a job into the queue of its workspace."""
+        queue = self.by_workspace.setdefault(
+            waiting.job.workspace, WaitingQueue()
+        )
+        queue.add(waiting)
+
+    def remove(self, waiting: WaitingJob) -> None:
+        """Remove a job."""
+        self.by_workspace[waiting.job.workspace].remove(waiting)
+
+    def get_jobs(self) -> list[WaitingJob]:
+        """Get the jobs; those of a workspace are in placement order."""
+        return [
+            waiting
+            for queue in self.by_workspace.values()
+            for waiting in queue.jobs
+        ]
+
+    def has_jobs_of(self, workspace: WorkspaceName) -> bool:
+        """Return whether jobs of a workspace wait."""
+        queue = self.by_workspace.get(workspace)
+        return queue is not None and bool(queue.jobs)
--- a/packages/callers/hornbeamstair_callers/workspaces/failures.py
+++ b/packages/callers/hornbeamstair_callers/workspaces/failures.py
@@ -3,8 +3,9 @@
 from attrs import frozen
 
 from hornbeamstair_core.failures import Failure, register_failure
+from hornbeamstair_core.ids import WorkspaceName
 
-__all__ = ('KeyUnknownFailure',)
+__all__ = ('KeyUnknownFailure', 'QuotaTooSmallFailure')
 
 
 @register_failure
@@ -18,3 +19,19 @@
     http_status = 401
 
     manifest_version: int
+
+
+@register_failure
+@frozen
+class QuotaTooSmallFailure(Failure):
+    """Job that can never run within the limits of its workspace."""
+
+    number = 2111
+    name = 'quota_too_small'
+    summary = 'A task or a gang of the job exceeds the limit of its workspace.'
+    # The caller has to change the job; it is not to be sent again.
+    http_status = 400
+
+    workspace: WorkspaceName
+    phase: int
+    manifest_version: int
