Test the quotas and shares of workspaces

Change: a work model with an oracle that sums up at each start what the workspace runs on all workers; scenarios of takeovers before a start is recorded, a limit that falls, a hot workspace on full workers, and a state machine of manifests, faults and takeovers (200 x 50 steps).

--- /dev/null
+++ b/tests/features/quotas.feature
@@ -0,0 +1,80 @@
+Feature: Workspaces stay within their quotas and share full workers
+
+  The model checks at each start what the workspace runs on all workers.
+
+  Scenario: A workspace at its limit holds nobody else back
+    Given a workspace model with seed 1 and 3 workers
+    And the workspace north with weight 1 and at most 6000 of CPU
+    And the workspace south with weight 1 and at most 0 of CPU
+    When 80 jobs of 2 tasks of 3000 are accepted for north
+    And 4 jobs of 2 tasks of 3000 are accepted for south
+    And 3 seconds pass in the model
+    Then south has 4 completed jobs
+    And north has had 6000 of CPU in use
+    And the waiting work of north asks for no more than its limit
+
+  Scenario: A quota is kept over a change of the leader before a start is recorded
+    Given a workspace model with seed 2 and 3 workers
+    And the workspace north with weight 1 and at most 9000 of CPU
+    When 10 jobs of 3 tasks of 3000 are accepted for north
+    And 0.6 seconds pass in the model
+    And the leader of the model changes 20 times within 5 seconds
+    And 30 seconds pass in the model
+    Then north has 10 completed jobs
+
+  Scenario: A quota that falls while starts are under way starts nothing new
+    Given a workspace model with seed 3 and 3 workers
+    And the workspace north with weight 1 and at most 0 of CPU
+    When 1 jobs of 12 endless tasks of 3000 are accepted for north
+    And 2 seconds pass in the model
+    And 1 jobs of 12 tasks of 3000 are accepted for north
+    And the limit of north falls to 6000 of CPU
+    And 5 seconds pass in the model
+    Then north runs 36000 of CPU
+    And north has 0 completed jobs
+    When the limit of north rises to 42000 of CPU
+    And 12 seconds pass in the model
+    Then north has 1 completed jobs
+
+  Scenario: The inherited runs of a silent worker count until they have ended
+    Given a workspace model with seed 4 and 3 workers
+    And the workspace north with weight 1 and at most 9000 of CPU
+    When 1 jobs of 3 endless tasks of 3000 are accepted for north
+    And 2 seconds pass in the model
+    And all workers with runs of north fall silent
+    And the leader of the model changes 1 times within 1 seconds
+    And 1 jobs of 3 tasks of 3000 are accepted for north
+    And 2 seconds pass in the model
+    Then north has 9000 of CPU reserved
+
+  Scenario Outline: A job that never fits its workspace is refused
+    Given the workspace north with at most 6000 of CPU
+    Then a job of <count> <kind> of <cpu> of CPU for north is <outcome>
+
+    Examples:
+      | count | kind         | cpu  | outcome  |
+      | 9     | tasks        | 6000 | accepted |
+      | 1     | tasks        | 6001 | refused  |
+      | 2     | gang members | 3000 | accepted |
+      | 3     | gang members | 3000 | refused  |
+
+  Scenario: A hot workspace on full workers takes nothing from the others
+    Given a workspace model with seed 5 and 3 workers
+    And the workspace hot with weight 2 and at most 0 of CPU
+    And the workspace north with weight 2 and at most 0 of CPU
+    And the workspace south with weight 2 and at most 0 of CPU
+    When hot sends 20 and the others 2 jobs a second of 2 tasks of 3000 for 10 seconds
+    Then at least 0.9 of the jobs of north and south end within 3 seconds
+    And hot has more completed jobs than north
+
+  Scenario: Full workers are shared by weight
+    Given a workspace model with seed 6 and 3 workers
+    And the workspace north with weight 1 and at most 0 of CPU
+    And the workspace south with weight 3 and at most 0 of CPU
+    When 200 jobs of 2 tasks of 3000 are accepted for north
+    And 200 jobs of 2 tasks of 3000 are accepted for south
+    And 8 seconds pass in the model
+    Then south has between 2.5 and 3.5 times the completed jobs of north
+
+  Scenario: Manifests, faults and takeovers in any order pass no quota
+    Then no quota is passed in 200 random simulations of 50 steps
--- a/tests/support/random_work.py
+++ b/tests/support/random_work.py
@@ -106,11 +106,11 @@
         return list(self.model.workers.values())[number]
 
 
-def get_work_settings(examples: int) -> settings:
+def get_work_settings(examples: int, steps: int = 20) -> settings:
     """Get settings that give the same result in each run."""
     return settings(
         max_examples=examples,
-        stateful_step_count=20,
+        stateful_step_count=steps,
         phases=(Phase.generate,),
         deadline=None,
         derandomize=True,
