--- a/tests/features/steps/quota_steps.py
+++ b/tests/features/steps/quota_steps.py
@@ -122,9 +122,10 @@
     seconds: int,
 ) -> None:
     """Accept jobs at steady rates."""
+    rates = {**dict.fromkeys(context.workspaces, other), name: rate}
     for step in range(seconds * 20):
-        for sender in context.workspaces:
-            share = (rate if sender == name else other) / 20
+        for sender, jobs in rates.items():
+            share = jobs / 20
             due = int((step + 1) * share) - int(step * share)
             accept(context, due, tasks, cpu, sender)
         context.model.step()
