List workspaces with usage, limits, shares and refusals by cause

Change: hornbeamstair workspace list and show; job submit, show and cancel take the key of a workspace; events for limits and shares that bind (2060), refusals by cause (2061) and the number of keys added and withdrawn (4002). Keys and digests occur in none of them.

--- a/packages/callers/hornbeamstair_callers/front_ends/system.py
+++ b/packages/callers/hornbeamstair_callers/front_ends/system.py
@@ -26,10 +26,11 @@
     ShowJob,
     SubmitJob,
 )
+from hornbeamstair_callers.workspaces.listing import ListWorkspaces
 from hornbeamstair_core.codec import encode_failure, json_converter
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.front_end import HttpFrontEnd
-from hornbeamstair_core.ids import JobId, WorkerId
+from hornbeamstair_core.ids import JobId, WorkerId, WorkspaceName
 from hornbeamstair_core.requests import Reply
 from hornbeamstair_core.requests import Request as LeaderRequest
 from hornbeamstair_operators.manifest.messages import Manifest
@@ -71,6 +72,10 @@
                 self._route('/v1/workers', 'POST', _announce),
                 self._route('/v1/workers/{worker}', 'DELETE', _withdraw),
                 self._route('/v1/hosts', 'GET', _list_hosts),
+                self._route('/v1/workspaces', 'GET', _list_workspaces),
+                self._route(
+                    '/v1/workspaces/{workspace}', 'GET', _list_workspaces
+                ),
                 self._route('/v1/manifest', 'GET', _read_manifest),
                 self._route('/v1/manifest', 'PUT', _put_manifest),
             ],
@@ -111,6 +116,11 @@
     return Ok(ListHosts())
 
 
+async def _list_workspaces(request: Request) -> Result[LeaderRequest, Failure]:
+    name = request.path_params.get('workspace', '')
+    return Ok(ListWorkspaces(WorkspaceName(name)))
+
+
 async def _submit(request: Request) -> Result[LeaderRequest, Failure]:
     submitted = await read_message(request, SubmitJob)
     # The header alone tells the key of the caller.
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -337,6 +337,7 @@
         self.waiting.mark_repeating()
         self._place_all(now)
         self.waiting_event_log.log_due(self.sessions.values(), now)
+        self.workspaces.event_log.log_due(self.waiting.ready.values(), now)
         self.unconfirmed_event_log.log_due(self.sessions.values(), now)
         self.record_event_log.log_due(self.sessions.values(), now)
 
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -138,16 +138,16 @@
         record: JobAccepted,
         now: Moment,
     ) -> Result[None, Failure]:
-        fitting = check_quota(
-            self.state.manifest, record.workspace, record.spec
-        )
-        if fitting.is_error():
-            return fitting
         scheduler = self.committer.find_scheduler()
         if scheduler is None:
             # The commit fails and tells the caller.
             return Ok(None)
-        return scheduler.policies.admission.check(record, now)
+        checked = check_quota(
+            self.state.manifest, record.workspace, record.spec
+        ).bind(lambda _: scheduler.policies.admission.check(record, now))
+        if checked.is_error():
+            scheduler.workspaces.refusals.add(record.workspace, checked.error)
+        return checked
 
     async def _cancel(self, request: CancelJob) -> Result[Reply, Failure]:
         job = self._find_job(request)
--- a/packages/callers/hornbeamstair_callers/workspaces/failures.py
+++ b/packages/callers/hornbeamstair_callers/workspaces/failures.py
@@ -5,7 +5,11 @@
 from hornbeamstair_core.failures import Failure, register_failure
 from hornbeamstair_core.ids import WorkspaceName
 
-__all__ = ('KeyUnknownFailure', 'QuotaTooSmallFailure')
+__all__ = (
+    'KeyUnknownFailure',
+    'QuotaTooSmallFailure',
+    'WorkspaceUnknownFailure',
+)
 
 
 @register_failure
@@ -35,3 +39,16 @@
     workspace: WorkspaceName
     phase: int
     manifest_version: int
+
+
+@register_failure
+@frozen
+class WorkspaceUnknownFailure(Failure):
+    """Query for a workspace that is not in the manifest in force."""
+
+    number = 2112
+    name = 'workspace_unknown'
+    summary = 'The manifest in force has no such workspace.'
+    http_status = 404
+
+    workspace: WorkspaceName
--- a/packages/callers/hornbeamstair_callers/workspaces/policies.py
+++ b/packages/callers/hornbeamstair_callers/workspaces/policies.py
@@ -7,12 +7,14 @@
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ranking import JobRankingPolicy
 from hornbeamstair_callers.jobs.run_times import RunTimes
+from hornbeamstair_callers.workspaces.event_log import WorkspaceEventLog
 from hornbeamstair_callers.workspaces.promises import PromisedRates
 from hornbeamstair_callers.workspaces.quotas import (
     ManifestQuotas,
     StartQuotas,
 )
 from hornbeamstair_callers.workspaces.ranking import PromisedRanking
+from hornbeamstair_callers.workspaces.refusals import RefusalCounts
 from hornbeamstair_callers.workspaces.shares import (
     DominantShares,
     WorkspaceShares,
@@ -31,6 +33,8 @@
     shares: WorkspaceShares
     promises: PromisedRates
     ranking: JobRankingPolicy
+    refusals: RefusalCounts
+    event_log: WorkspaceEventLog
 
     @classmethod
     def make(
@@ -44,9 +48,12 @@
         quotas = ManifestQuotas(manifest, usage)
         promises = PromisedRates(manifest)
         promises.add_jobs(jobs)
+        refusals = RefusalCounts()
         return cls(
             quotas,
             DominantShares(manifest, usage, quotas.reserved),
             promises,
             PromisedRanking(run_times, promises),
+            refusals,
+            WorkspaceEventLog(quotas, promises, refusals),
         )
--- a/packages/callers/hornbeamstair_callers/workspaces/quotas.py
+++ b/packages/callers/hornbeamstair_callers/workspaces/quotas.py
@@ -36,6 +36,10 @@
     ) -> int:
         """Count how many of some tasks of a phase may start now."""
 
+    @abstractmethod
+    def get_usage(self, workspace: WorkspaceName) -> Resources:
+        """Get what the active runs and the starts of a workspace take."""
+
     @abstractmethod
     def reserve(self, task: TaskId, run: ActiveRun) -> None:
         """Count a task whose start is being recorded as active."""
@@ -97,7 +101,7 @@
         limits = self.manifest.workspaces.get(workspace)
         if limits is not None and _fits_limits(limits, phase):
             # Tasks that never fit do not hold the later ones back.
-            self.held[workspace] = self._get_usage(workspace)
+            self.held[workspace] = self.get_usage(workspace)
         return 0 if phase.is_gang else startable
 
     def reserve(self, task: TaskId, run: ActiveRun) -> None:
@@ -111,7 +115,7 @@
     def is_held(self, workspace: WorkspaceName) -> bool:
         """Return whether tasks were held back at the present usage."""
         found = self.held.get(workspace)
-        return found is not None and found == self._get_usage(workspace)
+        return found is not None and found == self.get_usage(workspace)
 
     def drain_eased(self) -> set[WorkspaceName]:
         """Return and clear the held workspaces whose usage has changed."""
@@ -129,9 +133,10 @@
         limits = self.manifest.workspaces.get(workspace)
         if limits is None or not _has_limits(limits):
             return None
-        return _get_room(limits).minus(self._get_usage(workspace))
+        return _get_room(limits).minus(self.get_usage(workspace))
 
-    def _get_usage(self, workspace: WorkspaceName) -> Resources:
+    def get_usage(self, workspace: WorkspaceName) -> Resources:
+        """Sum up the recorded and the reserved runs."""
         return self.recorded.get_total(workspace).plus(
             self.reserved.get_total(workspace)
         )
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -8,6 +8,9 @@
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceController
 from hornbeamstair_callers.endpoints.moves import MoveController
 from hornbeamstair_callers.endpoints.worker_requests import WorkerRequestHandler
+from hornbeamstair_callers.endpoints.workspace_listing import (
+    WorkspaceListingHandler,
+)
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import SchedulerState
 from hornbeamstair_callers.jobs.service import (
@@ -66,6 +69,7 @@
     ManifestRequestHandler,
     WaveRequestHandler,
     WorkerRequestHandler,
+    WorkspaceListingHandler,
 )
 
 
@@ -174,6 +178,7 @@
             lambda: () if maintenance is None else maintenance.get_hosts(),
             get_moment,
         ),
+        WorkspaceListingHandler(state, runner, get_moment),
         JobRequestHandler(state, runner, get_moment),
         ManifestRequestHandler(state.manifest, runner),
         WorkerRequestHandler(runner, get_moment),
--- a/packages/operators/hornbeamstair_operators/command_line/client.py
+++ b/packages/operators/hornbeamstair_operators/command_line/client.py
@@ -10,7 +10,7 @@
     ConnectionDisconnected,
     HttpParsingError,
 )
-from attrs import frozen
+from attrs import evolve, frozen
 from expression import Error, Ok, Result
 
 __all__ = ('ApiClient', 'ApiResponse', 'UnreachableError')
@@ -46,6 +46,10 @@
     server: str
     token: str
 
+    def with_token(self, token: str) -> 'ApiClient':
+        """Get a client that sends another token, or the same if it is empty."""
+        return evolve(self, token=token or self.token)
+
     def get(self, path: str) -> Result[ApiResponse, UnreachableError]:
         """Send a GET request."""
         return run(self._send('GET', path, None))
--- a/packages/operators/hornbeamstair_operators/command_line/main.py
+++ b/packages/operators/hornbeamstair_operators/command_line/main.py
@@ -20,6 +20,7 @@
     list_processes,
     voter_app,
 )
+from hornbeamstair_operators.command_line.workspaces import workspace_app
 
 __all__ = ('app', 'main')
 
@@ -37,6 +38,7 @@
 app.add_typer(worker_app, name='worker')
 app.add_typer(host_app, name='machine')
 app.add_typer(manifest_app, name='manifest')
+app.add_typer(workspace_app, name='workspace')
 app.command('processes')(list_processes)
 app.command('trace')(trace)
 
--- a/packages/operators/hornbeamstair_operators/command_line/session.py
+++ b/packages/operators/hornbeamstair_operators/command_line/session.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-from attrs import frozen
+from attrs import evolve, frozen
 from expression import Result
 from typer import Exit, echo
 
@@ -32,6 +32,10 @@
     client: ApiClient
     output: Output
 
+    def with_token(self, token: str) -> 'Session':
+        """Get a session that sends another token, unless it is empty."""
+        return evolve(self, client=self.client.with_token(token))
+
     def read(self, path: str) -> Any:
         """Get a document of the API."""
         return self._get_document_or_exit(self.client.get(path))
--- a/packages/operators/hornbeamstair_operators/command_line/system.py
+++ b/packages/operators/hornbeamstair_operators/command_line/system.py
@@ -37,6 +37,13 @@
 
 _HostOption = Annotated[str, Option(help='Host of the queue.')]
 _PathOption = Annotated[str, Option(help='Path prefix of the queue.')]
+_KeyOption = Annotated[
+    str,
+    Option(
+        envvar='HORNBEAMSTAIR_KEY',
+        help='Key of the workspace; sent instead of the token.',
+    ),
+]
 _JobArgument = Annotated[str, Argument(help='Id of the job.')]
 
 
@@ -44,9 +51,10 @@
 def submit_job(
     context: Context,
     path: Annotated[Path, Argument(help='Job in YAML.')],
+    key: _KeyOption = '',
 ) -> None:
     """Submit a job; submitting it again has no effect."""
-    session: Session = context.obj
+    session: Session = context.obj.with_token(key)
     document = session.read_file(path)
     session.output.print_document(session.post('/v1/jobs', document))
 
@@ -63,9 +71,10 @@
     job: _JobArgument,
     host: _HostOption = '',
     path: _PathOption = '/',
+    key: _KeyOption = '',
 ) -> None:
     """Show the state of a job."""
-    session: Session = context.obj
+    session: Session = context.obj.with_token(key)
     job_path = _get_job_path(job, host, path)
     session.output.print_document(session.read(job_path))
 
@@ -76,9 +85,10 @@
     job: _JobArgument,
     host: _HostOption = '',
     path: _PathOption = '/',
+    key: _KeyOption = '',
 ) -> None:
     """Cancel a job; cancelling it again has no effect."""
-    session: Session = context.obj
+    session: Session = context.obj.with_token(key)
     job_path = _get_job_path(job, host, path)
     session.output.print_document(session.delete(job_path))
 
--- a/packages/operators/hornbeamstair_operators/events.py
+++ b/packages/operators/hornbeamstair_operators/events.py
@@ -4,7 +4,7 @@
 
 from hornbeamstair_core.events import Event, register_event
 
-__all__ = ('ManifestPutEvent',)
+__all__ = ('ManifestPutEvent', 'WorkspaceKeysChangedEvent')
 
 
 @register_event
@@ -19,3 +19,18 @@
     version: int
     queues: int
     version_in_force: int
+
+
+@register_event
+@frozen
+class WorkspaceKeysChangedEvent(Event):
+    """Keys that a committed manifest added and withdrew, as counts only."""
+
+    number = 4002
+    name = 'workspace_keys_changed'
+    summary = 'A manifest in force added or withdrew keys of workspaces.'
+
+    version: int
+    workspaces: int
+    added: int
+    withdrawn: int
--- a/packages/operators/hornbeamstair_operators/manifest/service.py
+++ b/packages/operators/hornbeamstair_operators/manifest/service.py
@@ -14,7 +14,10 @@
     Request,
     RequestHandler,
 )
-from hornbeamstair_operators.events import ManifestPutEvent
+from hornbeamstair_operators.events import (
+    ManifestPutEvent,
+    WorkspaceKeysChangedEvent,
+)
 from hornbeamstair_operators.failures import NoManifestFailure
 from hornbeamstair_operators.manifest.checks import check_manifest
 from hornbeamstair_operators.manifest.messages import Manifest, ManifestPut
@@ -57,6 +60,7 @@
         if manifest.version <= self.table.version:
             # An outdated or resent manifest is accepted without effect.
             return Ok(DoneReply())
+        known = frozenset(self.table.workspaces_by_key)
         committed = await self.committer.commit((ManifestPut(manifest),))
         if committed.is_error():
             return Error(committed.error)
@@ -67,8 +71,23 @@
                 self.table.version,
             ),
         )
+        self._log_keys(known)
         return Ok(DoneReply())
 
+    def _log_keys(self, known: frozenset[str]) -> None:
+        """Log how many keys came and went since some were in force."""
+        keys = self.table.workspaces_by_key.keys()
+        added, withdrawn = len(keys - known), len(known - keys)
+        if added or withdrawn:
+            log_event(
+                WorkspaceKeysChangedEvent(
+                    self.table.version,
+                    len(self.table.workspaces),
+                    added,
+                    withdrawn,
+                ),
+            )
+
     def _read(self) -> Result[Reply, Failure]:
         manifest = self.table.manifest
         if manifest is None:
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -76,5 +76,22 @@
     And 8 seconds pass in the model
     Then south has between 2.5 and 3.5 times the completed jobs of north
 
+  Scenario: Operators see usage, limits, shares and refusals by cause
+    Given a workspace model with seed 7 and 3 workers
+    And the workspace north with weight 2 and at most 6000 of CPU
+    When 5 jobs of 2 tasks of 3000 are accepted for north
+    And 0.3 seconds pass in the model
+    And a job of north is refused for its size
+    Then the list of workspaces shows north with
+      | field        | shown |
+      | cpu          | 6000  |
+      | max_cpu      | 6000  |
+      | share        | 0.0625 |
+      | open_jobs    | 5     |
+      | waiting_jobs | 4     |
+      | is_held      | True  |
+      | refusals     | {'quota_too_small': 1} |
+    And the workspace south is refused with code 2112
+
   Scenario: Manifests, faults and takeovers in any order pass no quota
     Then no quota is passed in 200 random simulations of 50 steps
--- a/tests/features/steps/quota_steps.py
+++ b/tests/features/steps/quota_steps.py
@@ -1,14 +1,20 @@
 """Steps for the quotas and the shares of workspaces."""
 
+from asyncio import run
 from random import Random
+from types import SimpleNamespace
 from typing import Any
 
 from attrs import evolve
 from behave import given, then, when
 from hypothesis.stateful import run_state_machine_as_test
 
+from hornbeamstair_callers.endpoints.workspace_listing import (
+    WorkspaceListingHandler,
+)
 from hornbeamstair_callers.jobs.demand import get_demands
 from hornbeamstair_callers.jobs.messages import JobSpec
+from hornbeamstair_callers.workspaces.listing import ListWorkspaces
 from hornbeamstair_callers.workspaces.quotas import check_quota
 from hornbeamstair_core.ids import JobId, PoolName, WorkspaceName
 from hornbeamstair_operators.manifest.messages import Workspace
@@ -216,6 +222,37 @@
     assert low <= ratio <= high, ratio
 
 
+@when('a job of {name} is refused for its size')
+def refuse(context: Any, name: str) -> None:
+    """Refuse a job as the handler of callers' requests does."""
+    spec = JobSpec(JobId('a'), '', (make_phase(1, 6001),))
+    checked = check_quota(context.model.tables.manifest, name, spec)
+    policies = context.model.scheduler.workspaces
+    policies.refusals.add(WorkspaceName(name), checked.error)
+
+
+@then('the list of workspaces shows {name} with')
+def check_row(context: Any, name: str) -> None:
+    """Check the row of a workspace."""
+    reply = _list_workspaces(context, '')
+    row = next(row for row in reply.ok.workspaces if row.workspace == name)
+    for field, shown in context.table:
+        assert str(getattr(row, field)) == shown, (field, getattr(row, field))
+
+
+@then('the workspace {name} is refused with code {code:d}')
+def check_unknown(context: Any, name: str, code: int) -> None:
+    """Check that an unknown workspace is refused."""
+    assert _list_workspaces(context, name).error.number == code
+
+
+def _list_workspaces(context: Any, name: str) -> Any:
+    model = context.model
+    committer = SimpleNamespace(find_scheduler=lambda: model.scheduler)
+    handler = WorkspaceListingHandler(model.tables, committer, model.get_moment)
+    return run(handler.handle(ListWorkspaces(WorkspaceName(name))))
+
+
 @then(
     'no quota is passed in {examples:d} random simulations of {steps:d} steps'
 )
--- a/tests/features/system.feature
+++ b/tests/features/system.feature
@@ -32,6 +32,8 @@
     And job 1 with 1 tasks of 60 seconds is submitted through entry-1
     Then the command "job list" sent to entry-1 prints "running"
     And the command "worker list" sent to control-2 prints "up"
+    And the command "workspace list" sent to entry-1 prints "WORKSPACE"
+    And the command "workspace show north" sent to entry-1 fails with code 2112
     And the command "job cancel 0000000000000001 --host host --path /stops/" sent to control-1 prints "done"
     And the command "job show 0000000000000001 --host host --path /stops/" sent to entry-1 prints "cancelled"
     And the command "job show 0000000000000002 --host host --path /stops/" sent to entry-1 fails with code 2102
