--- a/packages/callers/hornbeamstair_callers/jobs/ranking.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ranking.py
@@ -17,6 +17,7 @@
     'ObjectiveRanking',
     'get_critical_path_seconds',
     'get_objective',
+    'get_release_time',
     'get_remaining_seconds',
 )
 
@@ -73,7 +74,7 @@
         return (
             1 + self.misses_objective(job, queue, wall),
             queue.priority,
-            _get_release_time(job),
+            get_release_time(job),
         )
 
     def get_key_expiry(self, job: Job, queue: Queue, wall: float) -> float:
@@ -122,13 +123,13 @@
         job.spec, job.queue, run_times
     )
     return (
-        _get_release_time(job)
+        get_release_time(job)
         + critical_path_seconds * queue.stretch
         + queue.target_seconds
     )
 
 
-def _get_release_time(job: Job) -> float:
+def get_release_time(job: Job) -> float:
     """Get the wall-clock time from which the objective is counted."""
     return max(job.accepted_at, job.spec.get_due(0))
 
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -76,6 +76,16 @@
     And 8 seconds pass in the model
     Then south has between 2.5 and 3.5 times the completed jobs of north
 
+  Scenario: Jobs that are late beyond all use yield to late ones
+    Given a workspace model with seed 8 and 3 workers
+    And the workspace north with weight 100 and at most 0 of CPU
+    When 60 jobs of 1 tasks of 16000 are accepted for north
+    And 6 seconds pass in the model
+    And 25 jobs of 1 tasks of 16000 are accepted for north
+    And 30 seconds pass in the model
+    Then at least 0.8 of the last 25 jobs end within 9 seconds
+    And north has 85 completed jobs
+
   Scenario: Operators see usage, limits, shares and refusals by cause
     Given a workspace model with seed 7 and 3 workers
     And the workspace north with weight 2 and at most 6000 of CPU
--- a/tests/features/steps/quota_steps.py
+++ b/tests/features/steps/quota_steps.py
@@ -201,6 +201,18 @@
         assert done >= sent * share, (name, done, sent)
 
 
+@then(
+    'at least {share:g} of the last {count:d} jobs end within '
+    '{seconds:g} seconds'
+)
+def check_last(context: Any, share: float, count: int, seconds: float) -> None:
+    """Check what the callers of the last jobs get."""
+    jobs = context.model.tables.jobs.jobs
+    last = sorted(jobs.values(), key=lambda job: job.accepted_at)[-count:]
+    done = sum(job.ended_at - job.accepted_at <= seconds for job in last)
+    assert done >= count * share, done
+
+
 @then('{name} has more completed jobs than {other}')
 def check_more(context: Any, name: str, other: str) -> None:
     """Check that a workspace uses the room that the others leave."""
