--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -32,6 +32,7 @@
 )
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.workspaces.access import QueueAccess, find_access
+from hornbeamstair_callers.workspaces.quotas import check_quota
 from hornbeamstair_core.committing import Committer
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
@@ -141,7 +142,12 @@
         if scheduler is None:
             # The commit fails and tells the caller.
             return Ok(None)
-        return scheduler.policies.admission.check(record, now)
+        checked = check_quota(
+            self.state.manifest, record.workspace, record.spec
+        ).bind(lambda _: scheduler.policies.admission.check(record, now))
+        if checked.is_error():
+            scheduler.workspaces.refusals.add(record.workspace, checked.error)
+        return checked
 
     async def _cancel(self, request: CancelJob) -> Result[Reply, Failure]:
         job = self._find_job(request)
