Check a manifest before it is sent

Cause: an operator learned of an invalid manifest only from the refusal, and of an entry that can never match not at all.

--- a/packages/operators/hornbeamstair_operators/command_line/main.py
+++ b/packages/operators/hornbeamstair_operators/command_line/main.py
@@ -6,6 +6,9 @@
 
 from hornbeamstair_operators.command_line.client import ApiClient
 from hornbeamstair_operators.command_line.contracts import contract_app
+from hornbeamstair_operators.command_line.manifest_check import (
+    check_manifest_file,
+)
 from hornbeamstair_operators.command_line.output import OUTPUT_NAMES, get_output
 from hornbeamstair_operators.command_line.pools import pool_app
 from hornbeamstair_operators.command_line.session import Session
@@ -38,6 +41,7 @@
 app.add_typer(worker_app, name='worker')
 app.add_typer(host_app, name='machine')
 app.add_typer(manifest_app, name='manifest')
+manifest_app.command('check')(check_manifest_file)
 app.add_typer(workspace_app, name='workspace')
 app.command('processes')(list_processes)
 app.command('trace')(trace)
