--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -86,6 +86,22 @@
     Then at least 0.8 of the last 25 jobs end within 9 seconds
     And north has 85 completed jobs
 
+  Scenario: A new leader knows which jobs are beyond the promised rate
+    Given a workspace model with seed 9 and 3 workers
+    And the workspace north with weight 2 and at most 500 of CPU
+    When 30 jobs of 1 endless tasks of 400 are accepted for north
+    And 3 seconds pass in the model
+    And 6 jobs of 1 endless tasks of 400 are accepted for north
+    Then the list of workspaces shows north with
+      | field       | shown |
+      | open_jobs   | 36    |
+      | beyond_jobs | 20    |
+    When the leader of the model changes 1 times within 1 seconds
+    Then the list of workspaces shows north with
+      | field       | shown |
+      | open_jobs   | 36    |
+      | beyond_jobs | 20    |
+
   Scenario: Operators see usage, limits, shares and refusals by cause
     Given a workspace model with seed 7 and 3 workers
     And the workspace north with weight 2 and at most 6000 of CPU
