--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -21,6 +21,7 @@
 from hornbeamstair_callers.jobs.placement_event_log import PlacementEventLog
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
+from hornbeamstair_callers.workspaces.meter import measure_workspaces
 from hornbeamstair_core.background import repeat
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import WorkerId
@@ -153,6 +154,7 @@
         scheduler = self.find_scheduler()
         if scheduler is not None:
             self._measure_pass(scheduler.tick, scheduler)
+            measure_workspaces(self.metrics, scheduler.workspaces)
             self._execute_effects(scheduler)
             self.poller.poll_all(scheduler.sessions.values())
         return _TICK_SECONDS
--- a/packages/callers/hornbeamstair_callers/workspaces/quotas.py
+++ b/packages/callers/hornbeamstair_callers/workspaces/quotas.py
@@ -52,6 +52,10 @@
     def is_held(self, workspace: WorkspaceName) -> bool:
         """Return whether tasks wait for the usage of a workspace to fall."""
 
+    @abstractmethod
+    def count_held(self) -> int:
+        """Count the workspaces that are held."""
+
     @abstractmethod
     def drain_eased(self) -> set[WorkspaceName]:
         """Return and clear the held workspaces whose usage has changed."""
@@ -117,6 +121,10 @@
         found = self.held.get(workspace)
         return found is not None and found == self.get_usage(workspace)
 
+    def count_held(self) -> int:
+        """Count the workspaces with tasks that were held back."""
+        return len(self.held)
+
     def drain_eased(self) -> set[WorkspaceName]:
         """Return and clear the held workspaces whose usage has changed."""
         eased = {name for name in self.held if not self.is_held(name)}
