Learn run times from the runs that are done

Cause: callers' estimates are off by up to their own size, and ranking and objectives trusted them.

Change: the job table keeps the count and the total duration of the first runs of each phase that are done. A new leader learns from the jobs in its table.

--- a/packages/callers/hornbeamstair_callers/jobs/job.py
+++ b/packages/callers/hornbeamstair_callers/jobs/job.py
@@ -65,6 +65,8 @@
     ended_at: float = 0
     # Workspace of its caller; empty for a job of an open queue.
     workspace: WorkspaceName = WorkspaceName('')
+    # First runs that are done and their total seconds, by occurrence and phase.
+    run_totals: dict[str, tuple[int, float]] = field(factory=dict)
 
     @property
     def is_open(self) -> bool:
@@ -117,6 +119,17 @@
         name = f'{key.occurrence}.{key.phase}'
         self.done[name] = self.done.get(name, 0) + 1
 
+    def add_run_seconds(self, key: PhaseKey, task: Task, ended: float) -> None:
+        """Add the duration of a first run; a later one may resume another."""
+        if task.run != 1 or not 0 < task.started_at < ended:
+            return
+        name = f'{key.occurrence}.{key.phase}'
+        count, seconds = self.run_totals.get(name, (0, 0))
+        self.run_totals[name] = (
+            count + 1,
+            seconds + ended - task.started_at,
+        )
+
     def trim(self) -> None:
         """Drop the text and the tasks without an active run of an ended job."""
         if self.is_open:
--- a/packages/callers/hornbeamstair_callers/jobs/run_times.py
+++ b/packages/callers/hornbeamstair_callers/jobs/run_times.py
@@ -22,9 +22,16 @@
 
     @abstractmethod
     def record(
-        self, queue: QueueName, needs: TaskNeeds, seconds: float
+        self,
+        queue: QueueName,
+        phase_id: str,
+        needs: TaskNeeds,
+        seconds: float,
     ) -> None:
-        """Learn the duration of a run that ended as done."""
+        """Learn the mean duration of the runs of a phase that are done.
+
+        A later call for the same phase replaces the earlier one.
+        """
 
 
 @define(eq=False)
@@ -38,6 +45,10 @@
         return needs.estimate_seconds
 
     def record(
-        self, queue: QueueName, needs: TaskNeeds, seconds: float
+        self,
+        queue: QueueName,
+        phase_id: str,
+        needs: TaskNeeds,
+        seconds: float,
     ) -> None:
         """Learn nothing."""
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -19,6 +19,7 @@
     SendStop,
 )
 from hornbeamstair_callers.jobs.placement_event_log import PlacementEventLog
+from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
 from hornbeamstair_core.background import repeat
@@ -80,6 +81,8 @@
     get_moment: Callable[[], Moment]
     # Workers whose hosts may go down or leave the pool by an order in progress.
     get_reserved_workers: Callable[[], Collection[WorkerId]]
+    # Each term begins with new policies.
+    make_policies: Callable[[], SchedulingPolicies] = SchedulingPolicies
     placement_event_log: PlacementEventLog = field(
         default=Factory(_make_placement_event_log, takes_self=True),
         init=False,
@@ -169,7 +172,9 @@
 
     def _start_scheduler(self, term: int) -> None:
         now = self.get_moment()
-        self.scheduler = Scheduler(self.state, term, self.terms)
+        self.scheduler = Scheduler(
+            self.state, term, self.terms, policies=self.make_policies()
+        )
         self.state.jobs.record_listener = self
         self.scheduler.start(now, self.get_reserved_workers())
 
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -14,12 +14,10 @@
     SendStop,
 )
 from hornbeamstair_callers.jobs.ends import EndRecorder
-from hornbeamstair_callers.jobs.events import (
-    HolderChangedEvent,
-)
 from hornbeamstair_callers.jobs.inheritance import InheritedRuns
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.job_event_log import JobEventLog
+from hornbeamstair_callers.jobs.leader_event_log import log_leader_change
 from hornbeamstair_callers.jobs.messages import get_job_id
 from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.ranking import ObjectiveRanking
@@ -33,6 +31,7 @@
     RunStarted,
 )
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
+from hornbeamstair_callers.jobs.run_time_learning import RunTimeLearner
 from hornbeamstair_callers.jobs.starts import StartPlanner
 from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_callers.jobs.unconfirmed_event_log import (
@@ -45,7 +44,6 @@
 from hornbeamstair_callers.jobs.worker_event_log import WorkerEventLog
 from hornbeamstair_callers.jobs.worker_records import WorkerSurvived
 from hornbeamstair_core.effects import Effect
-from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure, InvalidFieldFailure
 from hornbeamstair_core.ids import JobId, ServiceName, TaskId, WorkerId
 from hornbeamstair_core.moments import Moment
@@ -78,12 +76,6 @@
 # Callers can query the state of an ended job for this time.
 _ENDED_JOB_SECONDS: Final = 180.0
 _FORGET_INTERVAL_SECONDS: Final = 5.0
-# Ends of runs that may not have started.
-_ENDS_WITHOUT_START: Final = (
-    RunEnd.lost,
-    RunEnd.expired,
-    RunEnd.crashed,
-)
 # Unplaced jobs that one scan examines. Beyond this, the scan takes longer
 # than the handling of a run end and a start.
 _MAX_UNPLACED_JOBS: Final = 48
@@ -127,6 +119,7 @@
     starts: StartPlanner = field(init=False)
     ends: EndRecorder = field(init=False)
     crash_review: CrashReview = field(init=False)
+    run_time_learner: RunTimeLearner = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the components that share the index of waiting jobs."""
@@ -158,6 +151,9 @@
             self.run_event_log,
         )
         self.crash_review = CrashReview(state.jobs, self.sessions)
+        self.run_time_learner = RunTimeLearner(
+            state.jobs, self.policies.run_times
+        )
 
     def start(self, now: Moment, reserved: Collection[WorkerId] = ()) -> None:
         """Take over the workers and the runs of the previous leader.
@@ -177,6 +173,7 @@
         self.waiting.mark_stale(self.state.jobs.jobs)
         for job in self.state.jobs.get_open():
             self.unstarted.add_job(job)
+        self.run_time_learner.learn_all()
         self._log_leader_change(holds=True)
 
     def stop(self) -> None:
@@ -202,13 +199,8 @@
                 self._handle_started(record, now)
                 # The list of ready tasks may predate the record.
                 self.waiting.mark_stale((get_job_id(record.task),))
-            case RunEnded(task, end=end, at=at):
-                self.waiting.in_flight.pop(task, None)
-                if end not in _ENDS_WITHOUT_START:
-                    self.unstarted.remove_started((task,))
-                job_id = get_job_id(task)
-                self.waiting.mark_stale((job_id,))
-                self._log_job_end(job_id, at)
+            case RunEnded():
+                self._handle_ended(record)
             case JobAccepted():
                 self.waiting.mark_stale((record.spec.job,))
                 self.unstarted.add_job(self.state.jobs.jobs[record.spec.job])
@@ -471,13 +463,11 @@
             self.effects.append(CommitBatch(expired))
 
     def _log_leader_change(self, *, holds: bool) -> None:
-        log_event(
-            HolderChangedEvent(
-                self.fencing_token,
-                holds,
-                len(self.sessions),
-                sum(1 for _ in self.state.jobs.get_open()),
-            ),
+        log_leader_change(
+            self.fencing_token,
+            len(self.sessions),
+            self.state.jobs,
+            holds=holds,
         )
 
     def _find_job(self, task: TaskId) -> Job | None:
@@ -505,6 +495,14 @@
         else:
             self._emit_start(session, order, now)
 
+    def _handle_ended(self, record: RunEnded) -> None:
+        job_id = get_job_id(record.task)
+        self.waiting.in_flight.pop(record.task, None)
+        self.unstarted.handle_end(record.task, record.end)
+        self.run_time_learner.learn(record.task)
+        self.waiting.mark_stale((job_id,))
+        self._log_job_end(job_id, record.at)
+
     def _commit_lost_run(self, record: RunStarted, now: Moment) -> None:
         self.waiting.in_flight[record.task] = now.monotonic
         lost = RunEnded(record.task, record.run, RunEnd.lost, '', now.wall)
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -235,6 +235,7 @@
             # A long-running task is restarted, however its run ended.
             return
         job.mark_done(key, task)
+        job.add_run_seconds(key, task, at)
         if phase.is_gang:
             # The members of a gang end together: one end counts for all.
             for index in range(phase.count):
--- a/packages/callers/hornbeamstair_callers/jobs/unstarted.py
+++ b/packages/callers/hornbeamstair_callers/jobs/unstarted.py
@@ -1,15 +1,24 @@
 """Open jobs without a task that is known to have started."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from attrs import define, field
 
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import get_job_id
 from hornbeamstair_core.ids import JobId, QueueName, TaskId
+from hornbeamstair_upstreams.work.messages import RunEnd
 
 __all__ = ('UnstartedJobs',)
 
+# Ends of runs that may not have started.
+_ENDS_WITHOUT_START: Final = (
+    RunEnd.lost,
+    RunEnd.expired,
+    RunEnd.crashed,
+)
+
 
 @define(eq=False)
 class UnstartedJobs:
@@ -34,6 +43,11 @@
         for task in tasks:
             self.discard(get_job_id(task))
 
+    def handle_end(self, task: TaskId, end: RunEnd) -> None:
+        """Remove the job of a task whose end shows that it had started."""
+        if end not in _ENDS_WITHOUT_START:
+            self.remove_started((task,))
+
     def discard(self, job: JobId) -> None:
         """Remove a job."""
         queue = self.queues.pop(job, None)
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -8,6 +8,8 @@
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceController
 from hornbeamstair_callers.endpoints.moves import MoveController
 from hornbeamstair_callers.endpoints.worker_requests import WorkerRequestHandler
+from hornbeamstair_callers.jobs.learned_run_times import LearnedRunTimes
+from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import SchedulerState
 from hornbeamstair_callers.jobs.service import (
@@ -163,6 +165,7 @@
         metrics,
         get_moment,
         lambda: moves.get_ordered_workers() | waves.get_ordered_workers(),
+        _make_policies,
     )
     maintenance = _make_maintenance_controller(
         settings, waves, moves, runner, hosts
@@ -223,6 +226,10 @@
     )
 
 
+def _make_policies() -> SchedulingPolicies:
+    return SchedulingPolicies(run_times=LearnedRunTimes())
+
+
 def _make_codec() -> RequestCodec:
     requests = [kind for handler in _HANDLERS for kind in handler.requests]
     replies = [kind for handler in _HANDLERS for kind in handler.replies]
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -1,6 +1,7 @@
 """Model of workers, faults and leaders that drives the real scheduler."""
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 from attrs import define, evolve, field
@@ -12,6 +13,7 @@
     SendStop,
 )
 from hornbeamstair_callers.jobs.messages import JobSpec, Phase
+from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.records import (
     JobAccepted,
     JobCancelled,
@@ -350,6 +352,7 @@
     # Crashed workers, with the time of their return.
     down: list[tuple[float, ModelWorker]] = field(factory=list)
     phases: dict[str, Phase] = field(factory=dict)
+    make_policies: Callable[[], SchedulingPolicies] = SchedulingPolicies
 
     def __attrs_post_init__(self) -> None:
         """Start the workers and the first leader."""
@@ -409,6 +412,7 @@
             self.tables,
             self.term,
             get_lease_terms(LONGEST_LEASE, STOP_SECONDS),
+            policies=self.make_policies(),
         )
         self.scheduler.start(self.get_moment(), reserved)
         self.polled_at.clear()
