Decide whether a wait for a rack pays

Cause: a task whose rack is full took any worker at once, although its run takes cross_rack_factor times as long there.

Change: a task that fits only elsewhere weighs the time that a run gains on its rack against the expected time until there is room (runs there by their learned ends, claims of those before it in the order of placement) and the slack to its objective. A gang waits as one, on the rack with the most room. The factor comes from the settings; by default it is 1 and no task waits.

--- a/packages/callers/hornbeamstair_callers/jobs/placement_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/placement_event_log.py
@@ -9,6 +9,7 @@
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_core.units import to_milliseconds
+from hornbeamstair_upstreams.work.places.events import PlacesEvent
 from hornbeamstair_upstreams.work.stats import PlacementStats
 
 __all__ = ('PlacementEventLog',)
@@ -54,7 +55,24 @@
                     to_milliseconds(now - self.reported_at),
                 ),
             )
+        self._report_places(stats)
         stats.clear()
         self.reported_at = now
         self.passes = 0
         self.spent_seconds = 0
+
+    def _report_places(self, stats: PlacementStats) -> None:
+        counts = {
+            'near': stats.near,
+            'away': stats.away,
+            'waits_begun': stats.waits_begun,
+            'rewarded': stats.waits_rewarded,
+            'given_up': stats.waits_given_up,
+            'vain': stats.waits_vain,
+        }
+        if not any(counts.values()):
+            return
+        for outcome, count in counts.items():
+            self.metrics.places.labels(outcome).inc(count)
+        waited_ms = to_milliseconds(stats.waited_seconds)
+        log_event(PlacesEvent(**counts, waited_ms=waited_ms))
--- a/packages/callers/hornbeamstair_callers/jobs/policies.py
+++ b/packages/callers/hornbeamstair_callers/jobs/policies.py
@@ -4,6 +4,7 @@
 
 from hornbeamstair_callers.admission.base import AdmissionPolicy, AdmitAll
 from hornbeamstair_callers.jobs.run_times import DeclaredRunTimes, RunTimes
+from hornbeamstair_upstreams.work.places.waits import PlaceTerms
 
 __all__ = ('SchedulingPolicies',)
 
@@ -14,3 +15,4 @@
 
     run_times: RunTimes = field(factory=DeclaredRunTimes)
     admission: AdmissionPolicy = field(factory=AdmitAll)
+    places: PlaceTerms = field(factory=PlaceTerms)
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -143,6 +143,7 @@
             self.waiting,
             self.run_event_log,
             self.stats,
+            self.policies,
         )
         self.ends = EndRecorder(
             state.jobs,
@@ -396,7 +397,7 @@
         self._emit_effects(records, now)
 
     def _make_placement(self, service: ServiceName, now: Moment) -> Placement:
-        return Placement(self.index, service, now.monotonic, self.stats)
+        return self.starts.make_placement(self.index, service, now.monotonic)
 
     def _place_from(
         self,
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -3,17 +3,24 @@
 from collections.abc import Iterator
 from typing import Final
 
-from attrs import define
+from attrs import define, field
 
 from hornbeamstair_callers.jobs.job import Job
+from hornbeamstair_callers.jobs.places import (
+    JobPlaces,
+    may_try_next,
+    update_members,
+)
+from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.ready import ReadyPhase
 from hornbeamstair_callers.jobs.records import RunStarted
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_queue import WaitingJob
-from hornbeamstair_core.ids import TaskId
+from hornbeamstair_core.ids import ServiceName, TaskId
 from hornbeamstair_core.invariants import check_invariant
 from hornbeamstair_core.moments import Moment
+from hornbeamstair_upstreams.work.index import WorkerIndex
 from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.placement import Placement
 from hornbeamstair_upstreams.work.runs import Run, RunState
@@ -34,6 +41,29 @@
     waiting: WaitingJobs
     run_event_log: RunEventLog
     stats: PlacementStats
+    policies: SchedulingPolicies
+    places: JobPlaces = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin without any waits for places."""
+        self.places = JobPlaces(
+            self.waiting.jobs, self.waiting.manifest, self.policies
+        )
+
+    def make_placement(
+        self,
+        index: WorkerIndex,
+        service: ServiceName,
+        now: float,
+    ) -> Placement:
+        """Begin a placement pass over a service."""
+        return Placement(
+            index,
+            service,
+            now,
+            self.stats,
+            self.places.begin_pass(now, self.stats),
+        )
 
     def place_job(
         self,
@@ -54,7 +84,7 @@
             paused = _get_paused_tasks(job, ready, now)
             tasks = self._get_startable_tasks(job, ready, paused, now)
             placed = self._place_phase(job, ready, tasks, placement, now)
-            remaining = (*tasks[len(placed) :], *paused)
+            remaining = (*_get_unplaced_tasks(tasks, placed), *paused)
             if remaining:
                 unplaced.append(
                     ReadyPhase(
@@ -94,26 +124,8 @@
         placement: Placement,
         now: Moment,
     ) -> list[RunStarted]:
-        chosen: list[tuple[WorkerSession, Run]] = []
         wait_seconds = self.waiting.get_wait_seconds(ready, now.wall)
-        for task in tasks:
-            isolation = _get_isolation(job, task, wait_seconds, now)
-            session = placement.choose(
-                ready.phase.needs,
-                ready.phase_id,
-                isolation=isolation,
-            )
-            if session is None:
-                break
-            run = _make_run(job, ready, task, now)
-            run.isolation = isolation
-            check_invariant(
-                job.get_task(task).may_start(run.run),
-                'a task has one run at a time',
-                f'{task} run {run.run}',
-            )
-            session.add_run(run)
-            chosen.append((session, run))
+        chosen = self._choose_workers(job, ready, tasks, placement, now)
         if ready.phase.is_gang and len(chosen) < len(tasks):
             for reserved_session, run in chosen:
                 placement.release_run(reserved_session, run)
@@ -126,8 +138,42 @@
                 now,
             )
         self.stats.placed += len(chosen)
+        placement.note_placed(
+            ready.phase.needs,
+            ready.phase_id,
+            [session for session, _ in chosen],
+        )
         return [self._make_record(*pair, now) for pair in chosen]
 
+    def _choose_workers(
+        self,
+        job: Job,
+        ready: ReadyPhase,
+        tasks: list[TaskId],
+        placement: Placement,
+        now: Moment,
+    ) -> list[tuple[WorkerSession, Run]]:
+        wait_seconds = self.waiting.get_wait_seconds(ready, now.wall)
+        wish = self.places.make_wish(job, ready, now.wall)
+        chosen: list[tuple[WorkerSession, Run]] = []
+        for task in tasks:
+            isolation = _get_isolation(job, task, wait_seconds, now)
+            session = placement.choose(
+                ready.phase.needs,
+                ready.phase_id,
+                isolation=isolation,
+                wish=wish,
+            )
+            if session is not None:
+                run = _make_run(job, ready, task, now)
+                run.isolation = isolation
+                _add_run(job, session, run)
+                chosen.append((session, run))
+                update_members(wish, len(tasks) - len(chosen))
+            elif not may_try_next(wish):
+                break
+        return chosen
+
     def _make_record(
         self,
         session: WorkerSession,
@@ -145,6 +191,24 @@
         )
 
 
+def _add_run(job: Job, session: WorkerSession, run: Run) -> None:
+    """Reserve the resources of a run."""
+    check_invariant(
+        job.get_task(run.task).may_start(run.run),
+        'a task has one run at a time',
+        f'{run.task} run {run.run}',
+    )
+    session.add_run(run)
+
+
+def _get_unplaced_tasks(
+    tasks: list[TaskId],
+    placed: list[RunStarted],
+) -> Iterator[TaskId]:
+    started = {record.task for record in placed}
+    return (task for task in tasks if task not in started)
+
+
 def _get_paused_tasks(
     job: Job,
     ready: ReadyPhase,
--- a/packages/core/hornbeamstair_core/metrics.py
+++ b/packages/core/hornbeamstair_core/metrics.py
@@ -25,6 +25,7 @@
     loop_late: Histogram = field(init=False)
     placement_time: Histogram = field(init=False)
     dropped_log_lines: Counter = field(init=False)
+    places: Counter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -86,6 +87,12 @@
             ['event'],
             registry=self.registry,
         )
+        self.places = Counter(
+            'hornbeamstair_places',
+            'Tasks that prefer a rack, by place and by outcome of their wait.',
+            ['outcome'],
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             'hornbeamstair_state',
             'Sizes of the state in memory, by kind.',
--- a/packages/daemon/hornbeamstair_daemon/system/options.py
+++ b/packages/daemon/hornbeamstair_daemon/system/options.py
@@ -26,6 +26,10 @@
 _DEFAULT_LEASE_SECONDS: Final = 6.0
 _DEFAULT_STOP_SECONDS: Final = 0.2
 _DEFAULT_GRACE_SECONDS: Final = 6.0
+# All racks are as good: no task waits for one.
+_DEFAULT_RACK_FACTOR: Final = 1.0
+# Tasks that are slower away from their data would not run there at all.
+_MAX_RACK_FACTOR: Final = 100.0
 
 
 @frozen
@@ -85,6 +89,9 @@
             _DEFAULT_GRACE_SECONDS,
         ),
         metrics=None,
+        rack_factor=reader.get_float_opt(
+            'rack_factor', 1, _MAX_RACK_FACTOR, _DEFAULT_RACK_FACTOR
+        ),
     )
     return SystemOptions(
         role, settings, read_socket_address(reader.get_section('api'))
--- a/packages/daemon/hornbeamstair_daemon/system/settings.py
+++ b/packages/daemon/hornbeamstair_daemon/system/settings.py
@@ -30,3 +30,6 @@
     # Time between a stop signal and the kill of the process.
     grace_seconds: float
     metrics: SocketAddress | None
+    # A run takes this many times as long on another rack than that of its data
+    # or its group; 1 if all racks are as good.
+    rack_factor: float = 1
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -56,6 +56,8 @@
 from hornbeamstair_replicas.voter_ids import get_address
 from hornbeamstair_replicas.voting.timing import Timing
 from hornbeamstair_upstreams.work.instrumented import InstrumentedSender
+from hornbeamstair_upstreams.work.places.policies import ExpectedGain
+from hornbeamstair_upstreams.work.places.waits import PlaceTerms
 from hornbeamstair_upstreams.work.sender import WorkerSender
 from hornbeamstair_upstreams.work.table import WorkerTable
 
@@ -165,7 +167,7 @@
         metrics,
         get_moment,
         lambda: moves.get_ordered_workers() | waves.get_ordered_workers(),
-        _make_policies,
+        lambda: _make_policies(settings),
     )
     maintenance = _make_maintenance_controller(
         settings, waves, moves, runner, hosts
@@ -226,8 +228,11 @@
     )
 
 
-def _make_policies() -> SchedulingPolicies:
-    return SchedulingPolicies(run_times=LearnedRunTimes())
+def _make_policies(settings: SystemSettings) -> SchedulingPolicies:
+    return SchedulingPolicies(
+        run_times=LearnedRunTimes(),
+        places=PlaceTerms(settings.rack_factor, ExpectedGain()),
+    )
 
 
 def _make_codec() -> RequestCodec:
--- a/packages/upstreams/hornbeamstair_upstreams/work/placement.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/placement.py
@@ -1,6 +1,6 @@
 """Selection of the worker for a task."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from attrs import define, field
 
@@ -9,6 +9,7 @@
 from hornbeamstair_upstreams.work.index import ServiceWorkers, WorkerIndex
 from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.messages import Resources, TaskNeeds
+from hornbeamstair_upstreams.work.places.waits import PlaceWish, RackWaits
 from hornbeamstair_upstreams.work.runs import Run
 from hornbeamstair_upstreams.work.session import (
     WorkerSession,
@@ -43,6 +44,8 @@
     )
     # Workers found to accept no new work.
     unavailable: set[WorkerSession] = field(factory=set, init=False)
+    # Waits for racks; None if no task waits.
+    rack_waits: RackWaits | None = None
 
     def is_unplaceable(
         self,
@@ -64,15 +67,20 @@
         phase_id: str,
         excluded: WorkerSession | None = None,
         isolation: Isolation = Isolation.none,
+        wish: PlaceWish | None = None,
     ) -> WorkerSession | None:
-        """Choose a worker; None if no worker fits.
+        """Choose a worker; None if no worker fits, or the wish is to wait.
 
         Workers on the preferred rack come first.
         """
+        if wish is not None:
+            wish.is_waiting = False
         if self.is_unplaceable(needs, phase_id, isolation):
             return None
         workers = self.index.get_service_workers(self.service)
-        for candidates in _get_candidates(workers, needs, phase_id):
+        rack = self._find_rack(workers, needs, phase_id, wish)
+        on_rack = workers.by_rack.get(rack)
+        for candidates in (on_rack, workers.all_workers):
             fitting = (
                 session
                 for session in self._find_fitting(candidates, needs, phase_id)
@@ -83,7 +91,8 @@
             )
             chosen = self._choose_first(fitting, isolation)
             if chosen is not None:
-                return chosen
+                must_wait = self._must_wait(wish, needs, rack, chosen)
+                return None if must_wait else chosen
         if excluded is None:
             constraints = _get_constraints(needs, phase_id, isolation)
             self.unplaceable.setdefault(constraints, []).append(
@@ -91,11 +100,65 @@
             )
         return None
 
+    def note_placed(
+        self,
+        needs: TaskNeeds,
+        phase_id: str,
+        sessions: Collection[WorkerSession],
+    ) -> None:
+        """Note where the tasks of a phase are placed."""
+        has_wish = needs.data_rack or needs.one_rack
+        if has_wish and sessions and self.rack_waits is not None:
+            self.rack_waits.note_placed(phase_id, needs, sessions)
+
     def release_run(self, session: WorkerSession, run: Run) -> None:
         """Release the resources of a run that will not be started."""
         session.remove_run(run.task)
         self.unplaceable.clear()
 
+    def _must_wait(
+        self,
+        wish: PlaceWish | None,
+        needs: TaskNeeds,
+        rack: RackName,
+        chosen: WorkerSession,
+    ) -> bool:
+        """Return whether a task waits for its rack instead of the worker."""
+        is_near = not rack or chosen.announced.rack == rack
+        if is_near or wish is None or self.rack_waits is None:
+            return False
+        workers = self.index.get_service_workers(self.service)
+        on_rack = workers.by_rack.get(rack)
+        return on_rack is not None and self.rack_waits.should_wait(
+            wish, needs, rack, on_rack.by_session
+        )
+
+    def _find_rack(
+        self,
+        workers: ServiceWorkers,
+        needs: TaskNeeds,
+        phase_id: str,
+        wish: PlaceWish | None,
+    ) -> RackName:
+        """Find the rack that a task prefers; empty if there is none."""
+        if needs.data_rack or not needs.one_rack:
+            return RackName(needs.data_rack)
+        rack = _find_rack_of_phase(workers.indexed_racks, phase_id)
+        if rack or wish is None:
+            return rack
+        return max(
+            workers.by_rack,
+            key=lambda name: self._count_free_cpu(workers.by_rack[name]),
+            default=rack,
+        )
+
+    def _count_free_cpu(self, on_rack: FreeResourcesIndex) -> int:
+        return sum(
+            session.get_free_resources().cpu
+            for session in on_rack.by_session
+            if session.may_start(self.now)
+        )
+
     def _choose_first(
         self,
         fitting: Iterator[WorkerSession],
@@ -112,10 +175,12 @@
 
     def _find_fitting(
         self,
-        candidates: FreeResourcesIndex,
+        candidates: FreeResourcesIndex | None,
         needs: TaskNeeds,
         phase_id: str,
     ) -> Iterator[WorkerSession]:
+        if candidates is None:
+            return
         for session in candidates.find_fitting(get_used_resources(needs)):
             if session in self.unavailable:
                 continue
@@ -126,20 +191,6 @@
                 yield session
 
 
-def _get_candidates(
-    workers: ServiceWorkers,
-    needs: TaskNeeds,
-    phase_id: str,
-) -> Iterator[FreeResourcesIndex]:
-    rack = needs.data_rack
-    if needs.one_rack and not rack:
-        rack = _find_rack(workers.indexed_racks, phase_id)
-    on_rack = workers.by_rack.get(RackName(rack))
-    if on_rack is not None:
-        yield on_rack
-    yield workers.all_workers
-
-
 def _fits(session: WorkerSession, needs: TaskNeeds, phase_id: str) -> bool:
     """Return whether a worker meets the requirements of a task."""
     if not session.get_free_resources().fits(get_used_resources(needs)):
@@ -176,8 +227,11 @@
     return False
 
 
-def _find_rack(sessions: Iterable[WorkerSession], phase_id: str) -> str:
+def _find_rack_of_phase(
+    sessions: Iterable[WorkerSession],
+    phase_id: str,
+) -> RackName:
     for session in sessions:
         if session.count_phase_runs(phase_id):
             return session.announced.rack
-    return ''
+    return RackName('')
