--- a/tests/features/steps/place_steps.py
+++ b/tests/features/steps/place_steps.py
@@ -75,7 +75,8 @@
 @given('each rack runs {count:d} tasks of {seconds:g} s')
 def fill_all(context: Any, count: int, seconds: float) -> None:
     """Fill a part of each rack."""
-    for rack in sorted({w.rack for w in context.work.workers.values()}):
+    workers = context.work.workers.values()
+    for rack in sorted({worker.rack for worker in workers}):
         _accept(context, f'busy{rack}', count, seconds, rack)
     context.work.run(0.3)
 
@@ -118,12 +119,8 @@
 @then('the job has run on the hot rack alone')
 def check_near(context: Any) -> None:
     """Check that the job took no longer than its wait and its run."""
-    (times,) = (
-        times
-        for job, times in get_times(context.work).items()
-        if job == context.jobs[0]
-    )
-    assert times[0] < times[1] * FACTOR, times
+    took, run_seconds = get_times(context.work)[context.jobs[0]]
+    assert took < run_seconds * FACTOR, (took, run_seconds)
     assert not context.work.scheduler.stats.away
 
 
@@ -186,17 +183,18 @@
     context: Any, racks: int, workers: int, rate: float, hot: float, seed: int
 ) -> None:
     """Keep the parameters of the load."""
-    context.load = (racks, workers, rate, hot, seed)
+    context.pool = (racks, workers)
+    context.load = (rate, hot)
+    context.seed = seed
 
 
 @when('it is played with no wait and with expected gain')
 def play_load(context: Any) -> None:
     """Play the same load with two policies."""
-    racks, workers, rate, hot, seed = context.load
     context.results = []
     for policy in (NoWait(), ExpectedGain()):
-        model = make_rack_model(seed, racks, workers, policy)
-        accept_load(model, Random(seed), 20, rate, hot)
+        model = make_rack_model(context.seed, *context.pool, policy)
+        accept_load(model, Random(context.seed), 20, *context.load)
         model.run(30)
         times = [took for took, _ in get_times(model).values()]
         context.results.append((get_late_share(model), mean(times)))
--- a/tests/support/rack_table.py
+++ b/tests/support/rack_table.py
@@ -1,5 +1,6 @@
-"""Table of the policies of waits for a rack: python -m tests.support.rack_table."""
+"""Table of the policies of waits for a rack, to be run as a module."""
 
+from itertools import product
 from random import Random
 from statistics import mean
 
@@ -26,8 +27,10 @@
     ('level, 2 s', LevelWait(2)),
     ('expected gain', ExpectedGain()),
 )
-# Jobs a second, and the share of them that wants one rack of four.
-LOADS = ((4, 0.3), (6, 0.3), (8, 0.5), (10, 0.3), (10, 0.5))
+# Jobs a second.
+RATES = (4, 6, 8, 10)
+# Share of the jobs that want one rack of four.
+HOT_SHARES = (0.3, 0.5)
 SEEDS = range(101, 106)
 LOAD_SECONDS = 30
 FINISH_SECONDS = 60
@@ -48,7 +51,7 @@
     """Print the table."""
     print('| jobs/s | hot | policy | late | mean s | near | away | waited s |')
     print('|---|---|---|---|---|---|---|---|')
-    for rate, hot_share in LOADS:
+    for rate, hot_share in product(RATES, HOT_SHARES):
         for name, policy in POLICIES:
             played = [play(policy, rate, hot_share, seed) for seed in SEEDS]
             late = mean(result[0] for result in played)
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -214,7 +214,7 @@
             self.model.get_cpu(order.task),
             now
             + draw_run_seconds(self.model, order.task)
-            * self.model.get_slowdown(self, order.task),
+            * get_slowdown(self, order.task),
         )
         self.runs[order.task] = run
         self.model.check_start(self, run, now)
@@ -454,12 +454,6 @@
         """Get the CPU that a task takes."""
         return get_used_resources(self.get_phase(task).needs).cpu
 
-    def get_slowdown(self, worker: ModelWorker, task: TaskId) -> float:
-        """Get how many times as long a task runs on a worker."""
-        data_rack = self.get_phase(task).needs.data_rack
-        is_away = data_rack and data_rack != worker.rack
-        return self.rack_factor if is_away else 1
-
     def get_phase(self, task: TaskId) -> Phase:
         """Get the phase of a task."""
         job, _, number, _ = task.split('.')
@@ -789,6 +783,13 @@
     return 100 if model.get_phase(run.task).needs.lasts else 50
 
 
+def get_slowdown(worker: ModelWorker, task: TaskId) -> float:
+    """Get how many times as long a task runs on a worker."""
+    data_rack = worker.model.get_phase(task).needs.data_rack
+    is_away = data_rack and data_rack != worker.rack
+    return worker.model.rack_factor if is_away else 1
+
+
 def draw_run_seconds(model: WorkModel, task: TaskId) -> float:
     """Draw the duration of a run in seconds."""
     needs = model.get_phase(task).needs
