--- a/packages/callers/hornbeamstair_callers/jobs/passes.py
+++ b/packages/callers/hornbeamstair_callers/jobs/passes.py
@@ -102,7 +102,7 @@
         return records
 
     def _make_placement(self, service: ServiceName, now: Moment) -> Placement:
-        return Placement(self.index, service, now.monotonic, self.starts.stats)
+        return self.starts.make_placement(self.index, service, now.monotonic)
 
     def _scan_first(
         self,
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -11,6 +11,8 @@
 from hornbeamstair_callers.endpoints.workspace_listing import (
     WorkspaceListingHandler,
 )
+from hornbeamstair_callers.jobs.learned_run_times import LearnedRunTimes
+from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.runner import WorkRunner
 from hornbeamstair_callers.jobs.scheduler import SchedulerState
 from hornbeamstair_callers.jobs.service import (
@@ -57,6 +59,8 @@
 from hornbeamstair_replicas.voter_ids import get_address
 from hornbeamstair_replicas.voting.timing import Timing
 from hornbeamstair_upstreams.work.instrumented import InstrumentedSender
+from hornbeamstair_upstreams.work.places.policies import ExpectedGain
+from hornbeamstair_upstreams.work.places.waits import PlaceTerms
 from hornbeamstair_upstreams.work.sender import WorkerSender
 from hornbeamstair_upstreams.work.table import WorkerTable
 
@@ -167,6 +171,7 @@
         metrics,
         get_moment,
         lambda: moves.get_ordered_workers() | waves.get_ordered_workers(),
+        lambda: _make_policies(settings),
     )
     maintenance = _make_maintenance_controller(
         settings, waves, moves, runner, hosts
@@ -228,6 +233,13 @@
     )
 
 
+def _make_policies(settings: SystemSettings) -> SchedulingPolicies:
+    return SchedulingPolicies(
+        run_times=LearnedRunTimes(),
+        places=PlaceTerms(settings.rack_factor, ExpectedGain()),
+    )
+
+
 def _make_codec() -> RequestCodec:
     requests = [kind for handler in _HANDLERS for kind in handler.requests]
     replies = [kind for handler in _HANDLERS for kind in handler.replies]
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -1,6 +1,7 @@
 """Model of workers, faults and leaders that drives the real scheduler."""
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 from attrs import define, evolve, field
@@ -11,7 +12,8 @@
     SendStart,
     SendStop,
 )
-from hornbeamstair_callers.jobs.messages import JobSpec, Phase
+from hornbeamstair_callers.jobs.messages import JobSpec, Phase, get_job_id
+from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.records import (
     JobAccepted,
     JobCancelled,
@@ -124,6 +126,7 @@
     # Announces nothing, as between a restart and the first announcement.
     is_unannounced: bool = False
     labels: tuple[str, ...] = ('a', 'r1')
+    rack: RackName = RackName('r1')
     is_leaving: bool = False
     room: Resources = RESOURCES
     # Time of the last change of its resources, and the most runs since then.
@@ -209,7 +212,9 @@
             order.task,
             order.run,
             self.model.get_cpu(order.task),
-            now + draw_run_seconds(self.model, order.task),
+            now
+            + draw_run_seconds(self.model, order.task)
+            * get_slowdown(self, order.task),
         )
         self.runs[order.task] = run
         self.model.check_start(self, run, now)
@@ -350,6 +355,11 @@
     # Crashed workers, with the time of their return.
     down: list[tuple[float, ModelWorker]] = field(factory=list)
     phases: dict[str, Phase] = field(factory=dict)
+    make_policies: Callable[[], SchedulingPolicies] = SchedulingPolicies
+    # Runs take this many times as long away from the rack of their data.
+    rack_factor: float = 1
+    # Fixed durations of the runs of some jobs.
+    seconds_by_job: dict[JobId, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Start the workers and the first leader."""
@@ -409,6 +419,7 @@
             self.tables,
             self.term,
             get_lease_terms(LONGEST_LEASE, STOP_SECONDS),
+            policies=self.make_policies(),
         )
         self.scheduler.start(self.get_moment(), reserved)
         self.polled_at.clear()
@@ -509,6 +520,7 @@
                 port=worker.port,
                 room=worker.room,
                 labels=worker.labels,
+                rack=worker.rack,
                 is_leaving=worker.is_leaving,
             )
             if self.scheduler.handle_announcement(announced, self.get_moment()):
@@ -771,9 +783,19 @@
     return 100 if model.get_phase(run.task).needs.lasts else 50
 
 
+def get_slowdown(worker: ModelWorker, task: TaskId) -> float:
+    """Get how many times as long a task runs on a worker."""
+    data_rack = worker.model.get_phase(task).needs.data_rack
+    is_away = data_rack and data_rack != worker.rack
+    return worker.model.rack_factor if is_away else 1
+
+
 def draw_run_seconds(model: WorkModel, task: TaskId) -> float:
     """Draw the duration of a run in seconds."""
     needs = model.get_phase(task).needs
+    fixed_seconds = model.seconds_by_job.get(get_job_id(task))
+    if fixed_seconds is not None:
+        return fixed_seconds
     is_endless = needs.lasts and needs.max_away is not None
     is_endless = is_endless or task in model.deadly
     return (
