Move hosts ahead of recurring turns of the demand

Cause: a rise was extrapolated from what waits, which also grows while moved hosts are on their way, so that one pool in its turn drew in nearly all hosts and left two to the others; the next turn then found a pool without hosts.

Change: DemandForecast (rise, turns). Turns are learned from the accepted jobs, which a new leader reads from the job table, and hosts move ahead of them; a pool requires no more than what arrives and waits; pools whose next turn is unknown keep half of their even share.

--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -10,6 +10,7 @@
     FRESH_LIST_SECONDS,
     HostList,
 )
+from hornbeamstair_callers.jobs.arrivals import ArrivalIndex
 from hornbeamstair_callers.jobs.demand import get_demands
 from hornbeamstair_callers.jobs.draining import get_loads, is_answering
 from hornbeamstair_callers.jobs.runner import WorkRunner
@@ -19,8 +20,9 @@
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_fleet.events import HostOrderedEvent
 from hornbeamstair_fleet.moves.messages import Move, MoveFinished, MoveStarted
-from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
+from hornbeamstair_fleet.moves.planner import MovePlanner
 from hornbeamstair_fleet.moves.table import MoveTable
+from hornbeamstair_fleet.moves.views import PoolView
 from hornbeamstair_fleet.waves.messages import (
     HostOrder,
     HostOutcome,
@@ -60,6 +62,7 @@
     hosts: HostList
     get_moment: Callable[[], Moment]
     planner: MovePlanner = field(factory=MovePlanner)
+    arrivals: ArrivalIndex = field(factory=ArrivalIndex)
     last_logged_at: float = -1000
 
     async def reconcile(self, scheduler: Scheduler) -> None:
@@ -70,11 +73,13 @@
             return
         await self._update_moves(scheduler)
         now = self.get_moment()
+        self.arrivals.update(scheduler, now)
         view = PoolView(
             get_demands(scheduler, now),
             self.hosts.hosts,
             get_loads(scheduler),
             self.get_hosts_in_progress(),
+            self.arrivals.arrivals,
         )
         planned = [
             move
--- a/packages/callers/hornbeamstair_callers/jobs/demand.py
+++ b/packages/callers/hornbeamstair_callers/jobs/demand.py
@@ -56,6 +56,10 @@
                 ),
                 default=0,
             ),
+            waiting_work=sum(
+                _get_waiting_work(scheduler, waiting_job)
+                for waiting_job in jobs
+            ),
         )
     return demands
 
@@ -101,6 +105,19 @@
     return min(wanted_cpu, round(max(cpu_seconds, 0) / _OVERDUE_WORK_SECONDS))
 
 
+def _get_waiting_work(scheduler: Scheduler, waiting_job: WaitingJob) -> float:
+    """Get the finite work that waits, in thousandths of a core-second."""
+    run_times = scheduler.policies.run_times
+    queue = waiting_job.job.queue
+    return sum(
+        len(ready.tasks)
+        * ready.phase.needs.room.cpu
+        * run_times.get_seconds(queue, ready.phase.needs)
+        for ready in waiting_job.phases
+        if not ready.phase.needs.fills and not ready.phase.needs.lasts
+    )
+
+
 def _get_total_cpu(session: WorkerSession) -> int:
     return session.announced.room.cpu
 
--- a/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
@@ -1,11 +1,27 @@
-"""Forecast of the capacity that a pool needs, from its recent demand."""
+"""Forecasts of the capacity that pools require."""
 
 import math
-from typing import Final
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from typing import ClassVar, Final
 
 from attrs import define, field
 
-__all__ = ('CapacityForecast',)
+from hornbeamstair_core.ids import PoolName
+from hornbeamstair_fleet.moves.messages import PoolDemand
+from hornbeamstair_fleet.moves.turns import (
+    Turn,
+    WorkArrivals,
+    expect_turns,
+    find_turns,
+)
+
+__all__ = (
+    'CapacityForecast',
+    'DemandForecast',
+    'RiseForecast',
+    'TurnForecast',
+)
 
 # Share of its capacity that a pool can use without making jobs wait.
 _TARGET_UTILIZATION: Final = 0.65
@@ -20,6 +36,46 @@
 _RETENTION_SECONDS: Final = 3.0
 # Limit of the forecast demand, as a multiple of the current demand.
 _MAX_GROWTH: Final = 3.0
+# Error of the time at which a turn is expected.
+_TURN_ERROR_SECONDS: Final = 0.6
+# Hosts are moved this long before a turn.
+_TURN_LEAD_SECONDS: Final = _LEAD_SECONDS + _TURN_ERROR_SECONDS
+# Interval at which turns are searched for.
+_TURN_UPDATE_SECONDS: Final = 0.5
+_NEVER: Final = -1000.0
+# Arrivals within the shorter time tell a rise early, those within the longer
+# one are still being worked on after a fall.
+_RATE_SECONDS: Final = (0.75, 2.0)
+# Time in which hosts that arrive should do the work that waits.
+_BACKLOG_SECONDS: Final = 2.0
+
+
+@define(eq=False)
+class DemandForecast(ABC):
+    """Forecast of the capacity that each pool requires."""
+
+    name: ClassVar[str]
+
+    @abstractmethod
+    def update(
+        self,
+        demands: Mapping[PoolName, PoolDemand],
+        arrivals: Mapping[PoolName, WorkArrivals],
+        now: float,
+    ) -> None:
+        """Learn the present demand and the work that has arrived."""
+
+    @abstractmethod
+    def get_required(self, pool: PoolName) -> int:
+        """Get the capacity to have once a host that moves now arrives."""
+
+    @abstractmethod
+    def get_retained(self, pool: PoolName) -> int:
+        """Get the capacity that hosts at rest must not leave."""
+
+    @abstractmethod
+    def knows_next_rise(self, pool: PoolName) -> bool:
+        """Return whether hosts at rest can be brought back in time."""
 
 
 @define(eq=False)
@@ -35,8 +91,17 @@
     # Recent demand of the pool, in thousandths of a core.
     recent_demand: float = 0
 
-    def add_sample(self, usable: int, largest: int, now: float) -> None:
-        """Add a sample: the CPU usable by the pool and by its largest job."""
+    def add_sample(
+        self,
+        usable: int,
+        largest: int,
+        now: float,
+        limit: float = math.inf,
+    ) -> None:
+        """Add a sample: the CPU usable by the pool and by its largest job.
+
+        The forecast of the required capacity does not exceed the limit.
+        """
         oldest = now - _RISE_SECONDS - _AVERAGING_SECONDS
         self.samples = [
             (at, sampled) for at, sampled in self.samples if at >= oldest
@@ -47,7 +112,9 @@
             for at, forecast in self.forecasts
             if at >= now - _RETENTION_SECONDS
         ]
-        self.forecasts.append((now, self._get_forecast(largest, now)))
+        forecast = self._get_forecast(largest, now)
+        self.recent_demand = min(self.recent_demand, limit)
+        self.forecasts.append((now, math.ceil(min(forecast, limit))))
 
     def get_required(self) -> int:
         """Get the latest forecast of the required capacity."""
@@ -71,3 +138,105 @@
     def _get_mean(self, begin: float, end: float, default: float) -> float:
         sampled = [usable for at, usable in self.samples if begin <= at <= end]
         return sum(sampled) / len(sampled) if sampled else default
+
+
+@define(eq=False)
+class RiseForecast(DemandForecast):
+    """Extrapolates the demand that each pool has now."""
+
+    name: ClassVar[str] = 'rise'
+
+    pools: dict[PoolName, CapacityForecast] = field(factory=dict)
+
+    def update(
+        self,
+        demands: Mapping[PoolName, PoolDemand],
+        arrivals: Mapping[PoolName, WorkArrivals],
+        now: float,
+    ) -> None:
+        """Add a sample of each pool."""
+        for pool, demand in demands.items():
+            forecast = self.pools.setdefault(pool, CapacityForecast())
+            limit = _get_limit(demand, arrivals.get(pool), now)
+            forecast.add_sample(demand.usable, demand.largest, now, limit)
+
+    def get_required(self, pool: PoolName) -> int:
+        """Get the latest forecast."""
+        return self.pools[pool].get_required()
+
+    def get_retained(self, pool: PoolName) -> int:
+        """Get the highest recent forecast."""
+        return self.pools[pool].get_retained()
+
+    def knows_next_rise(self, pool: PoolName) -> bool:
+        """Return that a rise is known only once it has begun."""
+        return False
+
+
+@define(eq=False)
+class TurnForecast(DemandForecast):
+    """Expects the turns of the demand that were seen before."""
+
+    name: ClassVar[str] = 'turns'
+
+    expected: dict[PoolName, Turn] = field(factory=dict)
+    updated_at: float = _NEVER
+    now: float = _NEVER
+
+    def update(
+        self,
+        demands: Mapping[PoolName, PoolDemand],
+        arrivals: Mapping[PoolName, WorkArrivals],
+        now: float,
+    ) -> None:
+        """Find the turns of all pools."""
+        self.now = now
+        if now - self.updated_at < _TURN_UPDATE_SECONDS:
+            return
+        self.updated_at = now
+        begin = min(
+            (work.get_begin() for work in arrivals.values()), default=math.inf
+        )
+        if begin >= now:
+            self.expected = {}
+            return
+        turns = {
+            pool: find_turns(work, begin, now)
+            for pool, work in arrivals.items()
+        }
+        self.expected = expect_turns(turns, now)
+
+    def get_required(self, pool: PoolName) -> int:
+        """Get the capacity for the turn that comes or lasts."""
+        turn = self.expected.get(pool)
+        if turn is None:
+            return 0
+        if not turn.begin <= self.now + _TURN_LEAD_SECONDS < turn.end:
+            return 0
+        return math.ceil(turn.rate / _TARGET_UTILIZATION)
+
+    def get_retained(self, pool: PoolName) -> int:
+        """Get the capacity for the turn that comes or lasts."""
+        return self.get_required(pool)
+
+    def knows_next_rise(self, pool: PoolName) -> bool:
+        """Return whether a turn is expected."""
+        turn = self.expected.get(pool)
+        return turn is not None and turn.begin > self.now
+
+
+def _get_limit(
+    demand: PoolDemand,
+    arrivals: WorkArrivals | None,
+    now: float,
+) -> float:
+    """Get the capacity for the work that arrives and for what waits.
+
+    What waits now will be done soon, or be late in any case, when the hosts
+    arrive that are moved now.
+    """
+    if arrivals is None:
+        return math.inf
+    rate = max(arrivals.get_rate(seconds, now) for seconds in _RATE_SECONDS)
+    backlog = demand.waiting_work / _BACKLOG_SECONDS
+    return rate / _TARGET_UTILIZATION + backlog
--- a/packages/fleet/hornbeamstair_fleet/moves/messages.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/messages.py
@@ -60,3 +60,5 @@
     waiting_tasks: int = 0
     # Seconds since the oldest waiting job was accepted.
     oldest_wait: float = 0
+    # Work of the waiting tasks, in thousandths of a core-second.
+    waiting_work: float = 0
--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -1,22 +1,33 @@
 """Decisions on which hosts move to which pool."""
 
-import math
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Final
 
-from attrs import define, field, frozen
+from attrs import define, field
 
-from hornbeamstair_core.ids import HostId, PoolName, WorkerId
+from hornbeamstair_core.ids import HostId, PoolName
 from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_fleet.events import PoolCapacityEvent
-from hornbeamstair_fleet.moves.forecasts import CapacityForecast
+from hornbeamstair_fleet.moves.forecasts import (
+    DemandForecast,
+    RiseForecast,
+    TurnForecast,
+)
 from hornbeamstair_fleet.moves.messages import Move, PoolDemand
 from hornbeamstair_fleet.moves.shares import CapacityClaim, share_capacity
+from hornbeamstair_fleet.moves.views import (
+    PoolView,
+    RetainedCapacity,
+    count_incoming,
+    count_wanted,
+    get_total_capacity,
+    is_idle,
+    is_on_standby,
+)
 from hornbeamstair_fleet.waves.messages import HostState, ListedHost
-from hornbeamstair_fleet.waves.planner import HostLoad
 
-__all__ = ('MovePlanner', 'PoolView')
+__all__ = ('MovePlanner',)
 
 # A host is moved to standby after this idle time: moving it there and back
 # costs about as much as two seconds in a pool.
@@ -26,31 +37,10 @@
 # Part of its even share of the hosts that a pool retains for its next burst,
 # since a burst starts faster than hosts can be moved.
 _RETAINED_SHARE: Final = 0.8
+# Part of it that a pool retains while another one asks for more hosts.
+_RESERVED_SHARE: Final = 0.5
 # Time within which the worker of an arrived host announces itself.
 _JOIN_SECONDS: Final = 3.0
-_NO_LOAD: Final = HostLoad(0, 0)
-
-
-@frozen
-class PoolView:
-    """Pools, hosts and the load of the hosts."""
-
-    demands: Mapping[PoolName, PoolDemand]
-    hosts: Mapping[HostId, ListedHost]
-    # Load of the workers that have announced themselves.
-    loads: Mapping[WorkerId, HostLoad]
-    # Target pools of the hosts that must not move now, since a wave or a
-    # move is in progress for them; empty for a wave.
-    in_progress: Mapping[HostId, PoolName]
-
-
-@frozen
-class RetainedCapacity:
-    """Hosts and capacity that pools retain."""
-
-    # Number of hosts, for pools that retain more than `_MIN_HOSTS`.
-    hosts: Mapping[PoolName, int]
-    capacities: Mapping[PoolName, float]
 
 
 @define(eq=False)
@@ -65,7 +55,8 @@
 
     idle_since: dict[HostId, float] = field(factory=dict)
     joining_since: dict[HostId, float] = field(factory=dict)
-    forecasts: dict[PoolName, CapacityForecast] = field(factory=dict)
+    rise: RiseForecast = field(factory=RiseForecast)
+    turns: TurnForecast = field(factory=TurnForecast)
     # Pools that were short of capacity at the last plan.
     short_pools: set[PoolName] = field(factory=set)
     # Time at which each pool was last short of capacity.
@@ -73,9 +64,15 @@
     # Hosts and target pools of moves that the platform refused.
     refused_moves: set[tuple[HostId, PoolName]] = field(factory=set)
 
+    @property
+    def forecasts(self) -> tuple[DemandForecast, ...]:
+        """Get the forecasts, the highest of which counts."""
+        return (self.rise, self.turns)
+
     def plan(self, view: PoolView, now: float) -> list[Move]:
         """Plan the moves to start now."""
-        self._add_samples(view, now)
+        for forecast in self.forecasts:
+            forecast.update(view.demands, view.arrivals, now)
         self.short_pools = {
             pool
             for pool, demand in view.demands.items()
@@ -94,14 +91,14 @@
     def get_events(self, view: PoolView) -> Iterator[PoolCapacityEvent]:
         """Get an event about the capacity of each pool at the last plan."""
         idle = Counter(
-            host.pool for host in view.hosts.values() if _is_idle(view, host)
+            host.pool for host in view.hosts.values() if is_idle(view, host)
         )
         up = Counter(
             host.pool
             for host in view.hosts.values()
             if host.state == HostState.up
         )
-        incoming = _count_incoming(view)
+        incoming = count_incoming(view)
         for pool, demand in view.demands.items():
             yield PoolCapacityEvent(
                 pool,
@@ -110,7 +107,7 @@
                 incoming[pool],
                 demand.capacity,
                 demand.free,
-                self.forecasts[pool].get_required(),
+                self._get_required(pool),
                 demand.waiting_tasks,
                 to_milliseconds(demand.oldest_wait),
             )
@@ -119,13 +116,8 @@
         """Add a move that the platform refused; the host is unfit for it."""
         self.refused_moves.add((host, pool))
 
-    def _add_samples(self, view: PoolView, now: float) -> None:
-        for pool, demand in view.demands.items():
-            forecast = self.forecasts.setdefault(pool, CapacityForecast())
-            forecast.add_sample(demand.usable, demand.largest, now)
-
     def _get_idle(self, view: PoolView, now: float) -> list[ListedHost]:
-        idle = [host for host in view.hosts.values() if _is_idle(view, host)]
+        idle = [host for host in view.hosts.values() if is_idle(view, host)]
         host_ids = {host.host for host in idle}
         self.idle_since = {
             name: self.idle_since.get(name, now) for name in host_ids
@@ -141,8 +133,8 @@
     ) -> list[ListedHost]:
         """Get the idle hosts that their pools do not need."""
         known = [host for host in idle if host.pool in view.demands]
-        standby = [host for host in known if _is_on_standby(view, host)]
-        serving = [host for host in known if not _is_on_standby(view, host)]
+        standby = [host for host in known if is_on_standby(view, host)]
+        serving = [host for host in known if not is_on_standby(view, host)]
         return standby + list(self._get_surplus_hosts(view, serving, retained))
 
     def _get_surplus_hosts(
@@ -176,14 +168,15 @@
         now: float,
     ) -> Iterator[Move]:
         """Plan moves to pools that require more capacity than they have."""
-        incoming = _count_incoming(view)
+        incoming = count_incoming(view)
         incoming.update(self._get_joining(view, now))
         shares = self._share_capacity(view, incoming)
-        left = self._get_movable(view, idle, RetainedCapacity({}, shares))
+        retained = RetainedCapacity(self._get_reserved_sizes(view), shares)
+        left = self._get_movable(view, idle, retained)
         for demand in sorted(
             view.demands.values(), key=self._get_surplus_capacity
         ):
-            wanted = _count_wanted(demand, shares[demand.pool])
+            wanted = count_wanted(demand, shares[demand.pool])
             wanted -= incoming[demand.pool]
             chosen = [
                 host for host in left if self._may_move(host, demand.pool)
@@ -205,8 +198,10 @@
             demand.pool for demand in view.demands.values() if demand.is_standby
         ]
         kept = {
-            pool: forecast.get_retained()
-            for pool, forecast in self.forecasts.items()
+            pool: max(
+                forecast.get_retained(pool) for forecast in self.forecasts
+            )
+            for pool in view.demands
         }
         retained = RetainedCapacity(self._get_retained_sizes(view), kept)
         for host in self._get_movable(view, idle, retained):
@@ -223,12 +218,12 @@
     ) -> dict[PoolName, float]:
         claims = {
             pool: CapacityClaim(
-                self.forecasts[pool].recent_demand,
-                self.forecasts[pool].get_required(),
+                self.rise.pools[pool].recent_demand,
+                self._get_required(pool),
             )
             for pool in view.demands
         }
-        return share_capacity(claims, _get_total_capacity(view, incoming))
+        return share_capacity(claims, get_total_capacity(view, incoming))
 
     def _get_joining(self, view: PoolView, now: float) -> 'Counter[PoolName]':
         """Count arrived hosts whose workers have not announced themselves."""
@@ -254,15 +249,14 @@
 
         Demand alternates between pools: those that were short of capacity
         most recently are unlikely to be the next, and retain no more than
-        `_MIN_HOSTS`.
+        `_MIN_HOSTS`. Neither do pools whose next turn is forecast.
         """
         pools = [
             demand.pool
             for demand in view.demands.values()
             if not demand.is_standby
         ]
-        share = len(view.hosts) / max(len(pools), 1)
-        size = max(int(share * _RETAINED_SHARE), _MIN_HOSTS)
+        size = _get_size(view, _RETAINED_SHARE)
         by_shortage = sorted(
             pools, key=lambda pool: self.last_short_at.get(pool, 0)
         )
@@ -271,60 +265,40 @@
         ]
         latest_count = len(pools) // 2
         latest_pools = served_pools[-latest_count:] if latest_count else []
-        return {pool: size for pool in pools if pool not in latest_pools}
-
-    def _get_surplus_capacity(self, demand: PoolDemand) -> int:
-        return demand.capacity - self.forecasts[demand.pool].get_required()
-
-    def _may_move(self, host: ListedHost, pool: PoolName) -> bool:
-        return host.pool != pool and (host.host, pool) not in self.refused_moves
-
-
-def _count_incoming(view: PoolView) -> 'Counter[PoolName]':
-    """Count the hosts on their way to each pool; one that is down is not."""
-    down = {
-        host.host
-        for host in view.hosts.values()
-        if host.state == HostState.down
-    }
-    return Counter(
-        pool for host, pool in view.in_progress.items() if host not in down
-    )
-
+        return {
+            pool: size
+            for pool in pools
+            if pool not in latest_pools and not self.turns.knows_next_rise(pool)
+        }
 
-def _get_total_capacity(
-    view: PoolView, incoming: Mapping[PoolName, int]
-) -> int:
-    """Get the total capacity, including standby and incoming hosts."""
-    demands = view.demands.values()
-    switched_off = sum(
-        host.state == HostState.up and _is_on_standby(view, host)
-        for host in view.hosts.values()
-        if host.pool in view.demands
-    )
-    # Hosts that are down for maintenance have an empty target pool.
-    incoming_hosts = sum(count for pool, count in incoming.items() if pool)
-    host_capacity = max((demand.host_capacity for demand in demands), default=0)
-    total = sum(demand.capacity for demand in demands)
-    return total + host_capacity * (switched_off + incoming_hosts)
+    def _get_reserved_sizes(self, view: PoolView) -> dict[PoolName, int]:
+        """Get the sizes that pools retain while another one asks for more.
 
+        The hosts of a pool whose next turn is unknown could not return in
+        time.
+        """
+        size = _get_size(view, _RESERVED_SHARE)
+        return {
+            pool: size
+            for pool in view.demands
+            if not self.turns.knows_next_rise(pool)
+        }
 
-def _count_wanted(demand: PoolDemand, share: float) -> int:
-    """Count the additional hosts that a pool requires."""
-    if demand.is_standby or demand.host_capacity <= 0:
-        return 0
-    lacking = share - demand.capacity
-    return max(math.ceil(lacking / demand.host_capacity), demand.unplaced)
+    def _get_surplus_capacity(self, demand: PoolDemand) -> int:
+        return demand.capacity - self._get_required(demand.pool)
 
+    def _get_required(self, pool: PoolName) -> int:
+        return max(forecast.get_required(pool) for forecast in self.forecasts)
 
-def _is_on_standby(view: PoolView, host: ListedHost) -> bool:
-    return view.demands[host.pool].is_standby
+    def _may_move(self, host: ListedHost, pool: PoolName) -> bool:
+        return host.pool != pool and (host.host, pool) not in self.refused_moves
 
 
-def _is_idle(view: PoolView, host: ListedHost) -> bool:
-    if host.state != HostState.up or host.host in view.in_progress:
-        return False
-    return not view.loads.get(host.worker, _NO_LOAD).runs
+def _get_size(view: PoolView, share: float) -> int:
+    """Get a number of hosts by its part of the even share of a pool."""
+    pools = sum(not demand.is_standby for demand in view.demands.values())
+    even_share = len(view.hosts) / max(pools, 1)
+    return max(int(even_share * share), _MIN_HOSTS)
 
 
 def _make_move(host: ListedHost, pool: PoolName) -> Move:
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -19,7 +19,8 @@
 from hornbeamstair_fleet.events import PoolCapacityEvent
 from hornbeamstair_fleet.moves.forecasts import CapacityForecast
 from hornbeamstair_fleet.moves.messages import PoolDemand
-from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
+from hornbeamstair_fleet.moves.planner import MovePlanner
+from hornbeamstair_fleet.moves.views import PoolView
 from hornbeamstair_fleet.waves.messages import (
     HostOutcome,
     HostState,
--- a/tests/features/steps/silent_host_steps.py
+++ b/tests/features/steps/silent_host_steps.py
@@ -11,7 +11,8 @@
 from hornbeamstair_core.ids import HostId, PoolName, WorkerId
 from hornbeamstair_fleet.events import PoolCapacityEvent
 from hornbeamstair_fleet.moves.messages import Move, MoveStarted, PoolDemand
-from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
+from hornbeamstair_fleet.moves.planner import MovePlanner
+from hornbeamstair_fleet.moves.views import PoolView
 from hornbeamstair_fleet.waves.messages import (
     HostOutcome,
     HostState,
--- /dev/null
+++ b/tests/features/steps/turn_steps.py
@@ -0,0 +1,136 @@
+"""Steps on a demand that comes by turns."""
+
+from collections.abc import Sequence
+from functools import partial
+from random import Random
+from typing import Any
+
+from behave import given, then, when
+
+from hornbeamstair_callers.jobs.arrivals import ArrivalIndex
+from hornbeamstair_callers.jobs.messages import JobSpec
+from hornbeamstair_callers.jobs.records import JobAccepted
+from hornbeamstair_core.ids import JobId, PoolName
+from hornbeamstair_core.moments import Moment
+from hornbeamstair_fleet.moves.forecasts import TurnForecast
+from tests.support.turn_model import make_turn_model
+from tests.support.work_model import QUEUE, SERVICE, WorkModel, make_phase
+
+BEGIN = 100
+POOLS = 4
+# Jobs a second in a turn, outside of it, and without turns.
+HIGH = 24.0
+LOW = 0.3
+STEADY = 6.0
+TURNS = (100, 112)
+TURN_SECONDS = 4
+# Error of the time at which a turn is expected.
+MAX_ERROR_SECONDS = 0.5
+
+
+def _get_rate(
+    seconds: float,
+    order: Sequence[int],
+    number: int,
+    now: float,
+) -> float:
+    turn = int((now - BEGIN) / seconds)
+    return HIGH if order[turn % len(order)] == number else LOW
+
+
+@given('{count:d} pools that ask by turns of {seconds:g} seconds')
+def make_turns(context: Any, count: int, seconds: float) -> None:
+    """Make pools that ask in the same order again and again."""
+    rate = partial(_get_rate, seconds, range(count))
+    context.pools = make_turn_model(Random(1), rate)
+
+
+@given(
+    '{count:d} pools that ask by turns of {seconds:g} seconds in random order'
+)
+def make_random_turns(context: Any, count: int, seconds: float) -> None:
+    """Make pools of which a random one asks next."""
+    rng = Random(99)
+    order = [rng.randrange(count) for _ in range(count * count)]
+    rate = partial(_get_rate, seconds, order)
+    context.pools = make_turn_model(Random(1), rate)
+
+
+@given(
+    '{count:d} pools that ask by turns of {seconds:g} seconds until the '
+    'second round',
+)
+def make_one_round(context: Any, count: int, seconds: float) -> None:
+    """Make pools that ask once each."""
+    rate = partial(_get_rate, seconds, range(count * count))
+    context.pools = make_turn_model(Random(1), rate)
+
+
+@given('{count:d} pools with a steady demand')
+def make_steady(context: Any, count: int) -> None:
+    """Make pools with the same demand at all times."""
+    context.pools = make_turn_model(Random(1), lambda number, now: STEADY)
+
+
+@when('{seconds:d} seconds have passed')
+def play_pools(context: Any, seconds: int) -> None:
+    """Play some time."""
+    context.pools.run(seconds)
+
+
+@when('the figures of {seconds:d} more seconds are counted')
+def count_figures(context: Any, seconds: int) -> None:
+    """Play some time and count the jobs of it only."""
+    context.pools.reset_figures()
+    context.pools.run(seconds)
+
+
+@then('{percent:d} of 100 jobs end in time')
+def check_in_time(context: Any, percent: int) -> None:
+    """Check what the callers get."""
+    share = context.pools.get_share_in_time()
+    assert share >= percent / 100, share
+
+
+@then('no turn is expected')
+def check_no_turn(context: Any) -> None:
+    """Check that the demand is not taken for turns."""
+    assert not context.pools.planner.turns.expected
+
+
+@then('hosts of no pool wait for a turn')
+def check_not_waiting(context: Any) -> None:
+    """Check that no capacity is required for a turn."""
+    turns = context.pools.planner.turns
+    assert not any(map(turns.get_required, context.pools.pools)), turns
+
+
+@given('jobs of a queue that were accepted in two turns')
+def accept_in_turns(context: Any) -> None:
+    """Accept a job in each tenth of a second of the turns."""
+    context.work = WorkModel(Random(1))
+    jobs = context.work.tables.jobs
+    for begin in TURNS:
+        for number in range(TURN_SECONDS * 10):
+            at = begin + number / 10
+            spec = JobSpec(JobId(f'{at}'), '', (make_phase(1, 1000),))
+            jobs.apply(JobAccepted(spec, QUEUE, SERVICE, at))
+
+
+@when('a new leader reads them')
+def read_turns(context: Any) -> None:
+    """Find the turns when the last one is over."""
+    now = TURNS[-1] + TURN_SECONDS * 2
+    index = ArrivalIndex()
+    index.update(context.work.scheduler, Moment(now, now))
+    context.turns = TurnForecast()
+    context.turns.update({}, index.arrivals, now)
+
+
+@then('it expects the third turn')
+def check_third_turn(context: Any) -> None:
+    """Check when the next turn is expected."""
+    expected = context.turns.expected[PoolName(SERVICE)]
+    begin = TURNS[-1] + TURNS[-1] - TURNS[0]
+    assert abs(expected.begin - begin) <= MAX_ERROR_SECONDS, expected
+    assert abs(expected.length - TURN_SECONDS) <= MAX_ERROR_SECONDS, expected
