Drain busy hosts of a pool beyond its share for one that lacks them

Cause: only idle hosts moved.

Change: while callers ask for more than there is, hosts of a pool beyond its share get no new runs and move once they are idle; work that is late claims no share before work that can be in time. Runs are never stopped; hosts with long-running runs stay.

--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -64,6 +64,8 @@
     planner: MovePlanner = field(factory=MovePlanner)
     arrivals: ArrivalIndex = field(factory=ArrivalIndex)
     last_logged_at: float = -1000
+    # Workers that get no new runs, so that their hosts can move.
+    draining: set[WorkerId] = field(factory=set)
 
     async def reconcile(self, scheduler: Scheduler) -> None:
         """Update the moves in progress and start new ones."""
@@ -86,6 +88,7 @@
             for move in self.planner.plan(view, now.monotonic)
             if self._reserve(scheduler, move)
         ]
+        self._drain(scheduler)
         self._log_capacity(view, now.monotonic)
         if scheduler is self.runner.find_scheduler():
             await self.start_moves(planned)
@@ -103,7 +106,7 @@
             await self._send_orders(recorded, _NO_EFFECT)
 
     def get_ordered_workers(self) -> set[WorkerId]:
-        """Get the workers whose hosts may be moved at any moment.
+        """Get the workers whose hosts are moved at any moment, or once idle.
 
         A host that has not moved yet may have another worker since the order.
         """
@@ -112,7 +115,7 @@
             for move in self.table.in_progress.values()
             if self._is_listed_elsewhere(move)
         }
-        return self.table.get_ordered_workers() | listed
+        return self.table.get_ordered_workers() | listed | self.draining
 
     def get_moving_hosts(self) -> set[HostId]:
         """Get the hosts whose move is in progress."""
@@ -144,13 +147,30 @@
         for event in self.planner.get_events(view):
             log_event(event)
 
+    def _drain(self, scheduler: Scheduler) -> None:
+        """Reserve the busy workers whose hosts are to move once idle."""
+        chosen = {
+            self.hosts.hosts[host].worker
+            for host in self.planner.draining
+            if host in self.hosts.hosts
+        }
+        # Workers that are reserved already leave for another reason.
+        self.draining = {
+            worker
+            for worker in chosen & scheduler.sessions.keys()
+            if worker in self.draining
+            or not scheduler.sessions[worker].is_reserved
+        }
+        for worker in self.draining:
+            scheduler.reserve(worker)
+
     def _reserve(self, scheduler: Scheduler, move: Move) -> bool:
         """Reserve the worker of a host; return whether the host may move."""
         session = scheduler.sessions.get(move.worker)
         if session is None:
             # A host that is switched off has no worker.
             return not move.worker
-        if session.is_reserved:
+        if session.is_reserved and move.worker not in self.draining:
             # The worker is reserved for the maintenance of its host.
             return False
         is_certain = self.hosts.get_age() <= FRESH_LIST_SECONDS
--- a/packages/callers/hornbeamstair_callers/jobs/demand.py
+++ b/packages/callers/hornbeamstair_callers/jobs/demand.py
@@ -59,6 +59,12 @@
             waiting_work=sum(
                 _get_waiting_work(scheduler, waiting_job)
                 for waiting_job in jobs
+                if not _is_late(scheduler, waiting_job, now)
+            ),
+            late=sum(
+                _get_wanted_cpu(waiting_job, misses_objective=True)
+                for waiting_job in jobs
+                if _is_late(scheduler, waiting_job, now)
             ),
         )
     return demands
@@ -78,11 +84,9 @@
                 job = get_job_id(run.task)
                 cpu_by_job[job] += run.needs.room.cpu
     for waiting_job in waiting:
-        misses_objective = scheduler.waiting.misses_objective(
-            waiting_job.job, now.wall
-        )
         wanted_cpu = _get_wanted_cpu(
-            waiting_job, misses_objective=misses_objective
+            waiting_job,
+            misses_objective=_is_late(scheduler, waiting_job, now),
         )
         cpu_by_job[waiting_job.job.spec.job] += wanted_cpu
     return cpu_by_job
@@ -105,8 +109,14 @@
     return min(wanted_cpu, round(max(cpu_seconds, 0) / _OVERDUE_WORK_SECONDS))
 
 
+def _is_late(
+    scheduler: Scheduler, waiting_job: WaitingJob, now: Moment
+) -> bool:
+    return scheduler.waiting.misses_objective(waiting_job.job, now.wall)
+
+
 def _get_waiting_work(scheduler: Scheduler, waiting_job: WaitingJob) -> float:
-    """Get the finite work that waits, in thousandths of a core-second."""
+    """Get the finite work of a job that waits."""
     run_times = scheduler.policies.run_times
     queue = waiting_job.job.queue
     return sum(
--- a/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
@@ -239,4 +239,4 @@
         return math.inf
     rate = max(arrivals.get_rate(seconds, now) for seconds in _RATE_SECONDS)
     backlog = demand.waiting_work / _BACKLOG_SECONDS
-    return rate / _TARGET_UTILIZATION + backlog
+    return rate / _TARGET_UTILIZATION + backlog + demand.late
--- a/packages/fleet/hornbeamstair_fleet/moves/messages.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/messages.py
@@ -60,5 +60,8 @@
     waiting_tasks: int = 0
     # Seconds since the oldest waiting job was accepted.
     oldest_wait: float = 0
-    # Work of the waiting tasks, in thousandths of a core-second.
+    # Work of the waiting tasks that can still be done in time, in thousandths
+    # of a core-second.
     waiting_work: float = 0
+    # Part of `usable` that belongs to waiting jobs that are late.
+    late: int = 0
--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -15,7 +15,12 @@
     TurnForecast,
 )
 from hornbeamstair_fleet.moves.messages import Move, PoolDemand
+from hornbeamstair_fleet.moves.reclaim import (
+    choose_draining,
+    count_draining_capacity,
+)
 from hornbeamstair_fleet.moves.shares import CapacityClaim, share_capacity
+from hornbeamstair_fleet.moves.surplus import MIN_HOSTS, get_movable
 from hornbeamstair_fleet.moves.views import (
     PoolView,
     RetainedCapacity,
@@ -23,7 +28,6 @@
     count_wanted,
     get_total_capacity,
     is_idle,
-    is_on_standby,
 )
 from hornbeamstair_fleet.waves.messages import HostState, ListedHost
 
@@ -32,8 +36,6 @@
 # A host is moved to standby after this idle time: moving it there and back
 # costs about as much as two seconds in a pool.
 _IDLE_SECONDS: Final = 2.5
-# Minimum hosts of a serving pool, so that it survives the loss of one.
-_MIN_HOSTS: Final = 2
 # Part of its even share of the hosts that a pool retains for its next burst,
 # since a burst starts faster than hosts can be moved.
 _RETAINED_SHARE: Final = 0.8
@@ -61,6 +63,8 @@
     short_pools: set[PoolName] = field(factory=set)
     # Time at which each pool was last short of capacity.
     last_short_at: dict[PoolName, float] = field(factory=dict)
+    # Busy hosts that get no new runs, since another pool lacks them.
+    draining: set[HostId] = field(factory=set)
     # Hosts and target pools of moves that the platform refused.
     refused_moves: set[tuple[HostId, PoolName]] = field(factory=set)
 
@@ -125,42 +129,6 @@
         # Hosts that have been idle the longest move first.
         return sorted(idle, key=lambda host: self.idle_since[host.host])
 
-    def _get_movable(
-        self,
-        view: PoolView,
-        idle: list[ListedHost],
-        retained: RetainedCapacity,
-    ) -> list[ListedHost]:
-        """Get the idle hosts that their pools do not need."""
-        known = [host for host in idle if host.pool in view.demands]
-        standby = [host for host in known if is_on_standby(view, host)]
-        serving = [host for host in known if not is_on_standby(view, host)]
-        return standby + list(self._get_surplus_hosts(view, serving, retained))
-
-    def _get_surplus_hosts(
-        self,
-        view: PoolView,
-        serving: Iterable[ListedHost],
-        retained: RetainedCapacity,
-    ) -> Iterator[ListedHost]:
-        # The list may still show moving hosts as up in their old pool.
-        sizes = Counter(
-            host.pool
-            for host in view.hosts.values()
-            if host.state == HostState.up and host.host not in view.in_progress
-        )
-        capacities = {
-            pool: demand.capacity for pool, demand in view.demands.items()
-        }
-        for host in serving:
-            needed = retained.capacities[host.pool]
-            left = capacities[host.pool] - view.demands[host.pool].host_capacity
-            kept = retained.hosts.get(host.pool, _MIN_HOSTS)
-            if sizes[host.pool] > kept and left >= needed:
-                sizes[host.pool] -= 1
-                capacities[host.pool] = left
-                yield host
-
     def _plan_scale_up(
         self,
         view: PoolView,
@@ -172,18 +140,21 @@
         incoming.update(self._get_joining(view, now))
         shares = self._share_capacity(view, incoming)
         retained = RetainedCapacity(self._get_reserved_sizes(view), shares)
-        left = self._get_movable(view, idle, retained)
+        left = get_movable(view, idle, retained, self.draining)
+        missing = 0
         for demand in sorted(
             view.demands.values(), key=self._get_surplus_capacity
         ):
             wanted = count_wanted(demand, shares[demand.pool])
-            wanted -= incoming[demand.pool]
-            chosen = [
-                host for host in left if self._may_move(host, demand.pool)
-            ][: max(wanted, 0)]
-            for host in chosen:
+            wanted = max(wanted - incoming[demand.pool], 0)
+            missing += wanted
+            for host in self._choose_fit(left, demand.pool)[:wanted]:
+                missing -= 1
                 left.remove(host)
                 yield _make_move(host, demand.pool)
+        self.draining = choose_draining(
+            view, shares, retained.hosts, missing, self.draining
+        )
 
     def _plan_scale_down(
         self,
@@ -204,7 +175,7 @@
             for pool in view.demands
         }
         retained = RetainedCapacity(self._get_retained_sizes(view), kept)
-        for host in self._get_movable(view, idle, retained):
+        for host in get_movable(view, idle, retained, self.draining):
             if now - self.idle_since[host.host] <= _IDLE_SECONDS:
                 continue
             pools = [pool for pool in standby if self._may_move(host, pool)]
@@ -218,12 +189,16 @@
     ) -> dict[PoolName, float]:
         claims = {
             pool: CapacityClaim(
-                self.rise.pools[pool].recent_demand,
+                max(self.rise.pools[pool].recent_demand - demand.late, 0),
                 self._get_required(pool),
             )
-            for pool in view.demands
+            for pool, demand in view.demands.items()
         }
-        return share_capacity(claims, get_total_capacity(view, incoming))
+        total = get_total_capacity(view, incoming) + sum(
+            count_draining_capacity(view, self.draining, pool)
+            for pool in view.demands
+        )
+        return share_capacity(claims, total)
 
     def _get_joining(self, view: PoolView, now: float) -> 'Counter[PoolName]':
         """Count arrived hosts whose workers have not announced themselves."""
@@ -249,7 +224,7 @@
 
         Demand alternates between pools: those that were short of capacity
         most recently are unlikely to be the next, and retain no more than
-        `_MIN_HOSTS`. Neither do pools whose next turn is forecast.
+        `MIN_HOSTS`. Neither do pools whose next turn is forecast.
         """
         pools = [
             demand.pool
@@ -290,6 +265,11 @@
     def _get_required(self, pool: PoolName) -> int:
         return max(forecast.get_required(pool) for forecast in self.forecasts)
 
+    def _choose_fit(
+        self, hosts: Iterable[ListedHost], pool: PoolName
+    ) -> list[ListedHost]:
+        return [host for host in hosts if self._may_move(host, pool)]
+
     def _may_move(self, host: ListedHost, pool: PoolName) -> bool:
         return host.pool != pool and (host.host, pool) not in self.refused_moves
 
@@ -298,7 +278,7 @@
     """Get a number of hosts by its part of the even share of a pool."""
     pools = sum(not demand.is_standby for demand in view.demands.values())
     even_share = len(view.hosts) / max(pools, 1)
-    return max(int(even_share * share), _MIN_HOSTS)
+    return max(int(even_share * share), MIN_HOSTS)
 
 
 def _make_move(host: ListedHost, pool: PoolName) -> Move:
--- a/tests/features/steps/turn_steps.py
+++ b/tests/features/steps/turn_steps.py
@@ -22,6 +22,11 @@
 HIGH = 24.0
 LOW = 0.3
 STEADY = 6.0
+# Jobs a second that need all hosts at their target utilization and more, and
+# those of the pool that asks next.
+FLOOD = 60.0
+NEXT = 40.0
+FLOOD_SECONDS = 6
 TURNS = (100, 112)
 TURN_SECONDS = 4
 # Error of the time at which a turn is expected.
@@ -66,6 +71,31 @@
     context.pools = make_turn_model(Random(1), rate)
 
 
+def _get_flood_rate(number: int, now: float) -> float:
+    rates = (FLOOD, LOW) if now < BEGIN + FLOOD_SECONDS else (LOW, NEXT)
+    return rates[number] if number < len(rates) else LOW
+
+
+@given('{count:d} pools of which the first asks for more than all hosts can do')
+def make_flood(context: Any, count: int) -> None:
+    """Make pools of which the second asks right after the first."""
+    context.pools = make_turn_model(Random(1), _get_flood_rate)
+
+
+@when("the figures of {seconds:d} seconds of the next pool's turn are counted")
+def count_next(context: Any, seconds: int) -> None:
+    """Play the turn of the second pool."""
+    count_figures(context, seconds)
+
+
+@then('{percent:d} of 100 jobs of the next pool end in time')
+def check_next(context: Any, percent: int) -> None:
+    """Check what the callers of the second pool get."""
+    pool = context.pools.pools[1]
+    share = context.pools.in_time[pool] / context.pools.accepted[pool]
+    assert share >= percent / 100, share
+
+
 @given('{count:d} pools with a steady demand')
 def make_steady(context: Any, count: int) -> None:
     """Make pools with the same demand at all times."""
--- a/tests/features/turns.feature
+++ b/tests/features/turns.feature
@@ -20,6 +20,12 @@
     And the figures of 36 more seconds are counted
     Then 75 of 100 jobs end in time
 
+  Scenario: A pool that asks for more than all hosts does not starve the next
+    Given 4 pools of which the first asks for more than all hosts can do
+    When 6 seconds have passed
+    And the figures of 8 seconds of the next pool's turn are counted
+    Then 35 of 100 jobs of the next pool end in time
+
   Scenario: A steady demand is not taken for turns
     Given 4 pools with a steady demand
     When 30 seconds have passed
--- a/tests/support/turn_model.py
+++ b/tests/support/turn_model.py
@@ -27,6 +27,8 @@
 RUN_SECONDS = 1.0
 JOB_WORK = 51_200
 LATE_RATIO = 2.0
+# Margin of the estimate of a run time when a job is taken for late.
+MARGIN = 0.4
 # Time in which the work of late jobs is to be done.
 OVERDUE = 5
 
@@ -123,11 +125,7 @@
         self.accepted[pool] += count
 
     def _start_tasks(self, pool: PoolName) -> None:
-        usable = [
-            host
-            for host in self.hosts
-            if host.pool == pool and host.arrives_at <= self.now
-        ]
+        usable = self._get_usable(pool)
         usable.sort(key=lambda host: host.free_cpu)
         waiting = [job for job in self.jobs[pool] if job.waiting]
         waiting.sort(key=lambda job: (self._is_late(job), job.begin))
@@ -140,11 +138,17 @@
                 if not waiting[0].waiting:
                     waiting.pop(0)
 
-    def _get_divisor(self, job: ModelJob) -> int:
-        return OVERDUE if self._is_late(job) else 1
+    def _get_usable(self, pool: PoolName) -> list[ModelHost]:
+        return [
+            host
+            for host in self.hosts
+            if host.pool == pool
+            and host.arrives_at <= self.now
+            and host.name not in self.planner.draining
+        ]
 
     def _is_late(self, job: ModelJob) -> bool:
-        latest = job.begin + (LATE_RATIO - 1.1) * RUN_SECONDS
+        latest = job.begin + (LATE_RATIO - 1 - MARGIN) * RUN_SECONDS
         return job.waiting > 0 and self.now > latest
 
     def _move_hosts(self) -> None:
@@ -171,25 +175,21 @@
         return PoolView(demands, listed, loads, moving, self.arrivals)
 
     def _get_demand(self, pool: PoolName) -> PoolDemand:
-        usable = [
-            host
-            for host in self.hosts
-            if host.pool == pool and host.arrives_at <= self.now
-        ]
-        tasks = sum(
-            job.running + job.waiting / self._get_divisor(job)
-            for job in self.jobs[pool]
-        )
-        capacity = HOST_CPU * len(usable)
+        jobs = self.jobs[pool]
+        late = sum(job.waiting for job in jobs if self._is_late(job))
+        waiting = sum(job.waiting for job in jobs) - late
+        running = sum(job.running for job in jobs)
+        late_cpu = round(late * TASK_CPU / OVERDUE)
         return PoolDemand(
             pool,
             False,
-            round(tasks * TASK_CPU),
+            (running + waiting) * TASK_CPU + late_cpu,
             TASKS * TASK_CPU,
-            capacity,
+            HOST_CPU * len(self._get_usable(pool)),
             HOST_CPU,
             0,
-            waiting_work=sum(job.waiting for job in self.jobs[pool]) * TASK_CPU,
+            waiting_work=waiting * TASK_CPU,
+            late=late_cpu,
         )
 
 
