Count a job as late while its tasks may still run long

Cause: a full pool started each job at the last moment at which the declared run times would do; the longest of its tasks was then late, and so was the job.

Change: margin of the remaining work of 0.4 instead of 0.1.

--- a/packages/callers/hornbeamstair_callers/jobs/ranking.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ranking.py
@@ -20,9 +20,11 @@
     'get_remaining_seconds',
 )
 
-# Estimates are rough: a job counts as late if its remaining work and this
-# share of it do not fit before the objective.
-_ESTIMATE_MARGIN_SHARE: Final = 0.1
+# Estimates are rough, and the longest of the tasks decides: a job counts as
+# late if its remaining work and this share of it do not fit before the
+# objective. With less, a full pool starts each job at its last moment, and
+# most are late by the spread of their run times.
+_ESTIMATE_MARGIN_SHARE: Final = 0.4
 
 
 @frozen
