Lend the reserve of a pool to work that waits elsewhere now

Change: hosts that are kept for a turn that may come serve the present demand of other pools that can be in time; forecasts of other pools don't take them.

--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -20,7 +20,12 @@
     count_draining_capacity,
 )
 from hornbeamstair_fleet.moves.shares import CapacityClaim, share_capacity
-from hornbeamstair_fleet.moves.surplus import MIN_HOSTS, get_movable
+from hornbeamstair_fleet.moves.surplus import (
+    HostChoice,
+    get_even_size,
+    get_movable,
+    make_choice,
+)
 from hornbeamstair_fleet.moves.views import (
     PoolView,
     RetainedCapacity,
@@ -139,23 +144,35 @@
         incoming = count_incoming(view)
         incoming.update(self._get_joining(view, now))
         shares = self._share_capacity(view, incoming)
-        retained = RetainedCapacity(self._get_reserved_sizes(view), shares)
-        left = get_movable(view, idle, retained, self.draining)
+        kept = self._get_reserved_sizes(view)
+        choice = make_choice(view, idle, shares, kept, self.draining)
         missing = 0
         for demand in sorted(
             view.demands.values(), key=self._get_surplus_capacity
         ):
-            wanted = count_wanted(demand, shares[demand.pool])
-            wanted = max(wanted - incoming[demand.pool], 0)
-            missing += wanted
-            for host in self._choose_fit(left, demand.pool)[:wanted]:
-                missing -= 1
-                left.remove(host)
-                yield _make_move(host, demand.pool)
+            hosts, wanted = self._choose_hosts(
+                choice, demand, shares[demand.pool], incoming[demand.pool]
+            )
+            missing += wanted - len(hosts)
+            yield from _make_moves(hosts, demand.pool)
         self.draining = choose_draining(
-            view, shares, retained.hosts, missing, self.draining
+            view, shares, kept, missing, self.draining
         )
 
+    def _choose_hosts(
+        self,
+        choice: HostChoice,
+        demand: PoolDemand,
+        share: float,
+        incoming: int,
+    ) -> tuple[list[ListedHost], int]:
+        """Choose hosts for a pool; return them and how many it wants."""
+        present = min(share, self._get_present_demand(demand))
+        urgent = count_wanted(demand, present) - incoming
+        wanted = max(count_wanted(demand, share) - incoming, 0)
+        hosts = choice.take(demand.pool, wanted, urgent, self._may_move)
+        return hosts, wanted
+
     def _plan_scale_down(
         self,
         view: PoolView,
@@ -189,7 +206,7 @@
     ) -> dict[PoolName, float]:
         claims = {
             pool: CapacityClaim(
-                max(self.rise.pools[pool].recent_demand - demand.late, 0),
+                self._get_present_demand(demand),
                 self._get_required(pool),
             )
             for pool, demand in view.demands.items()
@@ -224,14 +241,14 @@
 
         Demand alternates between pools: those that were short of capacity
         most recently are unlikely to be the next, and retain no more than
-        `MIN_HOSTS`. Neither do pools whose next turn is forecast.
+        the minimum. Neither do pools whose next turn is forecast.
         """
         pools = [
             demand.pool
             for demand in view.demands.values()
             if not demand.is_standby
         ]
-        size = _get_size(view, _RETAINED_SHARE)
+        size = get_even_size(view, _RETAINED_SHARE)
         by_shortage = sorted(
             pools, key=lambda pool: self.last_short_at.get(pool, 0)
         )
@@ -252,7 +269,7 @@
         The hosts of a pool whose next turn is unknown could not return in
         time.
         """
-        size = _get_size(view, _RESERVED_SHARE)
+        size = get_even_size(view, _RESERVED_SHARE)
         return {
             pool: size
             for pool in view.demands
@@ -265,20 +282,18 @@
     def _get_required(self, pool: PoolName) -> int:
         return max(forecast.get_required(pool) for forecast in self.forecasts)
 
-    def _choose_fit(
-        self, hosts: Iterable[ListedHost], pool: PoolName
-    ) -> list[ListedHost]:
-        return [host for host in hosts if self._may_move(host, pool)]
+    def _get_present_demand(self, demand: PoolDemand) -> float:
+        """Get the demand of the work that can be in time."""
+        recent = self.rise.pools[demand.pool].recent_demand
+        return max(recent - demand.late, 0)
 
     def _may_move(self, host: ListedHost, pool: PoolName) -> bool:
         return host.pool != pool and (host.host, pool) not in self.refused_moves
 
 
-def _get_size(view: PoolView, share: float) -> int:
-    """Get a number of hosts by its part of the even share of a pool."""
-    pools = sum(not demand.is_standby for demand in view.demands.values())
-    even_share = len(view.hosts) / max(pools, 1)
-    return max(int(even_share * share), MIN_HOSTS)
+def _make_moves(hosts: Iterable[ListedHost], pool: PoolName) -> Iterator[Move]:
+    for host in hosts:
+        yield _make_move(host, pool)
 
 
 def _make_move(host: ListedHost, pool: PoolName) -> Move:
--- a/packages/fleet/hornbeamstair_fleet/moves/surplus.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/surplus.py
@@ -1,10 +1,12 @@
 """Idle hosts that may leave their pools."""
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from typing import Final
 
-from hornbeamstair_core.ids import HostId
+from attrs import define, field
+
+from hornbeamstair_core.ids import HostId, PoolName
 from hornbeamstair_fleet.moves.views import (
     PoolView,
     RetainedCapacity,
@@ -12,10 +14,66 @@
 )
 from hornbeamstair_fleet.waves.messages import HostState, ListedHost
 
-__all__ = ('MIN_HOSTS', 'get_movable')
+__all__ = ('HostChoice', 'get_even_size', 'get_movable', 'make_choice')
 
 # Minimum hosts of a serving pool, so that it survives the loss of one.
-MIN_HOSTS: Final = 2
+_MIN_HOSTS: Final = 2
+
+
+@define(eq=False)
+class HostChoice:
+    """Movable hosts, some of which are reserved for the next turn there.
+
+    A reserve serves a turn that may come; it does not keep a host from work
+    that waits now.
+    """
+
+    hosts: list[ListedHost]
+    reserved: set[HostId] = field(factory=set)
+
+    def reserve(self, free: Iterable[ListedHost]) -> None:
+        """Reserve the hosts that are not free."""
+        self.reserved = {host.host for host in self.hosts}
+        self.reserved -= {host.host for host in free}
+
+    def take(
+        self,
+        pool: PoolName,
+        wanted: int,
+        urgent: int,
+        may_move: Callable[[ListedHost, PoolName], bool],
+    ) -> list[ListedHost]:
+        """Take the wanted hosts; reserved ones only as far as it is urgent."""
+        fit = [host for host in self.hosts if may_move(host, pool)]
+        free = [host for host in fit if host.host not in self.reserved]
+        chosen = free[: max(wanted, 0)]
+        others = [host for host in fit if host.host in self.reserved]
+        chosen.extend(others[: max(urgent - len(chosen), 0)])
+        for host in chosen:
+            self.hosts.remove(host)
+        return chosen
+
+
+def make_choice(
+    view: PoolView,
+    idle: Collection[ListedHost],
+    shares: Mapping[PoolName, float],
+    kept: Mapping[PoolName, int],
+    draining: Collection[HostId],
+) -> HostChoice:
+    """Make a choice of hosts of which each pool reserves some."""
+    beyond_share = RetainedCapacity({}, shares)
+    choice = HostChoice(get_movable(view, idle, beyond_share, draining))
+    beyond_reserve = RetainedCapacity(kept, shares)
+    choice.reserve(get_movable(view, idle, beyond_reserve, draining))
+    return choice
+
+
+def get_even_size(view: PoolView, share: float) -> int:
+    """Get a number of hosts by its part of the even share of a pool."""
+    pools = sum(not demand.is_standby for demand in view.demands.values())
+    even_share = len(view.hosts) / max(pools, 1)
+    return max(int(even_share * share), _MIN_HOSTS)
 
 
 def get_movable(
@@ -50,7 +108,7 @@
     for host in serving:
         needed = retained.capacities[host.pool]
         left = capacities[host.pool] - view.demands[host.pool].host_capacity
-        kept = retained.hosts.get(host.pool, MIN_HOSTS)
+        kept = retained.hosts.get(host.pool, _MIN_HOSTS)
         if sizes[host.pool] > kept and left >= needed:
             sizes[host.pool] -= 1
             capacities[host.pool] = left
--- a/packages/fleet/hornbeamstair_fleet/moves/views.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/views.py
@@ -45,7 +45,7 @@
 class RetainedCapacity:
     """Hosts and capacity that pools retain."""
 
-    # Number of hosts, for pools that retain more than `_MIN_HOSTS`.
+    # Number of hosts, for pools that retain more than the minimum.
     hosts: Mapping[PoolName, int]
     capacities: Mapping[PoolName, float]
 
