Spread the workers of a zone over its relays, and bound direct polls

Cause: a leader whose loop was late took its relays for silent after 0.35 s and polled all workers itself, which costs five times as much and up to three connections a worker; only one process of a zone relayed. Change: a late leader gives its relays the time by which it was late, all control processes of a zone that answer share its workers, and at most 256 polls at a time are sent by the leader itself. Orders of silent relays are given up when the relays change, not searched each 50 ms. Two steps of relay.feature name several relays of a zone.

--- a/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
@@ -1,7 +1,7 @@
 """Sender of the leader's orders through other processes."""
 
 from asyncio import Future, get_running_loop
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from random import randrange
 from typing import Any, ClassVar, Final, TypeVar
 
@@ -47,7 +47,7 @@
 _FIRST_NUMBERS: Final = MAX_EXACT_INTEGER // 2
 
 RelayOutcome = OrderAnswer | PollAnswer | RelayFailure
-RelayMap = Mapping[ZoneName, VoterId]
+RelayMap = Mapping[ZoneName, Sequence[VoterId]]
 Order = TypeVar('Order', StartOrder, StopOrder)
 
 
@@ -80,6 +80,8 @@
     # Time that the clock of a relay has reached by a time of the own clock.
     get_relay_time: Callable[[VoterId, float], float]
     choice: RelayChoice = field(factory=RelayChoice, init=False)
+    # Polls that this process sends itself and that are not answered yet.
+    direct_polls: int = field(default=0, init=False)
     checked_at: float = field(default=0, init=False)
     is_check_scheduled: bool = field(default=False, init=False)
     pending: dict[int, _Pending] = field(factory=dict, init=False)
@@ -103,7 +105,11 @@
             return answer
         if self.get_time() > valid_until:
             return PollAnswer(OrderOutcome.unsent)
-        return await self.direct.poll(order, valid_until)
+        self.direct_polls += 1
+        try:
+            return await self.direct.poll(order, valid_until)
+        finally:
+            self.direct_polls -= 1
 
     async def start(
         self,
@@ -148,7 +154,7 @@
         now = self.get_time()
         self._update_relays(now)
         zone = self.find_zone(order.worker)
-        relay = self.choice.choose(order.worker, zone, now)
+        relay = self.choice.choose(order.worker, zone, now, self.direct_polls)
         if relay is None:
             return RelayFailure.unsent
         outcome = await self._ask(relay, order, seconds, valid_until)
@@ -186,9 +192,11 @@
             return
         self.checked_at = now
         relays = self.get_relays()
-        if relays != self.choice.relays:
-            log_event(RelaysChangedEvent(relays, len(self.pending)))
+        is_changed = relays != self.choice.relays
         self.choice.update(relays, self.get_worker_count(), now)
+        if is_changed:
+            log_event(RelaysChangedEvent(relays, len(self.pending)))
+            self._give_up_silent()
 
     def _schedule_check(self) -> None:
         if not self.is_check_scheduled:
@@ -197,14 +205,16 @@
             loop.call_later(_CHECK_SECONDS, self._check_relays)
 
     def _check_relays(self) -> None:
-        """Give up the orders of relays that fell silent."""
         self.is_check_scheduled = False
         self._update_relays(self.get_time())
+        if self.pending:
+            self._schedule_check()
+
+    def _give_up_silent(self) -> None:
+        """Give up the orders of relays that fell silent."""
         for pending in list(self.pending.values()):
             if not self.choice.is_relay(pending.relay):
                 _set_lost(pending.answer)
-        if self.pending:
-            self._schedule_check()
 
     def _send_batch(self, relay: VoterId, orders: list[RelayedOrder]) -> None:
         own = self.transport.own
--- a/packages/callers/hornbeamstair_callers/relay/events.py
+++ b/packages/callers/hornbeamstair_callers/relay/events.py
@@ -1,6 +1,6 @@
 """Events about relays."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from attrs import frozen
 
@@ -21,6 +21,6 @@
     summary = 'The processes that send orders for this leader changed.'
 
     # Relays by zone; orders to other zones are sent by the leader.
-    relays: Mapping[ZoneName, VoterId]
+    relays: Mapping[ZoneName, Sequence[VoterId]]
     # Orders whose answers are awaited from relays.
     pending: int
--- a/packages/replicas/hornbeamstair_replicas/membership/relays.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/relays.py
@@ -15,6 +15,11 @@
 # Heartbeats are answered every 0.1 s; a relay that misses three of them may
 # be paused or cut off.
 _RESPONSIVE_SECONDS: Final = 0.35
+# Longest interval between two checks of a process that is not late itself.
+_CHECK_SECONDS: Final = 0.1
+# After a longer pause nothing is known of the relays: half of the time for
+# which a report is valid.
+_MAX_LATENESS_SECONDS: Final = 0.8
 
 
 @frozen
@@ -34,6 +39,8 @@
     last_reports: dict[VoterId, float] = field(factory=dict)
     zones: dict[VoterId, ZoneName] = field(factory=dict)
     clocks: dict[VoterId, RelayClock] = field(factory=dict)
+    # Time of the last check of which relays answer.
+    checked_at: float = 0
 
     def handle_report(
         self,
@@ -59,11 +66,22 @@
         self,
         contact_ages: Mapping[VoterId, float],
         now: float,
-    ) -> dict[ZoneName, VoterId]:
-        """Get one relay of each zone that answers; ages are in seconds."""
-        return {
-            self.zones[process]: process
-            for process, reported_at in sorted(self.last_reports.items())
-            if now - reported_at < _REPORT_VALID_SECONDS
-            and contact_ages.get(process, now) < _RESPONSIVE_SECONDS
-        }
+    ) -> dict[ZoneName, tuple[VoterId, ...]]:
+        """Get the relays of each zone that answer; ages are in seconds.
+
+        A process that is late sends its heartbeats late and reads the answers
+        late. If it took its relays for silent then, it would send all orders
+        itself, and never be in time again.
+        """
+        lateness = max(now - self.checked_at - _CHECK_SECONDS, 0)
+        lateness = min(lateness, _MAX_LATENESS_SECONDS)
+        self.checked_at = now
+        # Both the heartbeat and its answer may have waited.
+        limit = _RESPONSIVE_SECONDS + 2 * lateness
+        relays: dict[ZoneName, tuple[VoterId, ...]] = {}
+        for process, reported_at in sorted(self.last_reports.items()):
+            is_reported = now - reported_at < _REPORT_VALID_SECONDS + lateness
+            if is_reported and contact_ages.get(process, now) < limit:
+                zone = self.zones[process]
+                relays[zone] = (*relays.get(zone, ()), process)
+        return relays
--- a/packages/replicas/hornbeamstair_replicas/membership/runner.py
+++ b/packages/replicas/hornbeamstair_replicas/membership/runner.py
@@ -54,8 +54,8 @@
         if self.control_loop is not None:
             self.control_loop.cancel()
 
-    def get_relays(self) -> dict[ZoneName, VoterId]:
-        """Get a process of each zone that relays orders and answers."""
+    def get_relays(self) -> dict[ZoneName, tuple[VoterId, ...]]:
+        """Get the processes of each zone that relay orders and answer."""
         role = self.group.node.voter.leader_role
         if role is None:
             return {}
--- a/tests/features/relay.feature
+++ b/tests/features/relay.feature
@@ -114,6 +114,23 @@
     Then it is a relay at 10.3
     And it is no relay at 10.4
 
+  # A leader that sent all orders itself because it was late stayed late.
+  Scenario: A leader that reads the answers late does not take its relays for silent
+    Given a relay that reported at 10.0 and answered at 10.0
+    Then it is a relay at 10.1
+    And it is a relay at 10.5
+    And it is no relay at 10.6
+
+  Scenario: The relays of a zone share its workers
+    Given a site with 1000 workers and 2 relays in their zone
+    Then each relay is chosen for 400 to 600 workers
+    And the same relay is chosen for a worker each time
+
+  Scenario: A leader sends a bounded number of polls to a zone without relays
+    Given a site with 1000 workers and 2 relays in another zone
+    Then the leader sends the polls to 256 workers itself
+    And each relay is chosen for 300 to 450 workers
+
   Scenario: Orders and answers are the same after they were relayed
     Then 200 random orders and answers survive the codec
     And odd batches are refused
