Answer unchanged announcements of workers without the leader

Cause: each worker announces itself every 1.5 s to any control process, which asked the leader each time: 2,000 calls a second at 3,000 workers, beside polls that tell the leader more, and more often. Change: above 64 workers a control process confirms an announcement that repeats its copy of the replicated table, but for one in four; one of a leaving worker or with any change goes to the leader as before. The plans of moves look at 3,000 workers a second at most.

--- a/packages/callers/hornbeamstair_callers/endpoints/moves.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/moves.py
@@ -45,6 +45,9 @@
 # The same of orders that were sent again: if the platform throttles one or is
 # busy with the host, the order before may have been executed all the same.
 _NO_EFFECT_REPEATED: Final = frozenset((HostOutcome.refused,))
+# Workers that the plans look at in a second: at 10 us each they take 3% of the
+# event loop, however large the fleet is.
+_PLANNED_WORKERS_PER_SECOND: Final = 3000
 # Interval at which the capacity of each pool is logged.
 _LOG_SECONDS: Final = 0.5
 
@@ -61,6 +64,7 @@
     get_moment: Callable[[], Moment]
     planner: MovePlanner = field(factory=MovePlanner)
     last_logged_at: float = -1000
+    planned_at: float = -1000
 
     async def reconcile(self, scheduler: Scheduler) -> None:
         """Update the moves in progress and start new ones."""
@@ -70,6 +74,10 @@
             return
         await self._update_moves(scheduler)
         now = self.get_moment()
+        interval = len(scheduler.sessions) / _PLANNED_WORKERS_PER_SECOND
+        if now.monotonic - self.planned_at < interval:
+            return
+        self.planned_at = now.monotonic
         view = PoolView(
             get_demands(scheduler, now),
             self.hosts.hosts,
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import Final
 
+from hornbeamstair_callers.endpoints.announcing_client import AnnouncingClient
 from hornbeamstair_callers.endpoints.host_list import HostList
 from hornbeamstair_callers.endpoints.listing import ListingHandler
 from hornbeamstair_callers.endpoints.maintenance import MaintenanceController
@@ -54,6 +55,9 @@
 from hornbeamstair_replicas.voter_ids import get_address
 from hornbeamstair_replicas.voting.timing import Timing
 from hornbeamstair_upstreams.work.instrumented import InstrumentedSender
+from hornbeamstair_upstreams.work.known_announcements import (
+    KnownAnnouncements,
+)
 from hornbeamstair_upstreams.work.sender import WorkerSender
 from hornbeamstair_upstreams.work.table import WorkerTable
 
@@ -190,7 +194,13 @@
         metrics,
         transport,
         channel,
-        LeaderClient(channel, codec, metrics, get_monotonic_time),
+        AnnouncingClient(
+            channel,
+            codec,
+            metrics,
+            get_monotonic_time,
+            KnownAnnouncements(state.workers),
+        ),
         group,
         membership,
         runner,
