Stop no task for a drain by a count that is seconds old

Change: a task counts only while its worker has answered within 0.7 s beyond the wait of a poll; a stop for a drain that was certainly not sent is withdrawn, and the next pass decides. Stops of cancelled jobs are kept.

--- a/packages/callers/hornbeamstair_callers/jobs/draining.py
+++ b/packages/callers/hornbeamstair_callers/jobs/draining.py
@@ -7,6 +7,7 @@
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_fleet.waves.planner import HostLoad
+from hornbeamstair_upstreams.work.drain_stops import request_drain_stop
 from hornbeamstair_upstreams.work.placement import Placement
 from hornbeamstair_upstreams.work.runs import Run, RunState
 from hornbeamstair_upstreams.work.session import WorkerSession
@@ -17,6 +18,9 @@
 # Estimated time until a long-running run is restarted elsewhere, which must
 # happen before its host is free.
 _LONG_RUNNING_MOVE_SECONDS = 8.0
+# Time for which a poll may take beyond its wait. A worker that answers later
+# may lose its lease, and its runs, before a stop of another run arrives.
+_ANSWER_SECONDS = 0.7
 
 
 def get_loads(scheduler: Scheduler) -> dict[WorkerId, HostLoad]:
@@ -59,7 +63,7 @@
         is_urgent = session.announced.worker in urgent
         for run in list(session.runs.values()):
             if _should_stop(scheduler, session, run, is_urgent, now):
-                session.request_stop(run)
+                request_drain_stop(session, run)
 
 
 def fits_elsewhere(
@@ -134,10 +138,13 @@
     now: Moment,
 ) -> Iterator[Run]:
     stopping = scheduler.terms.stopping
+    oldest = now.monotonic - scheduler.terms.wait - _ANSWER_SECONDS
     for run, session in scheduler.index.phase_runs.get_runs(phase_id):
-        # Runs of an unresponsive worker may have ended long ago, and those of
-        # a leaving worker end in any case.
-        is_counted = session.is_responsive(now.monotonic)
+        # Runs of a worker that has not answered for a while may have ended,
+        # and those of a leaving worker end in any case.
+        is_counted = (
+            session.answered_at > oldest and not session.is_unresponsive
+        )
         is_counted = is_counted and not session.announced.is_leaving
         if is_counted and _is_serving(run, now, stopping):
             yield run
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -30,6 +30,7 @@
 from hornbeamstair_core.step_failures import log_step_failure
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.tables.codec import TableStateMachine
+from hornbeamstair_upstreams.work.drain_stops import handle_stop_outcome
 from hornbeamstair_upstreams.work.leases import LeaseTerms
 from hornbeamstair_upstreams.work.messages import OrderOutcome, PollAnswer
 from hornbeamstair_upstreams.work.sender import WorkerSender
@@ -274,6 +275,8 @@
         effect: SendStop,
     ) -> None:
         if not self.leads():
+            unsent = OrderOutcome.unsent
+            handle_stop_outcome(effect.session, effect.order, unsent)
             return
         answer = await self.sender.stop(effect.order, effect.valid_until)
         now = self.get_moment()
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -70,6 +70,8 @@
     percent: float = 0
     ordered_at: float = 0
     is_stop_requested: bool = False
+    # The stop was decided for the host alone, and no order of it was sent yet.
+    may_withdraw_stop: bool = False
     # Time of the first order without an answer since the worker last fell
     # silent; None while no order was sent.
     unanswered_since: float | None = None
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define, evolve, field
 
 from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.drain_stops import handle_stop_outcome
 from hornbeamstair_upstreams.work.end_cursor import EndCursor
 from hornbeamstair_upstreams.work.health import WorkerHealth
 from hornbeamstair_upstreams.work.isolation import IsolatedRuns
@@ -492,6 +493,7 @@
     def request_stop(self, run: Run) -> None:
         """Request the stop of a tracked run."""
         run.is_stop_requested = True
+        run.may_withdraw_stop = False
         self.queue_stop(run.task, run.run)
 
     def queue_stop(self, task: TaskId, run: int) -> None:
@@ -518,6 +520,7 @@
         now: float,
     ) -> list[EndedRun]:
         """Apply the answer to a stop order."""
+        handle_stop_outcome(self, order, answer.outcome)
         if self.is_older_incarnation(answer.incarnation):
             return []
         if answer.outcome == OrderOutcome.other_life:
--- a/tests/features/steps/scale_steps.py
+++ b/tests/features/steps/scale_steps.py
@@ -5,12 +5,16 @@
 from attrs import evolve
 from behave import given, then, when
 
-from hornbeamstair_core.ids import WorkerId
+from hornbeamstair_callers.jobs.draining import drain_workers
+from hornbeamstair_core.ids import JobId, WorkerId
 from hornbeamstair_upstreams.work.known_announcements import (
     KnownAnnouncements,
 )
 from hornbeamstair_upstreams.work.messages import (
+    OrderAnswer,
+    OrderOutcome,
     Resources,
+    StopOrder,
     WorkerAnnouncement,
     WorkerGone,
     WorkerSeen,
@@ -63,5 +67,60 @@
     assert least <= len(context.heard) <= most, len(context.heard)
 
 
+@when(
+    'the leader reads nothing for {seconds:d} seconds '
+    'and then drains the busy workers'
+)
+def drain_late(context: Any, seconds: int) -> None:
+    """Advance the clock without any answer, and drain workers."""
+    context.work.now += seconds
+    drain_all(context)
+
+
+@when('the busy workers are to be drained')
+def drain_all(context: Any) -> None:
+    """Decide which runs to stop."""
+    work = context.work
+    sessions = work.scheduler.sessions
+    busy = [worker for worker, session in sessions.items() if session.runs]
+    drain_workers(work.scheduler, busy, (), work.get_moment())
+
+
+@when('its job is cancelled')
+def cancel(context: Any) -> None:
+    """Cancel the job."""
+    context.work.cancel(JobId('1' * 16))
+
+
+@when('the outcome of the stop is "{first}" and then "{second}"')
+def answer_stop(context: Any, first: str, second: str) -> None:
+    """Answer two orders of the first stop."""
+    work = context.work
+    session, run = next(
+        (session, run)
+        for session in work.scheduler.sessions.values()
+        for run in session.runs.values()
+        if run.is_stop_requested
+    )
+    for outcome in (first, second):
+        order = StopOrder(
+            session.announced.worker, 'a', 1, work.term, run.task, run.run
+        )
+        answer = OrderAnswer(OrderOutcome(outcome))
+        session.handle_stop_answer(order, answer, work.now)
+
+
+@then('{count:d} tasks are to stop')
+def check_stops(context: Any, count: int) -> None:
+    """Check the number of runs with a requested stop."""
+    stopping = [
+        run.task
+        for session in context.work.scheduler.sessions.values()
+        for run in session.runs.values()
+        if run.is_stop_requested
+    ]
+    assert len(stopping) == count, stopping
+
+
 def _make_announcement(number: int) -> WorkerAnnouncement:
     return make_worker_announcement(WorkerId(f'w{number}'), 1)
