--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define, evolve, field
 
 from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.drain_stops import handle_stop_outcome
 from hornbeamstair_upstreams.work.end_cursor import EndCursor
 from hornbeamstair_upstreams.work.health import WorkerHealth
 from hornbeamstair_upstreams.work.isolation import IsolatedRuns
@@ -22,7 +23,7 @@
     TaskNeeds,
     WorkerAnnouncement,
 )
-from hornbeamstair_upstreams.work.observer import SessionObserver
+from hornbeamstair_upstreams.work.observer import NoObserver, SessionObserver
 from hornbeamstair_upstreams.work.obstacles import Obstacle
 from hornbeamstair_upstreams.work.proofs import EndProof
 from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
@@ -90,13 +91,27 @@
     terminated_at: float | None = None
     # Another worker was found at the address, and nothing was planned.
     is_replaced: bool = False
-    # Reserved for maintenance or a move; receives no new work.
-    is_reserved: bool = False
+    _is_reserved: bool = False
     used_resources: Resources = field(factory=Resources)
     # Number of long-running runs.
     long_running_count: int = 0
     isolated_runs: IsolatedRuns = field(factory=IsolatedRuns)
-    observer: SessionObserver | None = None
+    observer: SessionObserver = field(factory=NoObserver)
+
+    @property
+    def is_reserved(self) -> bool:
+        """Whether a move or maintenance needs the host; no new work starts."""
+        return self._is_reserved
+
+    @is_reserved.setter
+    def is_reserved(self, is_reserved: bool) -> None:
+        """Reserve or release the worker."""
+        self._is_reserved = is_reserved
+        self.observer.on_changed(self)
+
+    def detach(self) -> None:
+        """Notify no index any more."""
+        self.observer = NoObserver()
 
     def may_start(self, now: float) -> bool:
         """Return whether new work may be placed on the worker."""
@@ -171,8 +186,7 @@
         )
         self.long_running_count += run.needs.lasts
         self.isolated_runs.add(run)
-        if self.observer is not None:
-            self.observer.on_changed(self)
+        self.observer.on_run_added(self, run)
 
     def remove_run(self, task: TaskId) -> Run | None:
         """Remove a run and release its resources."""
@@ -183,7 +197,7 @@
             )
             self.long_running_count -= run.needs.lasts
             self.isolated_runs.discard(task)
-            self.notify_freed()
+            self.observer.on_run_removed(self, run)
         return run
 
     def prove_run(self, run: Run) -> None:
@@ -195,8 +209,7 @@
 
     def notify_freed(self) -> None:
         """Notify the observer that free resources may have grown."""
-        if self.observer is not None:
-            self.observer.on_freed(self)
+        self.observer.on_freed(self)
 
     def update_clock(self, clock: float | None, now: float) -> None:
         """Update the estimate of the worker's clock from an answer."""
@@ -374,8 +387,7 @@
         self.announced = announced
         self.has_announced = True
         self.announced_at = now
-        if self.observer is not None:
-            self.observer.on_changed(self)
+        self.observer.on_changed(self)
         return ended
 
     # Starts and stops
@@ -481,13 +493,13 @@
     def request_stop(self, run: Run) -> None:
         """Request the stop of a tracked run."""
         run.is_stop_requested = True
+        run.may_withdraw_stop = False
         self.queue_stop(run.task, run.run)
 
     def queue_stop(self, task: TaskId, run: int) -> None:
         """Request the stop of a run, whether or not it is tracked."""
         self.stops.setdefault((task, run), _LONG_AGO)
-        if self.observer is not None:
-            self.observer.on_stop_requested(self)
+        self.observer.on_stop_requested(self)
 
     def get_stops(self, now: float) -> list[StopOrder]:
         """Return the stop orders that are due, and mark them sent."""
@@ -508,6 +520,7 @@
         now: float,
     ) -> list[EndedRun]:
         """Apply the answer to a stop order."""
+        handle_stop_outcome(self, order, answer.outcome)
         if self.is_older_incarnation(answer.incarnation):
             return []
         if answer.outcome == OrderOutcome.other_life:
@@ -597,8 +610,7 @@
         self._request_check()
 
     def _request_check(self) -> None:
-        if self.observer is not None:
-            self.observer.on_check_due(self)
+        self.observer.on_check_due(self)
 
     def _apply_refusal(self, run: Run, now: float) -> list[EndedRun]:
         self.health.handle_refusal(now)
