Bound what clients may send, hold and leave unread

uvicorn with httptools bounds neither a head nor trailers, and nothing bounded all bodies of a process together, so that clients outside the limits ended a process by memory.

All front ends of a process share one accounting. A refusal is answered only where the request has certainly not run: before the end of its head, or through the reader of its body.

--- /dev/null
+++ b/packages/core/hornbeamstair_core/clients/__init__.py
@@ -0,0 +1,1 @@
+"""What a process accepts from clients that nobody controls."""
--- a/packages/core/hornbeamstair_core/front_end.py
+++ b/packages/core/hornbeamstair_core/front_end.py
@@ -1,10 +1,11 @@
 """Base classes of the front ends, in general and over HTTP."""
 
 from abc import ABC, abstractmethod
-from asyncio import CancelledError, Task, create_task
 from asyncio import Event as Signal
+from asyncio import Task, create_task
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
 from socket import (
     AF_INET,
     AF_INET6,
@@ -29,6 +30,11 @@
     register_event,
 )
 from hornbeamstair_core.failures import Failure, PayloadTooLargeFailure
+from hornbeamstair_core.front_ends.bounded_protocol import (
+    REFUSAL,
+    BoundedHttpProtocol,
+)
+from hornbeamstair_core.front_ends.guard import ClientGuard
 from hornbeamstair_core.invariants import InvariantError, abort
 
 __all__ = (
@@ -95,8 +101,8 @@
             await self.app(scope, receive, send)
         except InvariantError:
             abort()
-        except (ClientDisconnect, CancelledError):
-            raise
+        except ClientDisconnect:
+            return
         except Exception as error:
             log_event(RequestFailedEvent(scope['path'], repr(error)))
             raise
@@ -129,6 +135,8 @@
     keep_alive_seconds: ClassVar[int] = 5
 
     listen_address: SocketAddress
+    # Shared by the front ends of a process.
+    guard: ClientGuard = field(factory=ClientGuard, kw_only=True)
     server: _EmbeddedServer | None = field(default=None, init=False)
     serving: 'Task[None] | None' = field(default=None, init=False)
 
@@ -143,7 +151,10 @@
             Config(
                 _ErrorHandlingApp(self.get_app()),
                 interface='asgi3',
-                http='httptools',
+                # Uvicorn calls this as it would the class.
+                http=partial(  # type: ignore[arg-type]
+                    BoundedHttpProtocol, guard=self.guard
+                ),
                 ws='none',
                 loop='asyncio',
                 lifespan='off',
@@ -170,12 +181,20 @@
     request: Request,
     limit_bytes: int,
 ) -> Result[bytes, Failure]:
-    """Read the body of a request; fail if it exceeds a limit."""
+    """Read the body of a request; fail if it is refused or too large."""
     chunks = bytearray()
-    async for chunk in request.stream():
-        chunks += chunk
+    has_more = True
+    while has_more:
+        message = await request.receive()
+        refusal = request.scope.get('state', {}).get(REFUSAL)
+        if refusal is not None:
+            return Error(refusal)
+        if message['type'] == 'http.disconnect':
+            raise ClientDisconnect
+        chunks += message.get('body', b'')
         if len(chunks) > limit_bytes:
             return Error(PayloadTooLargeFailure(limit_bytes))
+        has_more = message.get('more_body', False)
     return Ok(bytes(chunks))
 
 
--- a/packages/core/hornbeamstair_core/metrics.py
+++ b/packages/core/hornbeamstair_core/metrics.py
@@ -25,6 +25,7 @@
     loop_late: Histogram = field(init=False)
     placement_time: Histogram = field(init=False)
     dropped_log_lines: Counter = field(init=False)
+    refused_clients: Counter = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Register the metrics."""
@@ -86,6 +87,12 @@
             ['event'],
             registry=self.registry,
         )
+        self.refused_clients = Counter(
+            'hornbeamstair_clients_refused',
+            'Connections refused or closed, by the limit that they met.',
+            ['cause'],
+            registry=self.registry,
+        )
         self.gauges = Gauge(
             'hornbeamstair_state',
             'Sizes of the state in memory, by kind.',
--- a/packages/daemon/hornbeamstair_daemon/settings.py
+++ b/packages/daemon/hornbeamstair_daemon/settings.py
@@ -4,9 +4,10 @@
 from pathlib import Path
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 from expression import Error, Result
 
+from hornbeamstair_core.clients.limits import ClientLimits, read_client_limits
 from hornbeamstair_core.codec import decode_yaml_mapping, read_message
 from hornbeamstair_core.failures import Failure, UnreadablePayloadFailure
 from hornbeamstair_core.front_end import SocketAddress
@@ -74,6 +75,7 @@
     # balancer moves calls elsewhere.
     balancer_seconds: float
     peers: PeerSettings | None
+    client_limits: ClientLimits = field(factory=ClientLimits)
 
 
 def read_settings(path: Path) -> Result[Settings, Failure]:
@@ -114,6 +116,9 @@
             _DEFAULT_BALANCER_SECONDS,
         ),
         peers=_read_peers(reader),
+        client_limits=read_client_limits(
+            reader.get_section('client_limits', required=False),
+        ),
     )
 
 
--- a/packages/daemon/hornbeamstair_daemon/system/main.py
+++ b/packages/daemon/hornbeamstair_daemon/system/main.py
@@ -11,6 +11,7 @@
 from hornbeamstair_callers.front_ends.system import SystemFrontEnd
 from hornbeamstair_core.events import log_event, set_up_stream_logging
 from hornbeamstair_core.failures import Failure
+from hornbeamstair_core.front_ends.guard import ClientGuard
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_daemon.events import DaemonFailedEvent
 from hornbeamstair_daemon.system.lifetime import run_system_process
@@ -84,6 +85,7 @@
             HttpWorkerSender(),
             None,
         )
-    front_end = SystemFrontEnd(options.api, client=process.client)
+    guard = ClientGuard(options.client_limits, metrics)
+    front_end = SystemFrontEnd(options.api, client=process.client, guard=guard)
     process.add_front_ends((front_end,))
     return process
--- a/packages/daemon/hornbeamstair_daemon/system/options.py
+++ b/packages/daemon/hornbeamstair_daemon/system/options.py
@@ -4,9 +4,10 @@
 from pathlib import Path
 from typing import Final
 
-from attrs import frozen
+from attrs import field, frozen
 from expression import Error, Result
 
+from hornbeamstair_core.clients.limits import ClientLimits, read_client_limits
 from hornbeamstair_core.codec import decode_yaml_mapping, read_message
 from hornbeamstair_core.failures import Failure, UnreadablePayloadFailure
 from hornbeamstair_core.front_end import SocketAddress
@@ -35,6 +36,7 @@
     role: str
     settings: SystemSettings
     api: SocketAddress
+    client_limits: ClientLimits = field(factory=ClientLimits)
 
 
 def read_system_options(
@@ -87,5 +89,10 @@
         metrics=None,
     )
     return SystemOptions(
-        role, settings, read_socket_address(reader.get_section('api'))
+        role,
+        settings,
+        read_socket_address(reader.get_section('api')),
+        read_client_limits(
+            reader.get_section('client_limits', required=False),
+        ),
     )
--- a/packages/daemon/hornbeamstair_daemon/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/wiring.py
@@ -13,6 +13,7 @@
 from hornbeamstair_callers.key_store import KeyStore
 from hornbeamstair_callers.runner import CallRunner
 from hornbeamstair_core.front_end import FrontEnd
+from hornbeamstair_core.front_ends.guard import ClientGuard
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_daemon.groups import make_group_factory
 from hornbeamstair_daemon.settings import Settings
@@ -161,6 +162,7 @@
 
 def _get_front_ends(process: Process) -> Iterable[FrontEnd]:
     listen_addresses = process.settings.listen_addresses
+    guard = ClientGuard(process.settings.client_limits, process.metrics)
     yield OperatorsHttpFrontEnd(
         listen_addresses.operators,
         service=OperatorsService(
@@ -171,6 +173,7 @@
         metrics=process.metrics,
         get_status=process.get_status,
         token=process.settings.operators_token,
+        guard=guard,
     )
     yield UpstreamsHttpFrontEnd(
         listen_addresses.upstreams,
@@ -178,11 +181,13 @@
         metrics=process.metrics,
         get_time=monotonic,
         on_announced=process.start_queued_calls,
+        guard=guard,
     )
     yield HttpCallFrontEnd(
         listen_addresses.callers,
         runner=process.runner,
         is_ready=process.is_ready,
+        guard=guard,
     )
 
 
