--- a/packages/tools/hornbeamstair_tools/bench_scheduler.py
+++ b/packages/tools/hornbeamstair_tools/bench_scheduler.py
@@ -27,7 +27,8 @@
 )
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
-from hornbeamstair_fleet.moves.planner import MovePlanner, PoolView
+from hornbeamstair_fleet.moves.planner import MovePlanner
+from hornbeamstair_fleet.moves.views import PoolView
 from hornbeamstair_fleet.waves.messages import HostState, ListedHost
 from hornbeamstair_operators.manifest.messages import (
     Manifest,
