--- a/tests/features/steps/storage_steps.py
+++ b/tests/features/steps/storage_steps.py
@@ -17,8 +17,8 @@
 
 from attrs import define
 from behave import given, then, when
+from hypothesis import example, settings, strategies
 from hypothesis import given as for_all
-from hypothesis import settings, strategies
 
 from hornbeamstair_core.codec import decode_json_mapping, decode_yaml_mapping
 from hornbeamstair_operators.change_documents import decode_change_document
@@ -43,6 +43,14 @@
 from hornbeamstair_upstreams.codec import decode_announcement
 from tests.support.voters import PayloadLog
 
+# The vote of a new segment does not fit onto the disk.
+FULL_DISK_PLAN = [
+    (65, 0, True),
+    (165, 181, False),
+    (1, 16, False),
+    (170, 198, True),
+]
+
 
 @given('a stored log of {count:d} entries in one segment')
 def store_log(context: Any, count: int) -> None:
@@ -217,6 +225,7 @@
     )
 
     @settings(max_examples=150, derandomize=True, deadline=None, database=None)
+    @example(FULL_DISK_PLAN)
     @for_all(actions)
     def check(plan: list[tuple[int, int, bool]]) -> None:  # noqa: WPS430
         with TemporaryDirectory() as folder:
