Count jobs as late that would only just be in time

Cause: on overloaded workers the oldest job that could still be in time went first; it started at the last moment, waited for its second step or its longest task, and was late: nearly all jobs of a burst were.

Change: a job of a workspace counts as in time while it can start early by 0.6 of its remaining work. Ranking of jobs of no workspace and the demand for hosts are as before.

--- a/packages/callers/hornbeamstair_callers/jobs/ranking.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ranking.py
@@ -17,6 +17,7 @@
     'ObjectiveRanking',
     'get_critical_path_seconds',
     'get_objective',
+    'get_latest_resume_time',
     'get_release_time',
     'get_remaining_seconds',
 )
@@ -72,7 +73,7 @@
         if job.spec.lasts:
             return (0, queue.priority, job.accepted_at)
         return (
-            1 + self.misses_objective(job, queue, wall),
+            1 + (wall > self._get_latest_start(job, queue)),
             queue.priority,
             get_release_time(job),
         )
@@ -81,14 +82,22 @@
         """Get the time after which the job misses its objective."""
         if job.spec.lasts:
             return inf
-        latest = _get_latest_resume_time(job, queue, self.run_times)
+        latest = self._get_latest_start(job, queue)
         return inf if wall > latest else latest
 
     def misses_objective(self, job: Job, queue: Queue, wall: float) -> bool:
         """Compare the estimate of the remaining work with the objective."""
         if job.spec.lasts:
             return False
-        return wall > _get_latest_resume_time(job, queue, self.run_times)
+        return wall > get_latest_resume_time(
+            job, queue, self.run_times, _ESTIMATE_MARGIN_SHARE
+        )
+
+    def _get_latest_start(self, job: Job, queue: Queue) -> float:
+        """Get the time from which the job counts as late."""
+        return get_latest_resume_time(
+            job, queue, self.run_times, _ESTIMATE_MARGIN_SHARE
+        )
 
 
 def get_critical_path_seconds(
@@ -134,12 +143,13 @@
     return max(job.accepted_at, job.spec.get_due(0))
 
 
-def _get_latest_resume_time(
+def get_latest_resume_time(
     job: Job,
     queue: Queue,
     run_times: RunTimes,
+    margin_share: float,
 ) -> float:
     """Get the latest time to resume a job so that it meets its objective."""
     objective = get_objective(job, queue, run_times)
     remaining_seconds = get_remaining_seconds(job, run_times)
-    return objective - remaining_seconds * (1 + _ESTIMATE_MARGIN_SHARE)
+    return objective - remaining_seconds * (1 + margin_share)
--- a/packages/callers/hornbeamstair_callers/workspaces/ranking.py
+++ b/packages/callers/hornbeamstair_callers/workspaces/ranking.py
@@ -8,6 +8,7 @@
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ranking import (
     ObjectiveRanking,
+    get_latest_resume_time,
     get_objective,
     get_release_time,
     get_remaining_seconds,
@@ -17,6 +18,10 @@
 
 __all__ = ('PromisedRanking',)
 
+# Share of its remaining work by which a job has to start early to count as in
+# time: its tasks wait again for each step, and the longest of them decides.
+# Jobs that just fail to make it would take the room of those that still can.
+_EARLY_START_SHARE: Final = 0.6
 # A job that takes longer than this multiple of its objective is of no more
 # use to its caller.
 _USEFUL_OBJECTIVES: Final = 3.0
@@ -63,6 +68,13 @@
         useful_until = self._get_useful_until(job, queue)
         return min(late_from, inf if wall > useful_until else useful_until)
 
+    def _get_latest_start(self, job: Job, queue: Queue) -> float:
+        if not job.workspace:
+            return super()._get_latest_start(job, queue)
+        return get_latest_resume_time(
+            job, queue, self.run_times, _EARLY_START_SHARE
+        )
+
     def _get_useful_until(self, job: Job, queue: Queue) -> float:
         """Get the latest time to resume a job that still helps its caller."""
         released = get_release_time(job)
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -86,6 +86,14 @@
     Then at least 0.8 of the last 25 jobs end within 9 seconds
     And north has 85 completed jobs
 
+  Scenario: Jobs that would just fail to make it leave the room to others
+    Given a workspace model with seed 10 and 6 workers
+    And the workspace north with weight 100 and at most 0 of CPU
+    When north sends 10 and the others 0 jobs a second of 4 tasks of 4000 for 20 seconds
+    And 20 seconds pass in the model
+    Then north has 200 completed jobs
+    And at least 0.3 of the last 200 jobs end within 3 seconds
+
   Scenario: A new leader knows which jobs are beyond the promised rate
     Given a workspace model with seed 9 and 3 workers
     And the workspace north with weight 2 and at most 500 of CPU
