Hold a workspace back only for tasks that will fit

Cause: a task that did not fit beside the long-running tasks of its workspace held all later jobs of the workspace back, for as long as those ran.

Change: only tasks that fit once the finite runs have ended hold others back.

--- a/packages/callers/hornbeamstair_callers/workspaces/quotas.py
+++ b/packages/callers/hornbeamstair_callers/workspaces/quotas.py
@@ -102,9 +102,7 @@
         startable = min(count, count_fitting(allowance, phase.needs.room))
         if startable == count:
             return count
-        limits = self.manifest.workspaces.get(workspace)
-        if limits is not None and _fits_limits(limits, phase):
-            # Tasks that never fit do not hold the later ones back.
+        if self._fits_later(workspace, phase):
             self.held[workspace] = self.get_usage(workspace)
         return 0 if phase.is_gang else startable
 
@@ -149,6 +147,17 @@
             self.reserved.get_total(workspace)
         )
 
+    def _fits_later(self, workspace: WorkspaceName, phase: Phase) -> bool:
+        """Return whether tasks will fit once finite runs have ended.
+
+        Those that will not do not hold the later ones back.
+        """
+        lasting = self.recorded.get_lasting(workspace).plus(
+            self.reserved.get_lasting(workspace)
+        )
+        limits = self.manifest.workspaces[workspace]
+        return _fits(_get_room(limits).minus(lasting), phase)
+
 
 def check_quota(
     manifest: ManifestTable,
@@ -160,7 +169,7 @@
     if limits is None:
         return Ok(None)
     for number, phase in enumerate(spec.phases):
-        if not _fits_limits(limits, phase):
+        if not _fits(_get_room(limits), phase):
             return Error(
                 QuotaTooSmallFailure(workspace, number, manifest.version)
             )
@@ -181,10 +190,10 @@
     return min(counts, default=_UNLIMITED)
 
 
-def _fits_limits(limits: Workspace, phase: Phase) -> bool:
-    """Return whether a task, or a whole gang, fits while nothing else runs."""
+def _fits(room: Resources, phase: Phase) -> bool:
+    """Return whether a task, or a whole gang, fits into a room."""
     least = phase.count if phase.is_gang else 1
-    return count_fitting(_get_room(limits), phase.needs.room) >= least
+    return count_fitting(room, phase.needs.room) >= least
 
 
 def _has_limits(limits: Workspace) -> bool:
--- a/packages/callers/hornbeamstair_callers/workspaces/usage.py
+++ b/packages/callers/hornbeamstair_callers/workspaces/usage.py
@@ -1,5 +1,8 @@
 """Resources that the active runs of each workspace take."""
 
+from collections.abc import Hashable
+from typing import TypeVar
+
 from attrs import define, field, frozen
 
 from hornbeamstair_core.ids import ServiceName, TaskId, WorkspaceName
@@ -9,6 +12,8 @@
 
 _NOTHING = Resources()
 
+Key = TypeVar('Key', bound=Hashable)
+
 
 @frozen
 class ActiveRun:
@@ -25,6 +30,8 @@
 
     runs: dict[TaskId, ActiveRun] = field(factory=dict)
     totals: dict[WorkspaceName, Resources] = field(factory=dict)
+    # Long-running tasks alone.
+    lasting: dict[WorkspaceName, Resources] = field(factory=dict)
     # Without long-running tasks.
     finite: dict[tuple[ServiceName, WorkspaceName], Resources] = field(
         factory=dict
@@ -34,6 +41,10 @@
         """Get what the runs of a workspace take on all workers."""
         return self.totals.get(workspace, _NOTHING)
 
+    def get_lasting(self, workspace: WorkspaceName) -> Resources:
+        """Get what the long-running tasks of a workspace take."""
+        return self.lasting.get(workspace, _NOTHING)
+
     def get_finite(
         self,
         service: ServiceName,
@@ -47,10 +58,11 @@
         self.remove(task)
         self.runs[task] = run
         room = run.needs.room
-        self.totals[run.workspace] = self.get_total(run.workspace).plus(room)
-        if not run.needs.lasts:
-            key = (run.service, run.workspace)
-            self.finite[key] = self.get_finite(*key).plus(room)
+        _add(self.totals, run.workspace, room)
+        if run.needs.lasts:
+            _add(self.lasting, run.workspace, room)
+        else:
+            _add(self.finite, (run.service, run.workspace), room)
 
     def remove(self, task: TaskId) -> None:
         """Remove the run of a task, if it has one."""
@@ -58,18 +70,25 @@
         if run is None:
             return
         room = run.needs.room
-        left = self.get_total(run.workspace).minus(room)
-        self.totals[run.workspace] = left
-        if left == _NOTHING:
-            self.totals.pop(run.workspace)
-        if not run.needs.lasts:
-            key = (run.service, run.workspace)
-            self.finite[key] = self.get_finite(*key).minus(room)
-            if self.finite[key] == _NOTHING:
-                self.finite.pop(key)
+        _subtract(self.totals, run.workspace, room)
+        if run.needs.lasts:
+            _subtract(self.lasting, run.workspace, room)
+        else:
+            _subtract(self.finite, (run.service, run.workspace), room)
 
     def clear(self) -> None:
         """Remove all runs."""
         self.runs.clear()
         self.totals.clear()
+        self.lasting.clear()
         self.finite.clear()
+
+
+def _add(sums: dict[Key, Resources], key: Key, room: Resources) -> None:
+    sums[key] = sums.get(key, _NOTHING).plus(room)
+
+
+def _subtract(sums: dict[Key, Resources], key: Key, room: Resources) -> None:
+    sums[key] = sums[key].minus(room)
+    if sums[key] == _NOTHING:
+        sums.pop(key)
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -13,6 +13,17 @@
     And north has had 6000 of CPU in use
     And the waiting work of north asks for no more than its limit
 
+  Scenario: A task that cannot fit beside long-running ones holds no other back
+    Given a workspace model with seed 11 and 3 workers
+    And the workspace north with weight 1 and at most 6000 of CPU
+    When 1 jobs of 1 endless tasks of 3000 are accepted for north
+    And 1 seconds pass in the model
+    And 1 jobs of 1 tasks of 5000 are accepted for north
+    And 0.1 seconds pass in the model
+    And 6 jobs of 1 tasks of 1000 are accepted for north
+    And 6 seconds pass in the model
+    Then north has 6 completed jobs
+
   Scenario: A quota is kept over a change of the leader before a start is recorded
     Given a workspace model with seed 2 and 3 workers
     And the workspace north with weight 1 and at most 9000 of CPU
