Let a decision to wait hold for 40 ms

Cause: passes after events come every few milliseconds and forecast each wanted rack again.

Change: only the ticks of the scheduler decide again; room on the rack is still taken by any pass.

--- a/packages/upstreams/hornbeamstair_upstreams/work/places/waits.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/places/waits.py
@@ -27,6 +27,9 @@
 # Phases that wait in one pass over a service. A pass examines some tens of
 # unplaced jobs: those that wait by choice are few among them.
 _MAX_WAITING_PHASES: Final = 16
+# A decision to wait holds for this time. It is shorter than the interval of the
+# scheduler's ticks, and longer than that of passes after events.
+_DECISION_SECONDS: Final = 0.04
 # Phases that have waited and are remembered, so that none waits twice.
 _MAX_REMEMBERED_PHASES: Final = 4096
 
@@ -66,6 +69,12 @@
     begun_at: float
     # Time at which a task of the phase last got the better place.
     placed_at: float
+    # Time at which it was last decided that its tasks wait.
+    decided_at: float = 0
+
+    def is_decided(self, now: float) -> bool:
+        """Return whether an earlier pass has decided for the phase."""
+        return 0 < now - self.decided_at < _DECISION_SECONDS
 
 
 @define(eq=False)
@@ -114,6 +123,11 @@
         sessions: Iterable[WorkerSession],
     ) -> bool:
         """Decide whether a task that fits elsewhere waits for a rack."""
+        known = self.waits.by_phase.get(wish.phase_id)
+        if known is not None and known.is_decided(self.now):
+            self.waiting_phases.add(wish.phase_id)
+            wish.is_waiting = True
+            return True
         terms = self.waits.terms
         gain_seconds = wish.run_seconds * (terms.factor - 1)
         horizon = terms.policy.get_horizon(gain_seconds)
@@ -122,7 +136,6 @@
             return False
         forecast = self._get_forecast(rack, sessions)
         claim = forecast.claim(needs, wish.member_count, horizon)
-        known = self.waits.by_phase.get(wish.phase_id)
         wait = known or PhaseWait(self.now, self.now)
         outlook = PlaceOutlook(
             wish.run_seconds,
@@ -186,4 +199,5 @@
 
     def _begin(self, phase_id: str, wait: PhaseWait) -> None:
         self.waiting_phases.add(phase_id)
+        wait.decided_at = self.now
         self.stats.waits_begun += self.waits.remember(phase_id, wait)
