--- a/tests/features/places.feature
+++ b/tests/features/places.feature
@@ -16,6 +16,16 @@
       | 1        | 0      | 0.5   | starts anywhere |
       | 1        | 0      | -1    | waits           |
 
+  Scenario Outline: The factor of a rack comes from the settings
+    When a process reads settings with <bounds>
+    Then its rack factor is <factor>
+
+    Examples:
+      | bounds                  | factor |
+      | cross_rack_factor = 2.5 | 2.5    |
+      | grace_s = 6             | 1      |
+      | cross_rack_factor = 0.5 | 1      |
+
   Scenario: Room that is expected soon is worth a wait
     Given 2 racks of 2 workers with expected gain, seed 21
     And the hot rack runs 8 tasks of 1 s
--- a/tests/features/steps/place_steps.py
+++ b/tests/features/steps/place_steps.py
@@ -1,12 +1,17 @@
 """Steps on waits for a rack."""
 
+import os
+from pathlib import Path
 from random import Random
 from statistics import mean
+from tempfile import TemporaryDirectory
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, then, when
 
 from hornbeamstair_core.ids import JobId
+from hornbeamstair_platform.settings import read_node_settings
 from hornbeamstair_upstreams.work.places.policies import (
     ExpectedGain,
     FixedWait,
@@ -29,6 +34,16 @@
     'fixed wait': FixedWait(60),
     'no wait': NoWait(),
 }
+SETTINGS = """
+node_name = "core-1"
+zone = "muscat"
+ip = "127.0.0.1"
+internal_ports = [7101]
+bootstrap = false
+[bounds]
+hold_max_ms = 6000
+stop_timeout_ms = 200
+"""
 RACKS = {'hot': HOT_RACK, 'unknown': 'r9', 'none': ''}
 
 
@@ -55,6 +70,22 @@
     assert context.waits == (decision == 'waits')
 
 
+@when('a process reads settings with {bounds}')
+def read_settings(context: Any, bounds: str) -> None:
+    """Read a settings file of the platform."""
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / 'boot.toml'
+        path.write_text(SETTINGS + bounds, encoding='utf-8')
+        with patch.dict(os.environ, {'HORNBEAMSTAIR_NODE_FILE': str(path)}):
+            context.settings = read_node_settings().ok.system
+
+
+@then('its rack factor is {factor:g}')
+def check_factor(context: Any, factor: float) -> None:
+    """Check the factor."""
+    assert context.settings.rack_factor == factor
+
+
 @given('{racks:d} racks of {workers:d} workers with {policy}, seed {seed:d}')
 def start_racks(
     context: Any, racks: int, workers: int, policy: str, seed: int
