--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -66,6 +66,8 @@
     turns: TurnForecast = field(factory=TurnForecast)
     # Pools that were short of capacity at the last plan.
     short_pools: set[PoolName] = field(factory=set)
+    # Hosts that pools lack and that were not found at the last plan.
+    missing: int = 0
     # Time at which each pool was last short of capacity.
     last_short_at: dict[PoolName, float] = field(factory=dict)
     # Busy hosts that get no new runs, since another pool lacks them.
@@ -146,17 +148,17 @@
         shares = self._share_capacity(view, incoming)
         kept = self._get_reserved_sizes(view)
         choice = make_choice(view, idle, shares, kept, self.draining)
-        missing = 0
+        self.missing = 0
         for demand in sorted(
             view.demands.values(), key=self._get_surplus_capacity
         ):
             hosts, wanted = self._choose_hosts(
                 choice, demand, shares[demand.pool], incoming[demand.pool]
             )
-            missing += wanted - len(hosts)
+            self.missing += wanted - len(hosts)
             yield from _make_moves(hosts, demand.pool)
         self.draining = choose_draining(
-            view, shares, kept, missing, self.draining
+            view, shares, kept, self.missing, self.draining
         )
 
     def _choose_hosts(
@@ -180,7 +182,7 @@
         now: float,
     ) -> Iterator[Move]:
         """Plan moves to the standby pool, whose hosts are switched off."""
-        if self.short_pools:
+        if self.missing:
             return
         standby = [
             demand.pool for demand in view.demands.values() if demand.is_standby
@@ -197,7 +199,7 @@
                 continue
             pools = [pool for pool in standby if self._may_move(host, pool)]
             if pools and host.pool not in standby:
-                yield _make_move(host, pools[0])
+                yield from _make_moves((host,), pools[0])
 
     def _share_capacity(
         self,
@@ -293,8 +295,4 @@
 
 def _make_moves(hosts: Iterable[ListedHost], pool: PoolName) -> Iterator[Move]:
     for host in hosts:
-        yield _make_move(host, pool)
-
-
-def _make_move(host: ListedHost, pool: PoolName) -> Move:
-    return Move(host.host, host.pool, pool, host.worker)
+        yield Move(host.host, host.pool, pool, host.worker)
