Follow a rate that rises, and finish jobs that have begun

Turns rise over seconds, and a pool asked for 31 hosts while 366 tasks waited; jobs between two phases counted as late by the larger margin and waited behind new ones.

Change: the rate of arrivals is extrapolated while it rises, up to half as much again; the larger margin holds for jobs without a started task.

--- a/packages/callers/hornbeamstair_callers/jobs/ranking.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ranking.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from hornbeamstair_callers.jobs.job import Job
-from hornbeamstair_callers.jobs.messages import JobSpec
+from hornbeamstair_callers.jobs.messages import JobSpec, JobState
 from hornbeamstair_callers.jobs.run_times import RunTimes
 from hornbeamstair_core.ids import QueueName
 from hornbeamstair_operators.manifest.messages import Queue
@@ -20,11 +20,13 @@
     'get_remaining_seconds',
 )
 
-# Estimates are rough, and the longest of the tasks decides: a job counts as
-# late if its remaining work and this share of it do not fit before the
-# objective. With less, a full pool starts each job at its last moment, and
-# most are late by the spread of their run times.
-_ESTIMATE_MARGIN_SHARE: Final = 0.4
+# Estimates are rough: a job counts as late if its remaining work and this
+# share of it do not fit before the objective.
+_ESTIMATE_MARGIN_SHARE: Final = 0.1
+# The same of a job without a started task, whose longest tasks decide. With
+# less, a full pool starts each job at its last moment, and most are late by the
+# spread of their run times.
+_BEGIN_MARGIN_SHARE: Final = 0.4
 
 
 @frozen
@@ -143,4 +145,6 @@
     """Get the latest time to resume a job so that it meets its objective."""
     objective = get_objective(job, queue, run_times)
     remaining_seconds = get_remaining_seconds(job, run_times)
-    return objective - remaining_seconds * (1 + _ESTIMATE_MARGIN_SHARE)
+    is_begun = job.state is JobState.running
+    margin = _ESTIMATE_MARGIN_SHARE if is_begun else _BEGIN_MARGIN_SHARE
+    return objective - remaining_seconds * (1 + margin)
--- a/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
@@ -50,6 +50,8 @@
 # Arrivals within the shorter time tell a rise early, those within the longer
 # one are still being worked on after a fall.
 _RATE_SECONDS: Final = (0.75, 2.0)
+# Limit of the rate that is expected, as a multiple of the present one.
+_MAX_RATE_GROWTH: Final = 1.5
 # Time in which hosts that arrive should do the work that waits.
 _BACKLOG_SECONDS: Final = 2.0
 
@@ -248,6 +250,9 @@
     """
     if arrivals is None:
         return math.inf
-    rate = max(arrivals.get_rate(seconds, now) for seconds in _RATE_SECONDS)
+    short, long = (arrivals.get_rate(span, now) for span in _RATE_SECONDS)
+    growth = (short - long) / (_RATE_SECONDS[1] - _RATE_SECONDS[0]) * 2
+    rising = short + max(growth, 0) * _LEAD_SECONDS
+    rate = max(min(rising, short * _MAX_RATE_GROWTH), long)
     backlog = demand.waiting_work / _BACKLOG_SECONDS
     return rate / _TARGET_UTILIZATION + backlog + demand.late
