--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -57,7 +57,8 @@
     Follows demand that alternates between pools and exceeds the capacity of
     each. Idle hosts, those of the standby pool first, move to pools whose
     forecast exceeds their capacity, and return to the standby pool when no
-    pool needs them. A host with runs never moves.
+    pool needs them. A host with runs never moves; hosts of a pool beyond its
+    share get no new runs, and move once they are idle.
     """
 
     idle_since: dict[HostId, float] = field(factory=dict)
