--- a/tests/features/planning.feature
+++ b/tests/features/planning.feature
@@ -77,6 +77,7 @@
     Given the job order by objective
     Then a job that can still meet its objective comes before one that cannot
     And of two jobs that can, the one accepted first comes first
+    And a job that may run too long comes last only if it has not begun
 
   Scenario: A learner reports no outcome for an entry that its snapshot skipped
     Given a learner whose snapshot covers entry 5
--- a/tests/features/steps/planning_steps.py
+++ b/tests/features/steps/planning_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from hornbeamstair_callers.jobs.job import Job
-from hornbeamstair_callers.jobs.messages import JobSpec
+from hornbeamstair_callers.jobs.messages import JobSpec, JobState
 from hornbeamstair_callers.jobs.ranking import ObjectiveRanking
 from hornbeamstair_callers.jobs.requests import QueueAddress, SubmitJob
 from hornbeamstair_callers.jobs.run_times import DeclaredRunTimes
@@ -191,6 +191,17 @@
     assert _get_key(context, first) < _get_key(context, second)
 
 
+@then('a job that may run too long comes last only if it has not begun')
+def check_begun(context: Any) -> None:
+    """Compare jobs that end in time unless a task takes 1.3 s, not 1 s."""
+    new, waiting, begun = map(_make_job, (NOW, NOW - 1.75, NOW - 1.75))
+    begun.state = JobState.running
+    order = sorted(
+        (waiting, new, begun), key=lambda job: _get_key(context, job)
+    )
+    assert order == [begun, new, waiting], order
+
+
 @given('a learner whose snapshot covers entry {index:d}')
 def start_learner(context: Any, index: int) -> None:
     """Create a learner and a feed with a snapshot."""
