--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -1,7 +1,7 @@
 """Decisions on which hosts move to which pool."""
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from typing import Final
 
 from attrs import define, field
@@ -25,6 +25,7 @@
     get_even_size,
     get_movable,
     make_choice,
+    make_moves,
 )
 from hornbeamstair_fleet.moves.views import (
     PoolView,
@@ -149,15 +150,15 @@
         shares = self._share_capacity(view, incoming)
         kept = self._get_reserved_sizes(view)
         choice = make_choice(view, idle, shares, kept, self.draining)
+        demands = sorted(view.demands.values(), key=self._get_surplus_capacity)
+        yield from choice.place(demands, incoming, self._may_move)
         self.missing = 0
-        for demand in sorted(
-            view.demands.values(), key=self._get_surplus_capacity
-        ):
+        for demand in demands:
             hosts, wanted = self._choose_hosts(
                 choice, demand, shares[demand.pool], incoming[demand.pool]
             )
             self.missing += wanted - len(hosts)
-            yield from _make_moves(hosts, demand.pool)
+            yield from make_moves(hosts, demand.pool)
         self.draining = choose_draining(
             view, shares, kept, self.missing, self.draining
         )
@@ -200,7 +201,7 @@
                 continue
             pools = [pool for pool in standby if self._may_move(host, pool)]
             if pools and host.pool not in standby:
-                yield from _make_moves((host,), pools[0])
+                yield from make_moves((host,), pools[0])
 
     def _share_capacity(
         self,
@@ -292,8 +293,3 @@
 
     def _may_move(self, host: ListedHost, pool: PoolName) -> bool:
         return host.pool != pool and (host.host, pool) not in self.refused_moves
-
-
-def _make_moves(hosts: Iterable[ListedHost], pool: PoolName) -> Iterator[Move]:
-    for host in hosts:
-        yield Move(host.host, host.pool, pool, host.worker)
--- a/packages/fleet/hornbeamstair_fleet/moves/surplus.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/surplus.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from hornbeamstair_core.ids import HostId, PoolName
+from hornbeamstair_fleet.moves.messages import Move, PoolDemand
 from hornbeamstair_fleet.moves.views import (
     PoolView,
     RetainedCapacity,
@@ -14,7 +15,13 @@
 )
 from hornbeamstair_fleet.waves.messages import HostState, ListedHost
 
-__all__ = ('HostChoice', 'get_even_size', 'get_movable', 'make_choice')
+__all__ = (
+    'HostChoice',
+    'get_even_size',
+    'get_movable',
+    'make_choice',
+    'make_moves',
+)
 
 # Minimum hosts of a serving pool, so that it survives the loss of one.
 _MIN_HOSTS: Final = 2
@@ -36,6 +43,23 @@
         self.reserved = {host.host for host in self.hosts}
         self.reserved -= {host.host for host in free}
 
+    def place(
+        self,
+        demands: Iterable[PoolDemand],
+        incoming: 'Counter[PoolName]',
+        may_move: Callable[[ListedHost, PoolName], bool],
+    ) -> Iterator[Move]:
+        """Move hosts for long-running tasks that fit nowhere.
+
+        A pool that lacks a hundred hosts for its turn loses little by one
+        less; a wave waits for each run that has to leave its host.
+        """
+        for demand in demands:
+            unplaced = demand.unplaced - incoming[demand.pool]
+            hosts = self.take(demand.pool, 0, unplaced, may_move)
+            incoming[demand.pool] += len(hosts)
+            yield from make_moves(hosts, demand.pool)
+
     def take(
         self,
         pool: PoolName,
@@ -46,7 +70,7 @@
         """Take the wanted hosts; reserved ones only as far as it is urgent."""
         fit = [host for host in self.hosts if may_move(host, pool)]
         free = [host for host in fit if host.host not in self.reserved]
-        chosen = free[: max(wanted, 0)]
+        chosen = free[: max(wanted, urgent, 0)]
         others = [host for host in fit if host.host in self.reserved]
         chosen.extend(others[: max(urgent - len(chosen), 0)])
         for host in chosen:
@@ -69,6 +93,12 @@
     return choice
 
 
+def make_moves(hosts: Iterable[ListedHost], pool: PoolName) -> Iterator[Move]:
+    """Make the moves of hosts to a pool."""
+    for host in hosts:
+        yield Move(host.host, host.pool, pool, host.worker)
+
+
 def get_even_size(view: PoolView, share: float) -> int:
     """Get a number of hosts by its part of the even share of a pool."""
     pools = sum(not demand.is_standby for demand in view.demands.values())
--- a/tests/features/steps/turn_steps.py
+++ b/tests/features/steps/turn_steps.py
@@ -10,11 +10,19 @@
 from hornbeamstair_callers.jobs.arrivals import ArrivalIndex
 from hornbeamstair_callers.jobs.messages import JobSpec
 from hornbeamstair_callers.jobs.records import JobAccepted
-from hornbeamstair_core.ids import JobId, PoolName
+from hornbeamstair_core.ids import HostId, JobId, PoolName
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_fleet.moves.forecasts import DemandForecast, TurnForecast
+from hornbeamstair_fleet.moves.messages import PoolDemand
 from hornbeamstair_fleet.moves.planner import MovePlanner
-from tests.support.turn_model import make_turn_model
+from hornbeamstair_fleet.moves.views import PoolView
+from tests.support.turn_model import (
+    HOST_CPU,
+    STANDBY,
+    ModelHost,
+    list_host,
+    make_turn_model,
+)
 from tests.support.work_model import QUEUE, SERVICE, WorkModel, make_phase
 
 BEGIN = 100
@@ -29,6 +37,8 @@
 NEXT = 40.0
 FLOOD_SECONDS = 6
 ROUND_SECONDS = 18
+TURN = PoolName('turn')
+BLOCKED = PoolName('blocked')
 CHANCE_SHARE = 0.02
 TURNS = (100, 112)
 TURN_SECONDS = 4
@@ -121,6 +131,31 @@
     assert share >= percent / 100, share
 
 
+@given('a pool that lacks {count:d} hosts and one with a run that fits nowhere')
+def make_blocked(context: Any, count: int) -> None:
+    """Make demands of a pool in its turn and of one with a blocked run."""
+    usable = HOST_CPU * count
+    context.demands = {
+        TURN: PoolDemand(TURN, False, usable, 0, 0, HOST_CPU, 0),
+        BLOCKED: PoolDemand(BLOCKED, False, 0, 0, 0, HOST_CPU, 1),
+        STANDBY: PoolDemand(STANDBY, True, 0, 0, 0, HOST_CPU, 0),
+    }
+
+
+@when('one host is idle')
+def plan_one_host(context: Any) -> None:
+    """Plan with one host."""
+    host = list_host(ModelHost(HostId('m'), STANDBY))
+    view = PoolView(context.demands, {host.host: host}, {}, {})
+    context.plan = MovePlanner().plan(view, BEGIN)
+
+
+@then('it moves to the pool with the run')
+def check_unblocked(context: Any) -> None:
+    """Check where the host moves."""
+    assert [move.pool for move in context.plan] == [BLOCKED], context.plan
+
+
 @given('{count:d} pools with a steady demand')
 def make_steady(context: Any, count: int) -> None:
     """Make pools with the same demand at all times."""
--- a/tests/features/turns.feature
+++ b/tests/features/turns.feature
@@ -26,6 +26,13 @@
     And the figures of 8 seconds of the next pool's turn are counted
     Then 35 of 100 jobs of the next pool end in time
 
+  Scenario: A run that has to leave its host comes before a turn
+    A wave waits for it, and a hundred hosts less one serve a turn as well.
+
+    Given a pool that lacks 9 hosts and one with a run that fits nowhere
+    When one host is idle
+    Then it moves to the pool with the run
+
   Scenario: A steady demand is not taken for turns
     Given 4 pools with a steady demand
     When 30 seconds have passed
--- a/tests/support/turn_model.py
+++ b/tests/support/turn_model.py
@@ -160,7 +160,7 @@
             self.moves += 1
 
     def _get_view(self) -> PoolView:
-        listed = {host.name: _list_host(host) for host in self.hosts}
+        listed = {host.name: list_host(host) for host in self.hosts}
         demands = {pool: self._get_demand(pool) for pool in self.pools}
         demands[STANDBY] = PoolDemand(STANDBY, True, 0, 0, 0, HOST_CPU, 0)
         moving = {
@@ -193,7 +193,8 @@
         )
 
 
-def _list_host(host: ModelHost) -> ListedHost:
+def list_host(host: ModelHost) -> ListedHost:
+    """List a host as the platform does."""
     return ListedHost(
         host.name,
         host.pool,
