--- a/packages/fleet/hornbeamstair_fleet/events.py
+++ b/packages/fleet/hornbeamstair_fleet/events.py
@@ -82,6 +82,10 @@
     needed: int
     waiting_tasks: int
     oldest_wait_ms: int
+    # Hosts that get no new runs, since another pool lacks them.
+    draining: int
+    # Time until the next turn of the demand; None if none is expected.
+    turn_in_ms: int | None
 
 
 @register_event
--- a/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from hornbeamstair_core.ids import PoolName
+from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_fleet.moves.messages import PoolDemand
 from hornbeamstair_fleet.moves.turns import (
     Turn,
@@ -237,6 +238,13 @@
         turn = self.expected.get(pool)
         return turn is not None and turn.begin > self.now
 
+    def get_turn_in_ms(self, pool: PoolName) -> int | None:
+        """Get the time until the turn of a pool; 0 while it lasts."""
+        turn = self.expected.get(pool)
+        if turn is None:
+            return None
+        return to_milliseconds(max(turn.begin - self.now, 0))
+
 
 def _get_limit(
     demand: PoolDemand,
--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -111,6 +111,8 @@
             for host in view.hosts.values()
             if host.state == HostState.up
         )
+        drained = self.draining.intersection(view.hosts)
+        draining = Counter(view.hosts[host].pool for host in drained)
         incoming = count_incoming(view)
         for pool, demand in view.demands.items():
             yield PoolCapacityEvent(
@@ -123,6 +125,8 @@
                 self._get_required(pool),
                 demand.waiting_tasks,
                 to_milliseconds(demand.oldest_wait),
+                draining[pool],
+                self.turns.get_turn_in_ms(pool),
             )
 
     def add_refusal(self, host: HostId, pool: PoolName) -> None:
