--- a/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/forecasts.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from hornbeamstair_core.ids import PoolName
+from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_fleet.moves.messages import PoolDemand
 from hornbeamstair_fleet.moves.turns import (
     Turn,
@@ -40,12 +41,18 @@
 _TURN_ERROR_SECONDS: Final = 0.6
 # Hosts are moved this long before a turn.
 _TURN_LEAD_SECONDS: Final = _LEAD_SECONDS + _TURN_ERROR_SECONDS
+# Time after which what arrives tells how high a turn is this time.
+_TURN_SEEN_SECONDS: Final = 2.0
+# Part of all hosts that may wait for a turn.
+_MAX_TURN_SHARE: Final = 0.5
 # Interval at which turns are searched for.
 _TURN_UPDATE_SECONDS: Final = 0.5
 _NEVER: Final = -1000.0
 # Arrivals within the shorter time tell a rise early, those within the longer
 # one are still being worked on after a fall.
 _RATE_SECONDS: Final = (0.75, 2.0)
+# Limit of the rate that is expected, as a multiple of the present one.
+_MAX_RATE_GROWTH: Final = 1.5
 # Time in which hosts that arrive should do the work that waits.
 _BACKLOG_SECONDS: Final = 2.0
 
@@ -182,6 +189,8 @@
     expected: dict[PoolName, Turn] = field(factory=dict)
     updated_at: float = _NEVER
     now: float = _NEVER
+    # Capacity of all pools.
+    total_capacity: float = math.inf
 
     def update(
         self,
@@ -191,6 +200,9 @@
     ) -> None:
         """Find the turns of all pools."""
         self.now = now
+        self.total_capacity = sum(
+            demand.capacity for demand in demands.values()
+        )
         if now - self.updated_at < _TURN_UPDATE_SECONDS:
             return
         self.updated_at = now
@@ -207,16 +219,18 @@
         self.expected = expect_turns(turns, now)
 
     def get_required(self, pool: PoolName) -> int:
-        """Get the capacity for the turn that comes or lasts."""
+        """Get the capacity for the turn that comes or has just begun."""
         turn = self.expected.get(pool)
         if turn is None:
             return 0
-        if not turn.begin <= self.now + _TURN_LEAD_SECONDS < turn.end:
+        end = min(turn.begin + _TURN_SEEN_SECONDS, turn.end)
+        if not turn.begin - _TURN_LEAD_SECONDS <= self.now < end:
             return 0
-        return math.ceil(turn.rate / _TARGET_UTILIZATION)
+        limit = self.total_capacity * _MAX_TURN_SHARE
+        return math.ceil(min(turn.rate / _TARGET_UTILIZATION, limit))
 
     def get_retained(self, pool: PoolName) -> int:
-        """Get the capacity for the turn that comes or lasts."""
+        """Get the capacity for the turn that comes or has just begun."""
         return self.get_required(pool)
 
     def knows_next_rise(self, pool: PoolName) -> bool:
@@ -224,6 +238,13 @@
         turn = self.expected.get(pool)
         return turn is not None and turn.begin > self.now
 
+    def get_turn_in_ms(self, pool: PoolName) -> int | None:
+        """Get the time until the turn of a pool; 0 while it lasts."""
+        turn = self.expected.get(pool)
+        if turn is None:
+            return None
+        return to_milliseconds(max(turn.begin - self.now, 0))
+
 
 def _get_limit(
     demand: PoolDemand,
@@ -237,6 +258,9 @@
     """
     if arrivals is None:
         return math.inf
-    rate = max(arrivals.get_rate(seconds, now) for seconds in _RATE_SECONDS)
+    short, long = (arrivals.get_rate(span, now) for span in _RATE_SECONDS)
+    growth = (short - long) / (_RATE_SECONDS[1] - _RATE_SECONDS[0]) * 2
+    rising = short + max(growth, 0) * _LEAD_SECONDS
+    rate = max(min(rising, short * _MAX_RATE_GROWTH), long)
     backlog = demand.waiting_work / _BACKLOG_SECONDS
     return rate / _TARGET_UTILIZATION + backlog + demand.late
--- a/packages/fleet/hornbeamstair_fleet/moves/planner.py
+++ b/packages/fleet/hornbeamstair_fleet/moves/planner.py
@@ -1,7 +1,7 @@
 """Decisions on which hosts move to which pool."""
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from typing import Final
 
 from attrs import define, field
@@ -25,6 +25,7 @@
     get_even_size,
     get_movable,
     make_choice,
+    make_moves,
 )
 from hornbeamstair_fleet.moves.views import (
     PoolView,
@@ -57,7 +58,8 @@
     Follows demand that alternates between pools and exceeds the capacity of
     each. Idle hosts, those of the standby pool first, move to pools whose
     forecast exceeds their capacity, and return to the standby pool when no
-    pool needs them. A host with runs never moves.
+    pool needs them. A host with runs never moves; hosts of a pool beyond its
+    share get no new runs, and move once they are idle.
     """
 
     idle_since: dict[HostId, float] = field(factory=dict)
@@ -66,6 +68,8 @@
     turns: TurnForecast = field(factory=TurnForecast)
     # Pools that were short of capacity at the last plan.
     short_pools: set[PoolName] = field(factory=set)
+    # Hosts that pools lack and that were not found at the last plan.
+    missing: int = 0
     # Time at which each pool was last short of capacity.
     last_short_at: dict[PoolName, float] = field(factory=dict)
     # Busy hosts that get no new runs, since another pool lacks them.
@@ -107,6 +111,8 @@
             for host in view.hosts.values()
             if host.state == HostState.up
         )
+        drained = self.draining.intersection(view.hosts)
+        draining = Counter(view.hosts[host].pool for host in drained)
         incoming = count_incoming(view)
         for pool, demand in view.demands.items():
             yield PoolCapacityEvent(
@@ -119,6 +125,8 @@
                 self._get_required(pool),
                 demand.waiting_tasks,
                 to_milliseconds(demand.oldest_wait),
+                draining[pool],
+                self.turns.get_turn_in_ms(pool),
             )
 
     def add_refusal(self, host: HostId, pool: PoolName) -> None:
@@ -146,17 +154,17 @@
         shares = self._share_capacity(view, incoming)
         kept = self._get_reserved_sizes(view)
         choice = make_choice(view, idle, shares, kept, self.draining)
-        missing = 0
-        for demand in sorted(
-            view.demands.values(), key=self._get_surplus_capacity
-        ):
+        demands = sorted(view.demands.values(), key=self._get_surplus_capacity)
+        yield from choice.place(demands, incoming, self._may_move)
+        self.missing = 0
+        for demand in demands:
             hosts, wanted = self._choose_hosts(
                 choice, demand, shares[demand.pool], incoming[demand.pool]
             )
-            missing += wanted - len(hosts)
-            yield from _make_moves(hosts, demand.pool)
+            self.missing += wanted - len(hosts)
+            yield from make_moves(hosts, demand.pool)
         self.draining = choose_draining(
-            view, shares, kept, missing, self.draining
+            view, shares, kept, self.missing, self.draining
         )
 
     def _choose_hosts(
@@ -180,7 +188,7 @@
         now: float,
     ) -> Iterator[Move]:
         """Plan moves to the standby pool, whose hosts are switched off."""
-        if self.short_pools:
+        if self.missing:
             return
         standby = [
             demand.pool for demand in view.demands.values() if demand.is_standby
@@ -197,7 +205,7 @@
                 continue
             pools = [pool for pool in standby if self._may_move(host, pool)]
             if pools and host.pool not in standby:
-                yield _make_move(host, pools[0])
+                yield from make_moves((host,), pools[0])
 
     def _share_capacity(
         self,
@@ -289,12 +297,3 @@
 
     def _may_move(self, host: ListedHost, pool: PoolName) -> bool:
         return host.pool != pool and (host.host, pool) not in self.refused_moves
-
-
-def _make_moves(hosts: Iterable[ListedHost], pool: PoolName) -> Iterator[Move]:
-    for host in hosts:
-        yield _make_move(host, pool)
-
-
-def _make_move(host: ListedHost, pool: PoolName) -> Move:
-    return Move(host.host, host.pool, pool, host.worker)
