Release the lines of a refused head at once, and bound unproved peers

One client's part of the connections that is all of them is none: a stalled connection is closed instead of the new one being refused, as all clients may share the address of a balancer.

The port for other processes took messages of 32 MiB from clients that had not proved the key; now 1 KiB.

--- a/packages/core/hornbeamstair_core/clients/intake.py
+++ b/packages/core/hornbeamstair_core/clients/intake.py
@@ -33,10 +33,10 @@
         """Add a connection; return the one to refuse for it, if any."""
         self.connections[connection] = 0
         self.per_client.update((connection.client,))
-        if (
-            self.per_client[connection.client]
-            > self.limits.connections_per_client
-        ):
+        share = self.limits.connections_per_client
+        # A share of all connections is none: a stalled one is closed instead.
+        has_share = share < self.limits.connections
+        if has_share and self.per_client[connection.client] > share:
             return Eviction(connection, Cause.client)
         if len(self.connections) > self.limits.connections:
             return Eviction(self._find_stalled(connection), Cause.connections)
--- a/packages/core/hornbeamstair_core/front_ends/bounded_protocol.py
+++ b/packages/core/hornbeamstair_core/front_ends/bounded_protocol.py
@@ -161,6 +161,9 @@
         """Refuse the request that is received, and close."""
         account = self.account
         failure = make_refusal(cause, self.guard.limits)
+        # Many connections may be refused before the first of them is closed.
+        if self.headers:
+            self.headers.clear()
         if account.unread_bytes:
             self.transport.abort()
         elif account.is_unanswered:
--- a/packages/replicas/hornbeamstair_replicas/transport/accepted.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/accepted.py
@@ -13,8 +13,10 @@
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import ProcessId
 from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_core.units import KIB
 from hornbeamstair_replicas.codec import decode_envelope
 from hornbeamstair_replicas.events import PeerRefusedEvent
+from hornbeamstair_replicas.limits import MAX_MESSAGE_BYTES
 from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.transport.authentication import (
     authenticate_as_server,
@@ -28,6 +30,7 @@
     'ACCEPTED_PING_SECONDS',
     'ANSWERS',
     'AcceptedConnections',
+    'UNAUTHENTICATED_BYTES',
     'decode_payload',
     'report_refusal',
     'select_subprotocol',
@@ -36,6 +39,8 @@
 # The process that opened a connection detects first that it is dead; at this
 # end a dead connection only takes memory.
 ACCEPTED_PING_SECONDS: Final = 10.0
+# Largest message of a client that has not proved the key: nonces and proofs.
+UNAUTHENTICATED_BYTES: Final = KIB
 # A process that offers this subprotocol receives answers over the connections
 # that it opened.
 ANSWERS: Final = Subprotocol('hornbeamstair-answers')
@@ -59,6 +64,7 @@
         """Serve a connection until it is closed."""
         try:
             if await authenticate_as_server(connection, self.key):
+                connection.protocol.max_message_size = MAX_MESSAGE_BYTES
                 await self._serve_messages(connection)
             else:
                 report_refusal(self.metrics, str(connection.remote_address))
--- a/packages/replicas/hornbeamstair_replicas/transport/websocket.py
+++ b/packages/replicas/hornbeamstair_replicas/transport/websocket.py
@@ -18,6 +18,7 @@
 from hornbeamstair_replicas.transport.accepted import (
     ACCEPTED_PING_SECONDS,
     ANSWERS,
+    UNAUTHENTICATED_BYTES,
     AcceptedConnections,
     decode_payload,
     report_refusal,
@@ -86,7 +87,7 @@
             self.accepted.serve,
             self.listen_address.address,
             self.listen_address.port,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=UNAUTHENTICATED_BYTES,
             compression=None,
             subprotocols=[ANSWERS],
             select_subprotocol=select_subprotocol,
--- a/tests/features/hostile_clients.feature
+++ b/tests/features/hostile_clients.feature
@@ -14,6 +14,7 @@
       | crowd                       |
       | heads without end           |
       | heads over the limit        |
+      | heads of many short lines   |
       | empty lines without end     |
       | trailers without end        |
       | a trailer without end       |
--- a/tests/support/hostile_clients.py
+++ b/tests/support/hostile_clients.py
@@ -64,6 +64,7 @@
         'heads over the limit': ClientKind(
             8, _POST, b'x: %s\r\n' % (b'a' * 200), 80 * KIB, b'\r\n'
         ),
+        'heads of many short lines': ClientKind(300, _POST, b'a: b\r\n', 5000),
         'empty lines without end': ClientKind(300, b'', b'\r\n' * 512, 128),
         'trailers without end': ClientKind(
             8,
