--- a/packages/core/hornbeamstair_core/step_failures.py
+++ b/packages/core/hornbeamstair_core/step_failures.py
@@ -1,5 +1,7 @@
 """Log of unexpected errors in one step of work that goes on."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from traceback import extract_tb
 
 from attrs import frozen
@@ -12,7 +14,7 @@
 )
 from hornbeamstair_core.invariants import InvariantError, abort
 
-__all__ = ('StepFailedEvent', 'log_step_failure')
+__all__ = ('StepFailedEvent', 'log_step_failure', 'logged_failure')
 
 
 @register_event
@@ -37,3 +39,12 @@
     frames = extract_tb(error.__traceback__)
     place = f'{frames[-1].filename}:{frames[-1].lineno}' if frames else ''
     log_event(StepFailedEvent(work, repr(error), place))
+
+
+@contextmanager
+def logged_failure(work: str, *errors: type[Exception]) -> Iterator[None]:
+    """Log errors of some classes in place of raising them."""
+    try:
+        yield
+    except errors as error:
+        log_step_failure(work, error)
--- a/packages/replicas/hornbeamstair_replicas/storage/file.py
+++ b/packages/replicas/hornbeamstair_replicas/storage/file.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from hornbeamstair_core.events import log_event
-from hornbeamstair_core.step_failures import log_step_failure
+from hornbeamstair_core.step_failures import logged_failure
 from hornbeamstair_core.units import MIB
 from hornbeamstair_replicas.events import TornTailCutEvent
 from hornbeamstair_replicas.messages import (
@@ -147,18 +147,12 @@
         """Close the files."""
         if self.segment is not None:
             if not self.has_failed:
-                self._flush(self.segment)
+                # A full disk does not keep a process from stopping as planned.
+                with logged_failure('closing of the log', StorageError):
+                    self._write_pending(self.segment)
             self.segment.close()
             self.segment = None
 
-    def _flush(self, segment: FileIO) -> None:
-        """Write what is pending, of which nothing was acknowledged."""
-        try:
-            self._write_pending(segment)
-        except StorageError as error:
-            # A full disk does not keep a process from stopping as planned.
-            log_step_failure('closing of the log', error)
-
     def _replace_snapshot(self, snapshot: Snapshot, records: bytes) -> None:
         """Replace the snapshot, then begin a segment with some records."""
         self.sync()
