Order jobs by declared run times, and let learned ones decide waits alone

Cause: learned run times changed the order of the jobs of every deployment, whatever its settings.

Change: the order of jobs and the forecast of demand use the declared run times, as before; waits for a rack, which a setting turns on, the learned ones.

--- a/packages/callers/hornbeamstair_callers/jobs/places.py
+++ b/packages/callers/hornbeamstair_callers/jobs/places.py
@@ -53,7 +53,7 @@
         has_wish = needs.data_rack or needs.one_rack
         if not has_wish or self.policies.places.factor <= 1:
             return None
-        run_times = self.policies.run_times
+        run_times = self.policies.get_place_run_times()
         queue = self.manifest.find_queue_by_name(job.queue)
         slack_seconds = inf
         if queue is not None:
@@ -72,7 +72,8 @@
         job = self.jobs.jobs.get(get_job_id(run.task))
         if job is None:
             return run.needs.estimate_seconds
-        return self.policies.run_times.get_seconds(job.queue, run.needs)
+        run_times = self.policies.get_place_run_times()
+        return run_times.get_seconds(job.queue, run.needs)
 
 
 def may_try_next(wish: PlaceWish | None) -> bool:
--- a/packages/callers/hornbeamstair_callers/jobs/run_time_learning.py
+++ b/packages/callers/hornbeamstair_callers/jobs/run_time_learning.py
@@ -13,13 +13,13 @@
 
 @define(eq=False)
 class RunTimeLearner:
-    """Passes the durations of recorded runs to the source of run times.
+    """Passes the durations of recorded runs to the sources of run times.
 
     The table holds them, so that a new leader knows what the last one did.
     """
 
     jobs: JobTable
-    run_times: RunTimes
+    sources: tuple[RunTimes, ...]
 
     def learn_all(self) -> None:
         """Learn from all jobs in the table, the oldest first."""
@@ -43,6 +43,5 @@
         count, seconds = job.run_totals.get(name, (0, 0))
         if count:
             needs = job.spec.phases[key.phase].needs
-            self.run_times.record(
-                job.queue, key.phase_id, needs, seconds / count
-            )
+            for source in self.sources:
+                source.record(job.queue, key.phase_id, needs, seconds / count)
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -167,7 +167,7 @@
         )
         self.crash_review = CrashReview(state.jobs, self.sessions)
         self.run_time_learner = RunTimeLearner(
-            state.jobs, self.policies.run_times
+            state.jobs, self.policies.get_learning()
         )
 
     def start(self, now: Moment, reserved: Collection[WorkerId] = ()) -> None:
--- a/packages/daemon/hornbeamstair_daemon/system/wiring.py
+++ b/packages/daemon/hornbeamstair_daemon/system/wiring.py
@@ -245,8 +245,8 @@
 
 def _make_policies(settings: SystemSettings) -> SchedulingPolicies:
     return SchedulingPolicies(
-        run_times=LearnedRunTimes(),
         places=PlaceTerms(settings.rack_factor, ExpectedGain()),
+        place_run_times=LearnedRunTimes(),
     )
 
 
