--- a/tests/features/steps/manifest_check_steps.py
+++ b/tests/features/steps/manifest_check_steps.py
@@ -86,7 +86,12 @@
     assert row['severity'] == severity, row
     line = context.file.read_text().splitlines()[row['line'] - 1]
     last = re.findall('[a-z_]+', path)[-1]
-    assert last in line or line.startswith('- '), (row, line)
+    # An entry of a list begins with its dash, a field with its name.
+    if path.endswith(']'):
+        assert line.startswith('- '), (row, line)
+    else:
+        text = line.strip().removeprefix('- ')
+        assert text.startswith(f'{last}:'), (row, line)
 
 
 @then('the output does not show the digest')
