Log runs that a worker lists unexpectedly, and start orders without an answer

Nothing said that a worker ran something the leader had counted as ended, in which incarnation, and whether all its start orders had been answered. No decision changes.

--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -1,4 +1,4 @@
-"""Log events of jobs, runs, workers and the scheduler."""
+"""Log events of jobs, workers and the scheduler."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -15,8 +15,6 @@
     'PlacementLoadEvent',
     'RecordsWaitingEvent',
     'RequestRefusedEvent',
-    'RunsEndedEvent',
-    'RunsPlacedEvent',
     'SilenceExplainedEvent',
     'StartsUnconfirmedEvent',
     'WorkWaitingEvent',
@@ -64,32 +62,6 @@
     objective_ms: int | None
 
 
-@register_event
-@frozen
-class RunsPlacedEvent(Event):
-    """Runs that were placed on workers and are being committed."""
-
-    number = 2003
-    name = 'runs_placed'
-    summary = 'Tasks were placed on workers.'
-
-    fencing_token: int
-    runs: tuple[Mapping[str, Any], ...]
-
-
-@register_event
-@frozen
-class RunsEndedEvent(Event):
-    """Runs that ended by the report of a worker or an expired lease."""
-
-    number = 2004
-    name = 'runs_ended'
-    summary = 'Runs ended, or their leases expired, or their workers are gone.'
-
-    fencing_token: int
-    runs: tuple[Mapping[str, Any], ...]
-
-
 @register_event
 @frozen
 class WorkerBelievedEvent(Event):
--- a/packages/callers/hornbeamstair_callers/jobs/run_event_log.py
+++ b/packages/callers/hornbeamstair_callers/jobs/run_event_log.py
@@ -5,7 +5,10 @@
 
 from attrs import define, field
 
-from hornbeamstair_callers.jobs.events import RunsEndedEvent, RunsPlacedEvent
+from hornbeamstair_callers.jobs.run_events import (
+    RunsEndedEvent,
+    RunsPlacedEvent,
+)
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.units import to_milliseconds
@@ -60,6 +63,7 @@
                 'proof': ended.proof.value,
                 'last_state': run.state.value,
                 'proven': run.is_proven,
+                'open_orders': run.open_orders,
                 'age_ms': to_milliseconds(now.monotonic - run.started_at),
                 'at': round(now.wall, 3),
             },
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -11,7 +11,12 @@
     RunReport,
 )
 from hornbeamstair_upstreams.work.proofs import EndProof
-from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
+from hornbeamstair_upstreams.work.runs import (
+    EndedRun,
+    Run,
+    RunState,
+    UnexpectedRun,
+)
 from hornbeamstair_upstreams.work.session import WorkerSession
 
 __all__ = ('handle_poll_answer',)
@@ -96,6 +101,9 @@
         session.stops.pop((report.task, report.run), None)
         run = session.runs.get(report.task)
         if run is None or run.run != report.run:
+            session.unexpected_runs.append(
+                UnexpectedRun(report.task, report.run, report.end.value),
+            )
             continue
         session.remove_run(report.task)
         session.health.handle_end(report.end, run.phase_id)
@@ -144,8 +152,13 @@
     """Request stops of orphaned runs, which the session does not track."""
     for report in running:
         run = session.runs.get(report.task)
-        if run is None or run.run != report.run:
-            session.queue_stop(report.task, report.run)
+        if run is not None and run.run == report.run:
+            continue
+        if (report.task, report.run) not in session.stops:
+            session.unexpected_runs.append(
+                UnexpectedRun(report.task, report.run, RunState.running.value),
+            )
+        session.queue_stop(report.task, report.run)
 
 
 def _has_ended(session: WorkerSession, run: Run, sent_at: float) -> bool:
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -3,7 +3,7 @@
 from enum import Enum
 from typing import Final
 
-from attrs import define
+from attrs import define, frozen
 
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_upstreams.work.isolation import Isolation
@@ -11,7 +11,13 @@
 from hornbeamstair_upstreams.work.proofs import EndProof
 from hornbeamstair_upstreams.work.sender import ORDER_ARRIVAL_SECONDS
 
-__all__ = ('EndedRun', 'Run', 'RunState', 'UNCONFIRMED_STATES')
+__all__ = (
+    'EndedRun',
+    'Run',
+    'RunState',
+    'UNCONFIRMED_STATES',
+    'UnexpectedRun',
+)
 
 
 class RunState(Enum):
@@ -77,6 +83,8 @@
     unanswered_since: float | None = None
     # A start order was unanswered, whatever the answers to later ones.
     may_start_late: bool = False
+    # Start orders without an answer, each of which may still be executed.
+    open_orders: int = 0
     # A poll listed the run long enough after its start.
     is_proven: bool = False
     isolation: Isolation = Isolation.none
@@ -110,3 +118,13 @@
     end: RunEnd
     checkpoint: str
     proof: EndProof
+
+
+@frozen
+class UnexpectedRun:
+    """Run that a worker has listed and the leader does not expect there."""
+
+    task: TaskId
+    run: int
+    # Running, or how it has ended.
+    listed_as: str
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -26,7 +26,13 @@
 from hornbeamstair_upstreams.work.observer import NoObserver, SessionObserver
 from hornbeamstair_upstreams.work.obstacles import Obstacle
 from hornbeamstair_upstreams.work.proofs import EndProof
-from hornbeamstair_upstreams.work.runs import EndedRun, Run, RunState
+from hornbeamstair_upstreams.work.runs import (
+    EndedRun,
+    Run,
+    RunState,
+    UnexpectedRun,
+)
+from hornbeamstair_upstreams.work.start_orders import close_order
 
 __all__ = ('WorkerSession', 'get_used_resources')
 
@@ -96,6 +102,8 @@
     # Number of long-running runs.
     long_running_count: int = 0
     isolated_runs: IsolatedRuns = field(factory=IsolatedRuns)
+    # Listed since the last call of `drain_unexpected`.
+    unexpected_runs: list[UnexpectedRun] = field(factory=list)
     observer: SessionObserver = field(factory=NoObserver)
 
     @property
@@ -218,6 +226,12 @@
         self.is_unresponsive = False
         self.lease.update_clock(clock, now)
 
+    def drain_unexpected(self) -> list[UnexpectedRun]:
+        """Return and clear the unexpected runs that polls have listed."""
+        unexpected = self.unexpected_runs
+        self.unexpected_runs = []
+        return unexpected
+
     # Polls
 
     def make_poll(self, now: float) -> PollOrder:
@@ -399,6 +413,7 @@
             return None
         run.state = RunState.ordered
         run.ordered_at = now
+        run.open_orders += 1
         return StartOrder(
             worker=self.announced.worker,
             address=self.announced.address,
@@ -420,6 +435,7 @@
     ) -> list[EndedRun]:
         """Apply the answer to a start order."""
         run = self.runs.get(order.task)
+        close_order(run, order, answer.outcome)
         if self.is_older_incarnation(answer.incarnation):
             # The outcome in the current incarnation is unknown.
             answer = OrderAnswer(OrderOutcome.unknown)
@@ -452,6 +468,7 @@
     def handle_unsent(self, order: StartOrder) -> None:
         """Mark a start order that was not sent as due again."""
         run = self.runs.get(order.task)
+        close_order(run, order, OrderOutcome.unsent)
         if run is None or run.run != order.run:
             return
         if run.state == RunState.ordered:
