Let orders reach whichever incarnation a worker has in the work model

Cause: the model dropped delayed orders with the incarnation that they were meant for, and named the incarnation in the answer to a start. Change: both follow the pages; polls can be late as well. A late start whose end was listed by the former incarnation, and that reaches one which has not executed any order yet, is left out: no leader can prevent it.

--- a/tests/features/steps/work_steps.py
+++ b/tests/features/steps/work_steps.py
@@ -411,6 +411,7 @@
     """Set the seeds."""
     context.seeds = range(first, last + 1)
     context.held_share = 0
+    context.delayed_polls_share = 0
 
 
 @given('relays that hold {share:g} of the starts')
@@ -423,7 +424,11 @@
 def run_simulations(context: Any) -> None:
     """Run each simulation with the oracle of the model."""
     for seed in context.seeds:
-        RandomSimulation(seed, context.held_share).run()
+        RandomSimulation(
+            seed,
+            context.held_share,
+            context.delayed_polls_share,
+        ).run()
 
 
 def _remove_busy_record(work: WorkModel) -> WorkerId:
--- a/tests/support/random_simulations.py
+++ b/tests/support/random_simulations.py
@@ -40,6 +40,8 @@
     seed: int
     # Share of the starts that relays hold.
     held_share: float = 0
+    # Share of the polls that are executed late.
+    delayed_polls_share: float = 0
     rng: Random = field(init=False)
     model: WorkModel = field(init=False)
     accepted: int = 0
@@ -52,6 +54,7 @@
             lost_share=0.1,
             delayed_share=0.1,
             held_share=self.held_share,
+            delayed_polls_share=self.delayed_polls_share,
         )
 
     def run(self) -> None:
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -192,21 +192,24 @@
         return False
 
     def start(self, order: StartOrder, now: float) -> OrderAnswer:
-        """Start a run as ordered."""
+        """Start a run as ordered.
+
+        The answer to a start or a stop does not name the incarnation.
+        """
         clock = self.get_clock(now)
         if self.is_fenced(order.fencing_token):
-            return OrderAnswer(OrderOutcome.fenced, clock, self.incarnation)
+            return OrderAnswer(OrderOutcome.fenced, clock)
         self.lease_end = max(
             self.lease_end,
             min(order.lease_end, clock + LONGEST_LEASE),
         )
         known_run = self.runs.get(order.task)
         if known_run is not None and known_run.run == order.run:
-            return OrderAnswer(OrderOutcome.done, clock, self.incarnation)
+            return OrderAnswer(OrderOutcome.done, clock)
         if order.run <= self.highest_runs.get(order.task, 0):
-            return OrderAnswer(OrderOutcome.old, clock, self.incarnation)
+            return OrderAnswer(OrderOutcome.old, clock)
         if order.lease_end < clock:
-            return OrderAnswer(OrderOutcome.late, clock, self.incarnation)
+            return OrderAnswer(OrderOutcome.late, clock)
         self.highest_runs[order.task] = order.run
         run = ModelRun(
             order.task,
@@ -219,19 +222,19 @@
         self.runs[order.task] = run
         self.model.check_start(self, run, now)
         crash_if_deadly(self.model, self, run.task)
-        return OrderAnswer(OrderOutcome.done, clock, self.incarnation)
+        return OrderAnswer(OrderOutcome.done, clock)
 
     def stop(self, order: StopOrder, now: float) -> OrderAnswer:
         """Stop a run as ordered; refuse later starts of it."""
         clock = self.get_clock(now)
         if self.is_fenced(order.fencing_token):
-            return OrderAnswer(OrderOutcome.fenced, clock, self.incarnation)
+            return OrderAnswer(OrderOutcome.fenced, clock)
         highest_run = self.highest_runs.get(order.task, 0)
         self.highest_runs[order.task] = max(highest_run, order.run)
         run = self.runs.get(order.task)
         if run is not None and run.run <= order.run:
             run.stops_at = now + STOP_SECONDS
-        return OrderAnswer(OrderOutcome.done, clock, self.incarnation)
+        return OrderAnswer(OrderOutcome.done, clock)
 
     def poll(self, order: PollOrder, now: float) -> PollAnswer:
         """Renew the lease and list the runs and ends."""
@@ -263,6 +266,20 @@
             tuple(self.ended),
         )
 
+    def execute(
+        self,
+        order: StartOrder | StopOrder | PollOrder,
+        now: float,
+    ) -> None:
+        """Execute an order whose answer is lost."""
+        match order:
+            case StartOrder():
+                self.start(order, now)
+            case StopOrder():
+                self.stop(order, now)
+            case PollOrder():
+                self.poll(order, now)
+
     def _end_stopped(self, now: float) -> None:
         if self.pending_stop is None or now < self.pending_stop[1]:
             return
@@ -317,16 +334,26 @@
     # Next starts and polls that expire before they are sent.
     expiring_starts: int = 0
     expiring_polls: int = 0
-    # Orders that a worker executes late, possibly after newer ones. They came
-    # over a connection of one incarnation and are dropped when it ends.
-    delayed_orders: list[tuple[float, int, StartOrder | StopOrder]] = field(
-        factory=list,
+    # Orders that a worker executes late, possibly after newer ones. They reach
+    # whichever incarnation the worker has by then.
+    delayed_orders: list[tuple[float, StartOrder | StopOrder | PollOrder]] = (
+        field(factory=list)
     )
+    # Delays of the next starts, and of the next polls of a worker, each of
+    # which has no answer.
+    start_delays: list[float] = field(factory=list)
+    poll_delays: dict[WorkerId, list[float]] = field(factory=dict)
+    # Share of the polls that are executed late and have no answer.
+    delayed_polls_share: float = 0
+    # Runs whose ends a worker has listed in an answer to the leader.
+    listed_ends: set[tuple[TaskId, int]] = field(factory=set)
     # Share of the starts that a relay holds for as long as they are valid. They
     # reach whichever incarnation the worker has by then.
     held_share: float = 0
     held_orders: list[tuple[float, StartOrder]] = field(factory=list)
     polled_at: dict[WorkerId, float] = field(factory=dict)
+    # Polls before this time reach no worker.
+    polled_from: float = 0
     # Shortest interval of the polls of a worker.
     poll_seconds: float = 0
     acknowledged_done: set[TaskId] = field(factory=set)
@@ -583,14 +610,10 @@
             delayed for delayed in self.delayed_orders if delayed[0] > self.now
         ]
         deliver_held(self)
-        for _, incarnation, order in due:
+        for _, order in due:
             worker = self.workers.get(order.worker)
-            if worker is None or worker.incarnation != incarnation:
-                continue
-            if isinstance(order, StopOrder):
-                worker.stop(order, self.now)
-            else:
-                worker.start(order, self.now)
+            if worker is not None and not is_unpreventable(self, worker, order):
+                worker.execute(order, self.now)
 
     def _apply_due_commits(self) -> None:
         if self.is_log_stalled:
@@ -621,14 +644,39 @@
     worker = model.workers.get(order.worker)
     if worker is None:
         return PollAnswer(OrderOutcome.other_life)
-    if worker.is_partitioned:
+    if worker.is_partitioned or model.now < model.polled_from:
+        return PollAnswer(OrderOutcome.unknown)
+    delays = model.poll_delays.get(order.worker)
+    if delays and order.lease_end is not None:
+        model.delayed_orders.append((model.now + delays.pop(0), order))
+        return PollAnswer(OrderOutcome.unknown)
+    is_delayed = model.delayed_polls_share > 0
+    if is_delayed and model.rng.random() < model.delayed_polls_share:
+        due = model.now + model.rng.uniform(2, 12)
+        model.delayed_orders.append((due, order))
         return PollAnswer(OrderOutcome.unknown)
     answer = worker.poll(order, model.now)
     if model.rng.random() < model.lost_share:
         return PollAnswer(OrderOutcome.unknown)
+    model.listed_ends.update((end.task, end.run) for end in answer.ended)
     return answer
 
 
+def is_unpreventable(
+    model: WorkModel,
+    worker: ModelWorker,
+    order: StartOrder | StopOrder | PollOrder,
+) -> bool:
+    """Return whether no leader can prevent that a late start runs twice.
+
+    The former incarnation has listed the end of the run, and the present one
+    has executed no order yet.
+    """
+    if not isinstance(order, StartOrder) or worker.fencing_token:
+        return False
+    return (order.task, order.run) in model.listed_ends
+
+
 def find_undelivered_outcome(
     model: WorkModel,
     order: StartOrder | StopOrder,
@@ -645,11 +693,13 @@
         return OrderOutcome.unknown
     if worker.ignores_starts and isinstance(order, StartOrder):
         return OrderOutcome.unknown
+    if model.start_delays and isinstance(order, StartOrder):
+        due = model.now + model.start_delays.pop(0)
+        model.delayed_orders.append((due, order))
+        return OrderOutcome.unknown
     if model.rng.random() < model.delayed_share:
         delay = model.rng.uniform(2, 12)
-        model.delayed_orders.append(
-            (model.now + delay, worker.incarnation, order)
-        )
+        model.delayed_orders.append((model.now + delay, order))
         return OrderOutcome.unknown
     is_start = isinstance(order, StartOrder) and model.held_share > 0
     if is_start and model.rng.random() < model.held_share:
