--- a/packages/tools/hornbeamstair_tools/run_tests.py
+++ b/packages/tools/hornbeamstair_tools/run_tests.py
@@ -55,7 +55,7 @@
 
 def _get_statuses(features: list[dict[str, Any]]) -> dict[str, str]:
     return {
-        f'{feature["name"]}: {element["name"]}': element['status']
+        f'{feature["name"]}: {element["name"].strip()}': element['status']
         for feature in features
         for element in feature.get('elements', ())
         if element['type'] == 'scenario'
