Fence the orders that were meant for a former incarnation of a worker

Callers saw: a task at two places at once, or again after its end (TWICE). Cause: the fencing token was the term of the leader. A worker that is back under its id has seen no token, and nothing told an order to its former incarnation from one to it: a late start ran, a late poll prolonged the lease by the longest one and acknowledged ends by the numbers of the former incarnation. Change: each incarnation of a worker has a token of its own, within the range of the term; a poll counts only if it carried the present one. An order with an older token that is rejected does not show another leader.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -53,8 +53,9 @@
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
 from hornbeamstair_operators.manifest.table import ManifestTable
+from hornbeamstair_upstreams.work.fencing import FencingTokens
 from hornbeamstair_upstreams.work.index import WorkerIndex
-from hornbeamstair_upstreams.work.leases import LeaseTerms, WorkerLease
+from hornbeamstair_upstreams.work.leases import LeaseTerms
 from hornbeamstair_upstreams.work.messages import (
     OrderAnswer,
     OrderOutcome,
@@ -95,12 +96,14 @@
     """Scheduling decisions of the leader, without any I/O.
 
     An instance exists for one term of its process as the leader. The term is
-    the fencing token of all its orders. It acts only on committed records.
+    the fencing token of its orders about hosts, and each incarnation of a
+    worker has a token of that term. It acts only on committed records.
     """
 
     state: SchedulerState
     fencing_token: int
     terms: LeaseTerms
+    tokens: FencingTokens = field(init=False)
     sessions: dict[WorkerId, WorkerSession] = field(factory=dict)
     policies: SchedulingPolicies = field(factory=SchedulingPolicies)
     index: WorkerIndex = field(factory=WorkerIndex, init=False)
@@ -126,6 +129,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the components that share the index of waiting jobs."""
         state = self.state
+        self.tokens = FencingTokens(self.fencing_token)
         self.workspaces = WorkspacePolicies.make(
             state.manifest,
             state.jobs.usage,
@@ -429,9 +433,9 @@
             latest_expiry = max(latest_expiry, self.inherited.latest_expiry)
         session = WorkerSession(
             announced,
-            self.fencing_token,
+            self.tokens,
             self.terms,
-            WorkerLease(self.terms, latest_expiry),
+            self.terms.make_lease(latest_expiry),
             announced_at=now.monotonic,
         )
         session.observer = self.index
--- a/packages/callers/hornbeamstair_callers/jobs/unexpected_runs.py
+++ b/packages/callers/hornbeamstair_callers/jobs/unexpected_runs.py
@@ -7,6 +7,7 @@
 from hornbeamstair_callers.jobs.run_events import RunsUnexpectedEvent
 from hornbeamstair_callers.jobs.table import JobTable
 from hornbeamstair_core.events import log_event
+from hornbeamstair_upstreams.work.fencing import get_token_term
 from hornbeamstair_upstreams.work.runs import UnexpectedRun
 from hornbeamstair_upstreams.work.session import WorkerSession
 
@@ -20,7 +21,7 @@
         announced = session.announced
         log_event(
             RunsUnexpectedEvent(
-                session.fencing_token,
+                get_token_term(session.fencing_token),
                 announced.worker,
                 announced.incarnation,
                 tuple(_get_fields(run, jobs) for run in unexpected),
--- a/packages/callers/hornbeamstair_callers/relay/endpoints/relay.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/relay.py
@@ -27,6 +27,7 @@
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
 from hornbeamstair_replicas.transport.base import PeerTransport
+from hornbeamstair_upstreams.work.fencing import get_token_term
 from hornbeamstair_upstreams.work.messages import (
     OrderAnswer,
     OrderOutcome,
@@ -94,7 +95,7 @@
         order: WorkerOrder,
         valid_until: float,
     ) -> OrderAnswer | PollAnswer | RelayFailure:
-        if order.fencing_token < self.get_term():
+        if get_token_term(order.fencing_token) < self.get_term():
             return RelayFailure.unsent
         if isinstance(order, PollOrder):
             return await self.sender.poll(order, valid_until)
--- a/packages/upstreams/hornbeamstair_upstreams/work/leases.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/leases.py
@@ -36,6 +36,10 @@
     # Maximum time until a run that is being stopped is listed as ended.
     stopping: float
 
+    def make_lease(self, latest_expiry: float) -> 'WorkerLease':
+        """Make the lease of a worker whose earlier leases expire by a time."""
+        return WorkerLease(self, latest_expiry)
+
 
 @define(eq=False)
 class WorkerLease:
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -44,14 +44,17 @@
     if answer.outcome == OrderOutcome.unsent:
         # The worker was not asked.
         return []
+    if session.is_newer_incarnation(answer.incarnation):
+        return session.end_incarnation(answer.incarnation, now)
+    if session.polled_token != session.fencing_token:
+        # Orders of before may be executed after this poll.
+        return []
     if answer.outcome == OrderOutcome.fenced:
-        session.is_fenced = True
+        session.handle_fenced(session.polled_token)
     if answer.outcome != OrderOutcome.done:
         session.is_unresponsive = answer.outcome == OrderOutcome.unknown
         return []
     ended: list[EndedRun] = []
-    if session.is_newer_incarnation(answer.incarnation):
-        ended.extend(session.end_incarnation(answer.incarnation, now))
     if session.is_unresponsive or not session.is_synced:
         session.handle_regained()
     answered_at = _get_answer_time(session, answer, sent_at, now)
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -9,6 +9,7 @@
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_upstreams.work.drain_stops import handle_stop_outcome
 from hornbeamstair_upstreams.work.end_cursor import EndCursor
+from hornbeamstair_upstreams.work.fencing import FencingTokens
 from hornbeamstair_upstreams.work.health import WorkerHealth
 from hornbeamstair_upstreams.work.isolation import IsolatedRuns
 from hornbeamstair_upstreams.work.leases import LeaseTerms, WorkerLease
@@ -69,7 +70,7 @@
     """Runs, lease and reachability of a worker."""
 
     announced: WorkerAnnouncement
-    fencing_token: int
+    tokens: FencingTokens
     terms: LeaseTerms
     lease: WorkerLease
     announced_at: float
@@ -77,6 +78,15 @@
     joined_at: float = field(
         default=Factory(lambda session: session.announced_at, takes_self=True),
     )
+    # Token of the orders to the incarnation.
+    fencing_token: int = field(
+        default=Factory(
+            lambda session: session.tokens.issue(),
+            takes_self=True,
+        ),
+    )
+    # Token of the last poll.
+    polled_token: int = 0
     # The incarnation has announced itself; one that was learned from an answer
     # may have other labels and resources than the one before.
     has_announced: bool = True
@@ -236,6 +246,7 @@
 
     def make_poll(self, now: float) -> PollOrder:
         """Make the next poll; it renews the lease of a responsive worker."""
+        self.polled_token = self.fencing_token
         is_responsive = self.is_synced and self.is_responsive(now)
         wait = self.terms.wait
         if self.isolated_runs.levels:
@@ -250,6 +261,12 @@
             lease_end=self.lease.grant(now) if is_responsive else None,
         )
 
+    def handle_fenced(self, fencing_token: int) -> None:
+        """Handle that the worker has rejected the token of an order."""
+        # A token of before the incarnation was known is rejected as intended.
+        if fencing_token == self.fencing_token:
+            self.is_fenced = True
+
     def handle_recorded(self, incarnation: int, number: int) -> None:
         """Mark a batch of ends of an incarnation as recorded."""
         # Each incarnation numbers its ends from one.
@@ -270,6 +287,7 @@
         previous one. The run whose start the next one has answered has not.
         """
         self._mark_gone_down(answered)
+        self.fencing_token = self.tokens.issue()
         self.joined_at = now
         self.has_announced = False
         self.lease.start_incarnation(now)
@@ -457,7 +475,7 @@
             case OrderOutcome.unsent:
                 self._handle_unconfirmed(run, now)
             case OrderOutcome.fenced:
-                self.is_fenced = True
+                self.handle_fenced(order.fencing_token)
                 self._set_unanswered(run)
             case OrderOutcome.late:
                 self._set_unanswered(run)
@@ -544,7 +562,7 @@
             sent_at = self.stops.get((order.task, order.run))
             return self.handle_other_life(sent_at, now)
         if answer.outcome == OrderOutcome.fenced:
-            self.is_fenced = True
+            self.handle_fenced(order.fencing_token)
         if answer.outcome == OrderOutcome.done:
             self.stops.pop((order.task, order.run), None)
             run = self.runs.get(order.task)
--- a/tests/features/steps/relay_steps.py
+++ b/tests/features/steps/relay_steps.py
@@ -30,6 +30,7 @@
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_upstreams.work.fencing import FencingTokens
 from hornbeamstair_upstreams.work.messages import (
     EndReport,
     OrderAnswer,
@@ -49,11 +50,13 @@
 LEADER = VoterId('leader/1')
 RELAY = VoterId('relay/1')
 TEXT = 'the text of the job'
+TERM = 3
+TOKEN = FencingTokens(TERM).issue()
 START = StartOrder(
-    WorkerId('w'), '127.0.0.1', 80, 3, TaskId('j.0.0.1'), 1, TEXT, 9
+    WorkerId('w'), '127.0.0.1', 80, TOKEN, TaskId('j.0.0.1'), 1, TEXT, 9
 )
-POLL = PollOrder(WorkerId('w'), '127.0.0.1', 80, 3, 0, 0, 9.5)
-STOP = StopOrder(WorkerId('w'), '127.0.0.1', 80, 3, TaskId('j.0.0.1'), 1)
+POLL = PollOrder(WorkerId('w'), '127.0.0.1', 80, TOKEN, 0, 0, 9.5)
+STOP = StopOrder(WorkerId('w'), '127.0.0.1', 80, TOKEN, TaskId('j.0.0.1'), 1)
 
 
 @define(eq=False)
@@ -149,7 +152,7 @@
 @given('the relay knows a newer term')
 def advance_term(context: Any) -> None:
     """Have another leader been elected."""
-    context.term = START.fencing_token + 1
+    context.term = TERM + 1
 
 
 @given('the relay cannot reach its workers')
@@ -393,7 +396,7 @@
     context.relay_sender = RecordingSender()
     context.direct = RecordingSender()
     context.worker_count = 300
-    context.term = START.fencing_token
+    context.term = TERM
     context.silent_at = float('inf')
     # The relay's clock differs from that of the leader.
     context.relay_clock_offset = 1000
