Count the lease of a returning worker from its first poll

Callers saw: a run went on at a worker whose lease the leader counted as expired, while the task ran elsewhere (TWICE). Cause: the lease of a new incarnation was bounded from the time at which the leader learned of it. A late order of the former incarnation is taken until the first poll with the new token, and prolongs the lease by the longest one. Change: the bound counts from the answer to the first poll. A worker whose id was not known before, 12 s into the term or later, has no such orders.

--- a/packages/callers/hornbeamstair_callers/jobs/inheritance.py
+++ b/packages/callers/hornbeamstair_callers/jobs/inheritance.py
@@ -12,6 +12,7 @@
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_upstreams.work.messages import RunEnd
 from hornbeamstair_upstreams.work.runs import Run, RunState
+from hornbeamstair_upstreams.work.sender import LATE_ORDER_SECONDS
 
 __all__ = ('InheritedRuns',)
 
@@ -28,10 +29,21 @@
     was lost with a previous leader, or the worker was removed and came back.
     """
 
-    # Time by which every lease of a previous leader has certainly expired.
-    latest_expiry: float
+    # Time at which this leader took over.
+    taken_at: float = 0
+    # Longest time for which a lease of the previous leader is valid.
+    longest_lease: float = 0
     runs_by_worker: dict[WorkerId, list[Run]] = field(factory=dict)
 
+    @property
+    def latest_expiry(self) -> float:
+        """Time by which every lease of a previous leader has expired."""
+        return self.taken_at + self.longest_lease
+
+    def has_late_orders(self, now: Moment) -> bool:
+        """Return whether orders of a previous leader may be on their way."""
+        return now.monotonic < self.taken_at + LATE_ORDER_SECONDS
+
     def add_jobs(self, jobs: Iterable[Job], now: Moment) -> None:
         """Add the active runs of jobs."""
         for job in jobs:
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -109,7 +109,7 @@
     index: WorkerIndex = field(factory=WorkerIndex, init=False)
     effects: list[Effect] = field(factory=list)
     jobs_forgotten_at: float = 0
-    inherited: InheritedRuns = field(factory=lambda: InheritedRuns(0))
+    inherited: InheritedRuns = field(factory=InheritedRuns)
     unstarted: UnstartedJobs = field(factory=UnstartedJobs, init=False)
     stats: PlacementStats = field(factory=PlacementStats, init=False)
     worker_event_log: WorkerEventLog = field(factory=WorkerEventLog, init=False)
@@ -181,7 +181,7 @@
         order of the previous leader.
         """
         longest = self.terms.expiry_delay
-        self.inherited = InheritedRuns(now.monotonic + longest)
+        self.inherited = InheritedRuns(now.monotonic, longest)
         self.inherited.add_jobs(self.state.jobs.jobs.values(), now)
         for announced in self.state.workers.workers.values():
             self._add_session(announced, now, now.monotonic + longest)
@@ -438,6 +438,7 @@
             self.terms.make_lease(latest_expiry),
             announced_at=now.monotonic,
         )
+        session.is_returning = self._may_return(announced.worker, now)
         session.observer = self.index
         session.notify_freed()
         self.index.on_check_due(session)
@@ -448,6 +449,11 @@
             if run.is_stop_requested:
                 session.request_stop(run)
 
+    def _may_return(self, worker: WorkerId, now: Moment) -> bool:
+        """Return whether orders to a worker may still be on their way."""
+        is_recorded = worker in self.state.workers.workers
+        return is_recorded or self.inherited.has_late_orders(now)
+
     def _expire_inherited(self, now: Moment) -> None:
         expired = self.inherited.expire(now)
         if expired:
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -61,10 +61,7 @@
     session.answered_at = answered_at
     session.handle_sign_of_life(sent_at)
     if not session.is_synced:
-        session.is_synced = True
-        # The worker has seen this token, so it rejects later orders of previous
-        # leaders.
-        session.synced_at = sent_at
+        session.synchronize(sent_at, now)
     session.update_clock(answer.clock, now)
     ended.extend(_apply_ends(session, answer.ended))
     listed = {report.task: report for report in answer.running}
--- a/packages/upstreams/hornbeamstair_upstreams/work/sender.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/sender.py
@@ -12,6 +12,7 @@
 )
 
 __all__ = (
+    'LATE_ORDER_SECONDS',
     'ORDER_ARRIVAL_SECONDS',
     'ORDER_VALID_SECONDS',
     'WorkerSender',
@@ -24,6 +25,8 @@
 # Time after its decision by which an order has arrived, or never will: TCP
 # resends a lost packet after 0.2 s.
 ORDER_ARRIVAL_SECONDS: Final = 0.75
+# Time after which an order without an answer is no longer executed.
+LATE_ORDER_SECONDS: Final = 12.0
 
 
 class WorkerSender(ABC):
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -90,6 +90,8 @@
     # The incarnation has announced itself; one that was learned from an answer
     # may have other labels and resources than the one before.
     has_announced: bool = True
+    # The worker may have been up before under its id.
+    is_returning: bool = True
     end_cursor: EndCursor = field(factory=EndCursor)
     runs: dict[TaskId, Run] = field(factory=dict)
     # Time of the last stop order by run; confirmed or ended runs are removed.
@@ -261,6 +263,17 @@
             lease_end=self.lease.grant(now) if is_responsive else None,
         )
 
+    def synchronize(self, sent_at: float, now: float) -> None:
+        """Handle the first answered poll of the incarnation.
+
+        The worker has seen the token, and rejects all orders with an older one.
+        Those that came before may have prolonged its lease.
+        """
+        self.is_synced = True
+        self.synced_at = sent_at
+        if self.is_returning:
+            self.lease.latest_expiry = now + self.terms.expiry_delay
+
     def handle_fenced(self, fencing_token: int) -> None:
         """Handle that the worker has rejected the token of an order."""
         # A token of before the incarnation was known is rejected as intended.
@@ -290,6 +303,7 @@
         self.fencing_token = self.tokens.issue()
         self.joined_at = now
         self.has_announced = False
+        self.is_returning = True
         self.lease.start_incarnation(now)
         self.end_cursor = EndCursor()
         self.is_synced = False
--- a/tests/features/restarted_workers.feature
+++ b/tests/features/restarted_workers.feature
@@ -67,6 +67,24 @@
       | 2    | 8    | 7.3 |
       | 3    | 12   | 11  |
 
+  Scenario Outline: A late poll that comes before the first one of an incarnation prolongs its lease
+    Given a work model with seed <seed>, 3 workers and no faults
+    When 1 seconds pass
+    And a poll of each worker is executed <late> seconds late
+    And 0.5 seconds pass
+    And all workers restart, without an answer to a poll for <hidden> seconds
+    And a job of 3 tasks of 40 seconds is accepted
+    And 0.4 seconds pass
+    And one of the workers is partitioned for 20 seconds
+    And 100 seconds pass
+    Then each of its tasks has ended
+
+    Examples:
+      | seed | late | hidden |
+      | 1    | 3.1  | 3      |
+      | 2    | 3.1  | 3      |
+      | 3    | 4.6  | 4.5    |
+
   Scenario Outline: A start that the next incarnation has answered is not ended with the former one
     Given a work model with seed <seed>, 3 workers and no faults
     When 1 seconds pass
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -112,6 +112,16 @@
         worker.is_unannounced = False
 
 
+@when(
+    'all workers restart, without an answer to a poll for {seconds:g} seconds'
+)
+def restart_unpolled(context: Any, seconds: float) -> None:
+    """Restart all workers, whose first poll comes late."""
+    restart_all(context)
+    context.work.polled_from = context.work.now + seconds
+    context.work.run(seconds)
+
+
 @when('its tasks are placed')
 def wait_for_placement(context: Any) -> None:
     """Wait until the starts are being recorded."""
