Tell an order that found no connection from one that may be executed

Callers saw nothing of it alone; a start counted as possibly executed although no byte of it was written. Cause: a connection that could not be opened had the same outcome as an order without an answer. Change: the outcome is undelivered. The worker counts as silent all the same, and a stop that frees a host is withdrawn as one that was not sent. Evidence: orders.feature, 'An order that finds no connection is known not to be delivered', both interfaces; before, the outcome was unknown.

--- a/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
@@ -28,6 +28,7 @@
 from hornbeamstair_replicas.peer_messages import Envelope, PeerMessage
 from hornbeamstair_replicas.transport.base import PeerTransport
 from hornbeamstair_upstreams.work.messages import (
+    UNANSWERED_OUTCOMES,
     OrderAnswer,
     OrderOutcome,
     PollAnswer,
@@ -242,4 +243,4 @@
 def _is_unanswered(outcome: RelayOutcome) -> bool:
     if isinstance(outcome, RelayFailure):
         return outcome == RelayFailure.lost
-    return outcome.outcome == OrderOutcome.unknown
+    return outcome.outcome in UNANSWERED_OUTCOMES
--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/http_workers.py
@@ -10,6 +10,7 @@
     HttpOrder,
     OrderClient,
     OrderExpiredError,
+    OrderUndeliveredError,
     make_worker_client,
 )
 from hornbeamstair_upstreams.work.messages import (
@@ -109,6 +110,8 @@
                 return json_converter.loads(reply.body, answer_class)
         except OrderExpiredError:
             return answer_class(OrderOutcome.unsent)
+        except OrderUndeliveredError:
+            return answer_class(OrderOutcome.undelivered)
         except _NO_ANSWER_ERRORS:
             # No answer or an unreadable one.
             return answer_class(OrderOutcome.unknown)
--- a/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
+++ b/packages/upstreams/hornbeamstair_upstreams/endpoints/order_client.py
@@ -30,6 +30,7 @@
     'HttpReply',
     'OrderClient',
     'OrderExpiredError',
+    'OrderUndeliveredError',
     'make_worker_client',
 )
 
@@ -41,6 +42,10 @@
 _IDLE_SECONDS: Final = 8.0
 
 
+class OrderUndeliveredError(ConnectionRefusedError):
+    """Order that was never written, since there was no connection."""
+
+
 class OrderExpiredError(TimeoutError):
     """Order that could not be written in time, and never will be."""
 
@@ -176,9 +181,8 @@
     async def send(self, order: HttpOrder) -> HttpReply:
         """Send an order once.
 
-        After ConnectionRefusedError or OrderExpiredError the order was not
-        delivered; after any other OSError or TimeoutError it may still be
-        executed.
+        After OrderUndeliveredError or OrderExpiredError the order was not
+        delivered; after any other OSError it may still be executed.
         """
         endpoint = (order.address, order.port)
         if order.is_long_poll or self.max_concurrent is None:
@@ -209,7 +213,10 @@
         endpoint: tuple[str, int],
         order: HttpOrder,
     ) -> HttpReply:
-        connection = await self._acquire(endpoint)
+        try:
+            connection = await self._acquire(endpoint)
+        except OSError as error:
+            raise OrderUndeliveredError(repr(error)) from error
         if self.get_time() > order.valid_until:
             # The order has waited for other orders or for the connection, or
             # this process was paused.
--- a/packages/upstreams/hornbeamstair_upstreams/work/drain_stops.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/drain_stops.py
@@ -4,7 +4,7 @@
 a late process sends such a stop; the next pass decides anew.
 """
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from hornbeamstair_upstreams.work.messages import OrderOutcome, StopOrder
 from hornbeamstair_upstreams.work.runs import Run
@@ -12,6 +12,10 @@
 if TYPE_CHECKING:
     from hornbeamstair_upstreams.work.session import WorkerSession
 
+_UNEXECUTED_OUTCOMES: Final = frozenset(
+    (OrderOutcome.undelivered, OrderOutcome.unsent),
+)
+
 __all__ = ('handle_stop_outcome', 'request_drain_stop')
 
 
@@ -30,7 +34,7 @@
     run = session.runs.get(order.task)
     if run is None or run.run != order.run:
         return
-    if run.may_withdraw_stop and outcome == OrderOutcome.unsent:
+    if run.may_withdraw_stop and outcome in _UNEXECUTED_OUTCOMES:
         run.is_stop_requested = False
         session.stops.pop((order.task, order.run), None)
     run.may_withdraw_stop = False
--- a/packages/upstreams/hornbeamstair_upstreams/work/messages.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/messages.py
@@ -1,7 +1,7 @@
 """Messages between the leader and the workers, and worker records."""
 
 from enum import Enum
-from typing import ClassVar
+from typing import ClassVar, Final
 
 from attrs import evolve, frozen
 
@@ -27,6 +27,7 @@
     'StartOrder',
     'StopOrder',
     'TaskNeeds',
+    'UNANSWERED_OUTCOMES',
     'WorkerGone',
     'WorkerSeen',
 )
@@ -188,10 +189,18 @@
     other_life = 'other_life'
     # The order expired before it could be sent, and never will be.
     unsent = 'unsent'
+    # There was no connection to the worker, and the order never reaches it.
+    undelivered = 'undelivered'
     # The order may have been executed, or may still be.
     unknown = 'unknown'
 
 
+# The worker did not answer.
+UNANSWERED_OUTCOMES: Final = frozenset(
+    (OrderOutcome.undelivered, OrderOutcome.unknown),
+)
+
+
 @frozen
 class OrderAnswer:
     """Answer of a worker to an order; the clock is in seconds."""
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -5,6 +5,7 @@
 
 from hornbeamstair_core.ids import TaskId
 from hornbeamstair_upstreams.work.messages import (
+    UNANSWERED_OUTCOMES,
     EndReport,
     OrderOutcome,
     PollAnswer,
@@ -52,7 +53,7 @@
     if answer.outcome == OrderOutcome.fenced:
         session.handle_fenced(session.polled_token)
     if answer.outcome != OrderOutcome.done:
-        session.is_unresponsive = answer.outcome == OrderOutcome.unknown
+        session.is_unresponsive = answer.outcome in UNANSWERED_OUTCOMES
         return []
     ended: list[EndedRun] = []
     if session.is_unresponsive or not session.is_synced:
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -484,7 +484,7 @@
                 # For an old number, the next poll lists the end of the run.
                 self.confirm(run, RunState.running, now)
                 self.health.handle_start()
-            case OrderOutcome.unknown:
+            case OrderOutcome.unknown | OrderOutcome.undelivered:
                 self._handle_unanswered(run, now)
             case OrderOutcome.unsent:
                 self._handle_unconfirmed(run, now)
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -61,3 +61,14 @@
     When 4 orders that are valid for 0.5 seconds are sent to it
     Then the worker has received 4 orders
     And 0 orders have expired
+
+  # Taken for one that the worker may execute late, it kept its task from running elsewhere.
+  Scenario Outline: An order that finds no connection is known not to be delivered
+    Given no worker at the address of an order
+    When a start is sent there through the <interface> interface
+    Then the outcome of the start is "undelivered"
+
+    Examples:
+      | interface |
+      | own       |
+      | platform  |
--- a/tests/features/steps/order_steps.py
+++ b/tests/features/steps/order_steps.py
@@ -11,20 +11,27 @@
     start_server,
 )
 from contextlib import suppress
+from socket import socket
 from time import monotonic
 from typing import Any
 
 from attrs import define, field
 from behave import given, then, when
 
+from hornbeamstair_core.clock import get_monotonic_time
+from hornbeamstair_core.ids import TaskId, WorkerId
+from hornbeamstair_platform.worker_sender import PlatformWorkerSender
+from hornbeamstair_upstreams.endpoints.http_workers import HttpWorkerSender
 from hornbeamstair_upstreams.endpoints.order_client import (
     HttpOrder,
     make_worker_client,
 )
+from hornbeamstair_upstreams.work.messages import OrderOutcome, StartOrder
 
 ADDRESS = '127.0.0.1'
 ORDER_TIMEOUT_SECONDS = 0.5
 POLL_PATH = '/poll'
+SENDERS = {'own': HttpWorkerSender, 'platform': PlatformWorkerSender}
 REPLY = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
 
 
@@ -158,3 +165,28 @@
     failed = [reply for reply in worker.replies if isinstance(reply, Exception)]
     assert not failed, failed
     assert len(worker.replies) == count
+
+
+@given('no worker at the address of an order')
+def choose_free_port(context: Any) -> None:
+    """Choose a port that nothing listens on."""
+    with socket() as listener:
+        listener.bind((ADDRESS, 0))
+        context.port = listener.getsockname()[1]
+
+
+@when('a start is sent there through the {interface} interface')
+def send_start(context: Any, interface: str) -> None:
+    """Send a start."""
+    order = StartOrder(
+        WorkerId('w'), ADDRESS, context.port, 1, TaskId('j.0.0.0'), 1, '', 9
+    )
+    context.answer = Runner().run(
+        SENDERS[interface]().start(order, get_monotonic_time() + 1),
+    )
+
+
+@then('the outcome of the start is "{outcome}"')
+def check_start_outcome(context: Any, outcome: str) -> None:
+    """Check the outcome."""
+    assert context.answer.outcome == OrderOutcome(outcome), context.answer
