Acknowledge ends only until a poll with their number has an answer

Callers saw: a task ran again although its end had been acknowledged (TWICE). Cause: each poll carried the number of the last recorded end. One that was meant for the former incarnation, late or while the restart was not known yet, had the next one drop ends that it numbers anew and that no answer had listed. Change: a poll carries the number until one with it has an answer, and the poll after one without an answer carries neither a number nor a lease end.

--- a/packages/upstreams/hornbeamstair_upstreams/work/end_cursor.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/end_cursor.py
@@ -19,6 +19,8 @@
     submitted: int = 0
     # All ends up to this number are recorded; the worker may drop them.
     cursor: int = 0
+    # Ends up to this number were acknowledged by a poll with an answer.
+    acknowledged: int = 0
     unrecorded: set[int] = field(factory=set)
     recorded: set[int] = field(factory=set)
 
@@ -26,6 +28,17 @@
         """Return whether all listed ends are recorded."""
         return self.listed <= self.cursor
 
+    def get_unacknowledged(self) -> int:
+        """Return the cursor if the worker may not have it yet, otherwise 0.
+
+        A poll that reaches the next incarnation late would have it drop ends.
+        """
+        return self.cursor if self.cursor > self.acknowledged else 0
+
+    def handle_acknowledged(self, cursor: int) -> None:
+        """Mark the ends up to a cursor as acknowledged."""
+        self.acknowledged = max(self.acknowledged, cursor)
+
     def submit_batch(self) -> int:
         """Submit the new ends; return their highest number, 0 if none."""
         if self.listed <= self.submitted:
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -47,14 +47,18 @@
         return []
     if session.is_newer_incarnation(answer.incarnation):
         return session.end_incarnation(answer.incarnation, now)
-    if session.polled_token != session.fencing_token:
+    poll = session.last_poll
+    if poll is None or poll.fencing_token != session.fencing_token:
         # Orders of before may be executed after this poll.
         return []
     if answer.outcome == OrderOutcome.fenced:
-        session.handle_fenced(session.polled_token)
+        session.handle_fenced(poll.fencing_token)
     if answer.outcome != OrderOutcome.done:
         session.is_unresponsive = answer.outcome in UNANSWERED_OUTCOMES
+        session.has_missed_poll = session.is_unresponsive
         return []
+    session.has_missed_poll = False
+    session.end_cursor.handle_acknowledged(poll.cursor)
     ended: list[EndedRun] = []
     if session.is_unresponsive or not session.is_synced:
         session.handle_regained()
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -85,8 +85,9 @@
             takes_self=True,
         ),
     )
-    # Token of the last poll.
-    polled_token: int = 0
+    last_poll: PollOrder | None = None
+    # The last poll has no answer: the worker may have restarted since.
+    has_missed_poll: bool = False
     # The incarnation has announced itself; one that was learned from an answer
     # may have other labels and resources than the one before.
     has_announced: bool = True
@@ -247,21 +248,26 @@
     # Polls
 
     def make_poll(self, now: float) -> PollOrder:
-        """Make the next poll; it renews the lease of a responsive worker."""
-        self.polled_token = self.fencing_token
-        is_responsive = self.is_synced and self.is_responsive(now)
+        """Make the next poll; it renews the lease of a responsive worker.
+
+        A poll that may be the first one of another incarnation carries neither
+        a lease end nor a cursor, which would be those of the former one.
+        """
+        is_first = self.has_missed_poll or not self.is_synced
+        is_renewal = not is_first and self.is_responsive(now)
         wait = self.terms.wait
         if self.isolated_runs.levels:
             wait = min(wait, _ISOLATED_WAIT_SECONDS)
-        return PollOrder(
+        self.last_poll = PollOrder(
             worker=self.announced.worker,
             address=self.announced.address,
             port=self.announced.port,
             fencing_token=self.fencing_token,
-            cursor=self.end_cursor.cursor,
-            wait_seconds=wait if is_responsive else 0,
-            lease_end=self.lease.grant(now) if is_responsive else None,
+            cursor=0 if is_first else self.end_cursor.get_unacknowledged(),
+            wait_seconds=wait if is_renewal else 0,
+            lease_end=self.lease.grant(now) if is_renewal else None,
         )
+        return self.last_poll
 
     def synchronize(self, sent_at: float, now: float) -> None:
         """Handle the first answered poll of the incarnation.
--- a/tests/features/restarted_workers.feature
+++ b/tests/features/restarted_workers.feature
@@ -100,6 +100,20 @@
       | 2    | 1       |
       | 3    | 1.6     |
 
+  Scenario: Ends are acknowledged until a poll with their number has an answer
+    Given a work model with seed 22, 1 workers and no faults
+    When a job of 1 phases with 1 tasks each is accepted
+    And 10 seconds pass
+    Then the next poll of a worker acknowledges 0 ends
+
+  Scenario: The poll after one without an answer carries nothing of the former incarnation
+    Given a work model with seed 23, 1 workers and no faults
+    When 1 seconds pass
+    And a poll lists ends that are recorded
+    And the poll that acknowledges them has no answer
+    Then the next poll of a worker acknowledges 0 ends
+    And it renews no lease
+
   Scenario Outline: Random simulations in which polls are executed late break no guarantee
     Given random work simulations with seeds from <first> to <last>
     And 0.1 of the polls are executed late
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -5,7 +5,15 @@
 from behave import given, then, when
 
 from hornbeamstair_core.ids import JobId, TaskId
-from hornbeamstair_upstreams.work.messages import StartOrder
+from hornbeamstair_upstreams.work.messages import (
+    EndReport,
+    OrderOutcome,
+    PollAnswer,
+    PollOrder,
+    RunEnd,
+    StartOrder,
+)
+from hornbeamstair_upstreams.work.session import WorkerSession
 from tests.support.logs import capture_log, read_log
 from tests.support.work_model import make_phase
 
@@ -158,3 +166,46 @@
 def delay_random_polls(context: Any, share: float) -> None:
     """Have a share of the polls executed late and without an answer."""
     context.delayed_polls_share = share
+
+
+@when('a poll lists ends that are recorded')
+def record_ends(context: Any) -> None:
+    """Answer a poll with an end, and record it."""
+    ended = (EndReport(1, TaskId('j.0.0.0'), 1, RunEnd.done, ''),)
+    _answer_poll(context, PollAnswer(OrderOutcome.done, ended=ended))
+    session = _get_session(context)
+    session.handle_recorded(session.announced.incarnation, 1)
+
+
+@when('the poll that acknowledges them has no answer')
+def lose_acknowledgement(context: Any) -> None:
+    """Lose a poll with a cursor."""
+    order = _answer_poll(context, PollAnswer(OrderOutcome.unknown))
+    assert order.cursor == 1, order
+
+
+@then('the next poll of a worker acknowledges {count:d} ends')
+def check_next_poll(context: Any, count: int) -> None:
+    """Check the cursor of the next poll."""
+    session = _get_session(context)
+    assert session.end_cursor.cursor, session.end_cursor
+    context.order = session.make_poll(context.work.now)
+    assert context.order.cursor == count, context.order
+
+
+@then('it renews no lease')
+def check_lease(context: Any) -> None:
+    """Check that the poll has no lease end."""
+    assert context.order.lease_end is None, context.order
+
+
+def _get_session(context: Any) -> WorkerSession:
+    return next(iter(context.work.scheduler.sessions.values()))
+
+
+def _answer_poll(context: Any, answer: PollAnswer) -> PollOrder:
+    work = context.work
+    session = _get_session(context)
+    order = session.make_poll(work.now)
+    work.scheduler.handle_poll(session, answer, work.now, work.get_moment())
+    return order
