Count a start for the incarnation that has executed it, and wait for late ones

Callers saw: a task at two places at once, or again after its end (TWICE), and a worker with more runs than its room (LIMIT). Cause: the end of an incarnation, or of its lease, was taken as proof that its runs were over. Both prove it only for orders that it has executed itself. The answer to a start names no incarnation, and an order without an answer may be executed seconds later by the next one. Change: an answer counts for the known incarnation if the clock in it fits; one in doubt is settled by the next poll. Orders without an answer are counted. A run with an open order, or in doubt, goes over to the next incarnation until a poll with its token misses it; while the worker is silent, it ends once the last order can no longer arrive (12 s) and the longest lease is over. Runs that a former leader started less than 12 s before count as open.

--- a/packages/callers/hornbeamstair_callers/jobs/inheritance.py
+++ b/packages/callers/hornbeamstair_callers/jobs/inheritance.py
@@ -13,12 +13,15 @@
 from hornbeamstair_upstreams.work.messages import RunEnd
 from hornbeamstair_upstreams.work.runs import Run, RunState
 from hornbeamstair_upstreams.work.sender import LATE_ORDER_SECONDS
+from hornbeamstair_upstreams.work.start_orders import get_run_expiry
 
 __all__ = ('InheritedRuns',)
 
 # A run that started earlier has outlived its start under the previous leader,
 # also if the change of leaders took some seconds.
 _TAKEOVER_SECONDS: Final = 5.0
+# A former leader may have repeated the order to start a run that is listed.
+_UNKNOWN_ORDERS: Final = 2
 
 
 @define(eq=False)
@@ -40,10 +43,6 @@
         """Time by which every lease of a previous leader has expired."""
         return self.taken_at + self.longest_lease
 
-    def has_late_orders(self, now: Moment) -> bool:
-        """Return whether orders of a previous leader may be on their way."""
-        return now.monotonic < self.taken_at + LATE_ORDER_SECONDS
-
     def add_jobs(self, jobs: Iterable[Job], now: Moment) -> None:
         """Add the active runs of jobs."""
         for job in jobs:
@@ -56,22 +55,29 @@
 
     def expire(self, now: Moment) -> tuple[RunExpired, ...]:
         """Remove the runs whose leases have certainly expired, and end them."""
-        if now.monotonic < self.latest_expiry:
+        if not self.runs_by_worker or now.monotonic < self.latest_expiry:
             return ()
-        expired = tuple(
-            RunExpired(
-                run.task,
-                run.run,
-                RunEnd.expired,
-                '',
-                now.wall,
-                run.is_proven,
-            )
-            for runs in self.runs_by_worker.values()
-            for run in runs
+        remaining: dict[WorkerId, list[Run]] = {}
+        expired: list[RunExpired] = []
+        for worker, runs in self.runs_by_worker.items():
+            for run in runs:
+                if now.monotonic < self._get_expiry(run):
+                    remaining.setdefault(worker, []).append(run)
+                else:
+                    expired.append(_make_record(run, now))
+        self.runs_by_worker = remaining
+        return tuple(expired)
+
+    def _get_expiry(self, run: Run) -> float:
+        return get_run_expiry(
+            run, self.latest_expiry, self.taken_at, self.longest_lease
         )
-        self.runs_by_worker.clear()
-        return expired
+
+
+def _make_record(run: Run, now: Moment) -> RunExpired:
+    return RunExpired(
+        run.task, run.run, RunEnd.expired, '', now.wall, run.is_proven
+    )
 
 
 def _find_runs(job: Job, now: Moment) -> Iterator[tuple[WorkerId, Run]]:
@@ -79,6 +85,7 @@
         if not task.worker:
             continue
         key = parse_task_id(task_id).key
+        age = now.wall - task.started_at
         run = Run(
             task_id,
             task.run,
@@ -87,7 +94,9 @@
             RunState.inherited,
             now.monotonic,
             task.checkpoint,
-            is_proven=now.wall - task.started_at > _TAKEOVER_SECONDS,
+            ordered_at=now.monotonic,
+            open_orders=_UNKNOWN_ORDERS if age < LATE_ORDER_SECONDS else 0,
+            is_proven=age > _TAKEOVER_SECONDS,
             isolation=job.get_isolation(task_id, now.wall),
         )
         run.is_stop_requested = not job.is_open
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -438,7 +438,8 @@
             self.terms.make_lease(latest_expiry),
             announced_at=now.monotonic,
         )
-        session.is_returning = self._may_return(announced.worker, now)
+        is_recorded = announced.worker in self.state.workers.workers
+        session.is_returning = is_recorded or bool(runs)
         session.observer = self.index
         session.notify_freed()
         self.index.on_check_due(session)
@@ -449,11 +450,6 @@
             if run.is_stop_requested:
                 session.request_stop(run)
 
-    def _may_return(self, worker: WorkerId, now: Moment) -> bool:
-        """Return whether orders to a worker may still be on their way."""
-        is_recorded = worker in self.state.workers.workers
-        return is_recorded or self.inherited.has_late_orders(now)
-
     def _expire_inherited(self, now: Moment) -> None:
         expired = self.inherited.expire(now)
         if expired:
--- a/packages/upstreams/hornbeamstair_upstreams/work/clocks.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/clocks.py
@@ -8,6 +8,9 @@
 
 # Minimum rate of a worker's clock relative to the local one.
 _MIN_CLOCK_RATE: Final = 0.98
+# An answer and the last reading may have been on their way for this time.
+_EARLY_SECONDS: Final = 0.1
+_LATE_SECONDS: Final = 0.8
 
 
 @define(eq=False)
@@ -27,6 +30,15 @@
         """Return the lower bound of the worker's clock at a local time."""
         return self.reading + (now - self.received_at) * _MIN_CLOCK_RATE
 
+    def may_show(self, reading: float, now: float) -> bool:
+        """Return whether the clock may have shown a reading just now.
+
+        The clock of another incarnation starts anew.
+        """
+        earliest = self.get_lowest_reading(now) - _EARLY_SECONDS
+        latest = self.reading + now - self.received_at + _LATE_SECONDS
+        return earliest <= reading <= latest
+
     def get_latest_local_time(self, clock: float) -> float:
         """Return the local time by which the worker's clock shows a time."""
         return self.received_at + (clock - self.reading) / _MIN_CLOCK_RATE
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -19,6 +19,7 @@
     UnexpectedRun,
 )
 from hornbeamstair_upstreams.work.session import WorkerSession
+from hornbeamstair_upstreams.work.start_orders import note_listed
 
 __all__ = ('handle_poll_answer',)
 
@@ -64,6 +65,7 @@
         session.handle_regained()
     answered_at = _get_answer_time(session, answer, sent_at, now)
     session.answered_at = answered_at
+    session.polled_at = sent_at
     session.handle_sign_of_life(sent_at)
     if not session.is_synced:
         session.synchronize(sent_at, now)
@@ -126,6 +128,7 @@
         if run is None or run.run != report.run:
             continue
         run.unlisted_at = None
+        note_listed(run)
         run.checkpoint = report.checkpoint or run.checkpoint
         run.percent = report.percent
         session.confirm(run, RunState.running, now)
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -9,7 +9,6 @@
 from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.messages import RunEnd, TaskNeeds
 from hornbeamstair_upstreams.work.proofs import EndProof
-from hornbeamstair_upstreams.work.sender import ORDER_ARRIVAL_SECONDS
 
 __all__ = (
     'EndedRun',
@@ -37,8 +36,8 @@
     stopping = 'stopping'
 
 
-# Any incarnation of the worker may execute the start order. An order of a
-# previous leader is rejected once the worker has seen a higher fencing token.
+# Any incarnation of the worker may execute the start order. An order with a
+# former token is rejected once the worker has seen a higher one.
 UNCONFIRMED_STATES: Final = frozenset(
     (RunState.inherited, RunState.ordered, RunState.unanswered),
 )
@@ -81,25 +80,19 @@
     # Time of the first order without an answer since the worker last fell
     # silent; None while no order was sent.
     unanswered_since: float | None = None
-    # A start order was unanswered, whatever the answers to later ones.
-    may_start_late: bool = False
     # Start orders without an answer, each of which may still be executed.
     open_orders: int = 0
+    # One of the start orders is known to be executed.
+    is_executed: bool = False
+    # Time of the last answer to a start order that may come from an incarnation
+    # which is not known yet.
+    doubted_at: float | None = None
     # A poll listed the run long enough after its start.
     is_proven: bool = False
     isolation: Isolation = Isolation.none
     # The worker went down under the run, and not as planned.
     has_gone_down: bool = False
 
-    def may_be_started(self, now: float) -> bool:
-        """Return whether a start order of the run may still be executed.
-
-        A worker may have confirmed one while a relay holds another.
-        """
-        if self.state in UNCONFIRMED_STATES:
-            return True
-        return now - self.ordered_at <= ORDER_ARRIVAL_SECONDS
-
     def may_have_started(self) -> bool:
         """Return whether the run may have started and was not to stop."""
         return self.state in _STARTED_STATES
--- a/packages/upstreams/hornbeamstair_upstreams/work/sender.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/sender.py
@@ -13,18 +13,12 @@
 
 __all__ = (
     'LATE_ORDER_SECONDS',
-    'ORDER_ARRIVAL_SECONDS',
     'ORDER_VALID_SECONDS',
     'WorkerSender',
 )
 
-# Time after its decision in which an order has to be sent. The next
-# incarnation of a worker, which knows neither the fencing token nor the lease,
-# is back later.
+# Time after its decision in which an order has to be sent.
 ORDER_VALID_SECONDS: Final = 0.5
-# Time after its decision by which an order has arrived, or never will: TCP
-# resends a lost packet after 0.2 s.
-ORDER_ARRIVAL_SECONDS: Final = 0.75
 # Time after which an order without an answer is no longer executed.
 LATE_ORDER_SECONDS: Final = 12.0
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -33,7 +33,14 @@
     RunState,
     UnexpectedRun,
 )
-from hornbeamstair_upstreams.work.start_orders import close_order
+from hornbeamstair_upstreams.work.start_orders import (
+    carry_over,
+    close_order,
+    get_run_expiry,
+    is_attributable,
+    is_doubted,
+    is_over,
+)
 
 __all__ = ('WorkerSession', 'get_used_resources')
 
@@ -99,8 +106,9 @@
     stops: dict[tuple[TaskId, int], float] = field(factory=dict)
     health: WorkerHealth = field(factory=WorkerHealth)
     is_synced: bool = False
-    # Send time of the first answered poll of this incarnation.
+    # Send times of the first and the last answered poll of this incarnation.
     synced_at: float = _LONG_AGO
+    polled_at: float = _LONG_AGO
     is_fenced: bool = False
     # The last poll was not answered, and no order has been answered since.
     is_unresponsive: bool = False
@@ -300,11 +308,12 @@
     ) -> list[EndedRun]:
         """End the incarnation and return its runs as lost.
 
-        A start order that is unanswered, or was sent by a previous leader,
-        may have reached the next incarnation: its run is kept until that
-        incarnation has answered, and stopped if the order may have crashed the
-        previous one. The run whose start the next one has answered has not.
+        A start order may have reached the next incarnation: its run is kept
+        until that incarnation has answered a poll, and stopped if the order may
+        have crashed the previous one. A run whose start the next one has
+        answered has not.
         """
+        polled_at = self.polled_at
         self._mark_gone_down(answered)
         self.fencing_token = self.tokens.issue()
         self.joined_at = now
@@ -313,6 +322,7 @@
         self.lease.start_incarnation(now)
         self.end_cursor = EndCursor()
         self.is_synced = False
+        self.polled_at = _LONG_AGO
         self.health = WorkerHealth()
         self.stops.clear()
         if incarnation is None:
@@ -331,10 +341,11 @@
             [
                 task
                 for task, run in self.runs.items()
-                if not run.may_be_started(now)
+                if is_over(run, polled_at, now)
             ],
             EndProof.next_incarnation,
         )
+        carry_over(self.runs.values())
         for run in self.runs.values():
             is_suspect = run.has_gone_down and not run.is_proven
             if run.is_stop_requested or is_suspect:
@@ -366,7 +377,7 @@
         lost = [
             task
             for task, run in self.runs.items()
-            if run.state != RunState.recorded
+            if run.state != RunState.recorded and now >= self._get_expiry(run)
         ]
         if lost:
             self.expired_at = now
@@ -484,7 +495,7 @@
             ended = self.end_incarnation(answer.incarnation, now, run)
         if run is None or run.run != order.run:
             return ended
-        self.update_clock(answer.clock, now)
+        self._attribute_answer(run, answer, now)
         match answer.outcome:
             case OrderOutcome.done | OrderOutcome.old:
                 # For an old number, the next poll lists the end of the run.
@@ -625,6 +636,14 @@
             if run is not None
         ]
 
+    def _get_expiry(self, run: Run) -> float:
+        return get_run_expiry(
+            run,
+            self.lease.latest_expiry,
+            self.polled_at,
+            self.terms.expiry_delay,
+        )
+
     def _find_order_time(self, order: StartOrder) -> float | None:
         run = self.runs.get(order.task)
         if run is None or run.run != order.run:
@@ -635,7 +654,7 @@
         """Mark the runs that the worker went down under."""
         if not self._is_end_expected():
             for run in self.runs.values():
-                if run is not answered:
+                if run is not answered and not is_doubted(run, self.polled_at):
                     run.mark_gone_down()
 
     def _is_end_expected(self) -> bool:
@@ -644,14 +663,30 @@
     def _get_lost_end(self, run: Run, proof: EndProof) -> RunEnd:
         if run.has_gone_down:
             return RunEnd.crashed
+        if is_doubted(run, self.polled_at):
+            # The run may have been on an incarnation that is not known.
+            return RunEnd.lost
         is_silent = proof == EndProof.lease_expired
         if is_silent and run.may_have_started() and not self._is_end_expected():
             return RunEnd.expired
         return RunEnd.lost
 
+    def _attribute_answer(
+        self,
+        run: Run,
+        answer: OrderAnswer,
+        now: float,
+    ) -> None:
+        if answer.clock is None:
+            return
+        if is_attributable(answer, self.lease.clock, now):
+            self.update_clock(answer.clock, now)
+            return
+        self.is_unresponsive = False
+        run.doubted_at = now
+
     def _handle_unanswered(self, run: Run, now: float) -> None:
         self.health.handle_unanswered(now)
-        run.may_start_late = True
         self._handle_unconfirmed(run, now)
 
     def _handle_unconfirmed(self, run: Run, now: float) -> None:
@@ -669,7 +704,7 @@
 
     def _apply_refusal(self, run: Run, now: float) -> list[EndedRun]:
         self.health.handle_refusal(now)
-        if run.may_start_late:
+        if run.open_orders:
             # After the stop, the worker rejects the earlier start order.
             self.request_stop(run)
             return []
--- a/packages/upstreams/hornbeamstair_upstreams/work/start_orders.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/start_orders.py
@@ -1,9 +1,30 @@
-"""Start orders that may still be executed."""
+"""Start orders of runs, and which incarnation may execute them.
 
-from hornbeamstair_upstreams.work.messages import OrderOutcome, StartOrder
-from hornbeamstair_upstreams.work.runs import Run
+The answer to a start order need not name the incarnation that gave it, and an
+order without an answer may be executed seconds later, by whichever incarnation
+the worker has by then.
+"""
 
-__all__ = ('close_order',)
+from collections.abc import Iterable
+
+from hornbeamstair_upstreams.work.clocks import WorkerClock
+from hornbeamstair_upstreams.work.messages import (
+    OrderAnswer,
+    OrderOutcome,
+    StartOrder,
+)
+from hornbeamstair_upstreams.work.runs import UNCONFIRMED_STATES, Run
+from hornbeamstair_upstreams.work.sender import LATE_ORDER_SECONDS
+
+__all__ = (
+    'carry_over',
+    'close_order',
+    'get_run_expiry',
+    'is_attributable',
+    'is_doubted',
+    'is_over',
+    'note_listed',
+)
 
 
 def close_order(
@@ -16,3 +37,67 @@
         return
     if outcome != OrderOutcome.unknown:
         run.open_orders = max(run.open_orders - 1, 0)
+    if outcome in (OrderOutcome.done, OrderOutcome.old):
+        run.is_executed = True
+
+
+def note_listed(run: Run) -> None:
+    """Close the order of a run that a poll has listed."""
+    if not run.is_executed:
+        run.is_executed = True
+        run.open_orders = max(run.open_orders - 1, 0)
+
+
+def is_attributable(
+    answer: OrderAnswer,
+    clock: WorkerClock | None,
+    now: float,
+) -> bool:
+    """Return whether an answer comes from the incarnation that is known."""
+    if answer.incarnation is not None:
+        return True
+    if answer.clock is None or clock is None:
+        return False
+    return clock.may_show(answer.clock, now)
+
+
+def is_doubted(run: Run, polled_at: float) -> bool:
+    """Return whether a later incarnation may have started a run.
+
+    A poll that was sent later and that the known incarnation has answered
+    settles it.
+    """
+    return run.doubted_at is not None and run.doubted_at >= polled_at
+
+
+def is_over(run: Run, polled_at: float, now: float) -> bool:
+    """Return whether a run ends with the incarnation of its worker."""
+    if run.state in UNCONFIRMED_STATES or is_doubted(run, polled_at):
+        return False
+    return not run.open_orders or now > run.ordered_at + LATE_ORDER_SECONDS
+
+
+def carry_over(runs: Iterable[Run]) -> None:
+    """Keep runs for the next incarnation, which may have started them."""
+    for run in runs:
+        run.is_executed = False
+        run.unlisted_at = None
+
+
+def get_run_expiry(
+    run: Run,
+    latest_expiry: float,
+    polled_at: float,
+    longest_lease: float,
+) -> float:
+    """Get the time by which a run has ended on a worker that is silent.
+
+    The leases of the known incarnation expire by a given time. Another one
+    holds the run for the longest lease from the arrival of the order.
+    """
+    if run.open_orders:
+        latest_arrival = run.ordered_at + LATE_ORDER_SECONDS
+        latest_expiry = max(latest_expiry, latest_arrival + longest_lease)
+    if run.doubted_at is not None and is_doubted(run, polled_at):
+        latest_expiry = max(latest_expiry, run.doubted_at + longest_lease)
+    return latest_expiry
