Start nothing beside an unexpected run until it is stopped

Callers saw: more runs on a worker than its room holds (LIMIT). Cause: a late start that reaches an incarnation before its first poll, of a run that was over, was stopped once it was listed, but its room counted as free. Change: no start goes to a worker that has listed an unexpected run until the longest stop after that is over. The model executes such starts instead of leaving them out, and holds the leader to account for all that follows.

--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -76,7 +76,7 @@
     if len(answer.ended) < _MAX_ENDS_PER_POLL:
         missing = _find_missing(session, listed, sent_at)
         ended.extend(session.remove_lost(missing, EndProof.unlisted))
-    _stop_orphans(session, answer.running)
+    _stop_orphans(session, answer.running, now)
     return ended
 
 
@@ -156,6 +156,7 @@
 def _stop_orphans(
     session: WorkerSession,
     running: Iterable[RunReport],
+    now: float,
 ) -> None:
     """Request stops of orphaned runs, which the session does not track."""
     for report in running:
@@ -167,6 +168,7 @@
                 UnexpectedRun(report.task, report.run, RunState.running.value),
             )
         session.queue_stop(report.task, report.run)
+        session.occupied_at = now
 
 
 def _has_ended(session: WorkerSession, run: Run, sent_at: float) -> bool:
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -123,6 +123,8 @@
     # Number of long-running runs.
     long_running_count: int = 0
     isolated_runs: IsolatedRuns = field(factory=IsolatedRuns)
+    # Time of the last poll that listed an unexpected run as running.
+    occupied_at: float = _LONG_AGO
     # Listed since the last call of `drain_unexpected`.
     unexpected_runs: list[UnexpectedRun] = field(factory=list)
     observer: SessionObserver = field(factory=NoObserver)
@@ -158,10 +160,16 @@
             return Obstacle.fenced
         if not self.is_synced or not self.is_responsive(now):
             return Obstacle.unresponsive
+        if self.is_occupied(now):
+            return Obstacle.occupied
         if self.health.is_quarantined(now):
             return Obstacle.quarantined
         return None
 
+    def is_occupied(self, now: float) -> bool:
+        """Return whether an unexpected run may use resources of the worker."""
+        return now - self.occupied_at < self.terms.stopping
+
     def is_ending(self) -> bool:
         """Return whether the worker leaves or has withdrawn."""
         return self.announced.is_leaving or self.terminated_at is not None
@@ -533,7 +541,7 @@
         """Return the runs whose start order is due to be sent again."""
         if not self.is_synced or not self.is_responsive(now) or self.is_fenced:
             return []
-        if not self.has_announced:
+        if not self.has_announced or self.is_occupied(now):
             return []
         return [
             run
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -100,6 +100,8 @@
     cpu: int
     ends_at: float
     stops_at: float | None = None
+    # Started by an order that no leader could have prevented.
+    is_beyond_reach: bool = False
 
 
 @define(eq=False)
@@ -174,6 +176,11 @@
             elif now >= run.ends_at:
                 self.end(run, self.model.draw_end())
 
+    def is_running(self, task: TaskId) -> bool:
+        """Return whether a task runs that the leader has started."""
+        run = self.runs.get(task)
+        return run is not None and not run.is_beyond_reach
+
     def is_stopping(self, run: ModelRun) -> bool:
         """Return whether a run was ordered to stop."""
         is_stop_pending = (
@@ -225,6 +232,7 @@
             now
             + draw_run_seconds(self.model, order.task)
             * get_slowdown(self, order.task),
+            is_beyond_reach=is_beyond_reach(self.model, self, order),
         )
         self.runs[order.task] = run
         self.model.check_start(self, run, now)
@@ -352,6 +360,8 @@
     poll_delays: dict[WorkerId, list[float]] = field(factory=dict)
     # Share of the polls that are executed late and have no answer.
     delayed_polls_share: float = 0
+    # Ends of runs that were started beyond the reach of a leader.
+    ignored_ends: set[tuple[TaskId, int]] = field(factory=set)
     # Runs that were over on a worker when it answered a poll.
     settled_runs: set[tuple[TaskId, int]] = field(factory=set)
     # Share of the starts that a relay holds for as long as they are valid. They
@@ -500,12 +510,14 @@
         now: float,
     ) -> None:
         """Check that a start breaks no guarantee."""
+        if run.is_beyond_reach:
+            return
         self.starts += 1
         self.starts_by_task[run.task] += 1
         others = [
             other.worker
             for other in self.workers.values()
-            if other is not worker and run.task in other.runs
+            if other is not worker and other.is_running(run.task)
         ]
         assert not others, f'{run.task} runs on {others} and {worker.worker}'
         check_room(self, worker)
@@ -523,9 +535,13 @@
         """Add the end of a run as the worker sees it."""
         if end == RunEnd.done:
             self.done.add(run.task)
+        if run.is_beyond_reach:
+            self.ignored_ends.add((run.task, run.run))
 
     def add_acknowledged(self, report: EndReport) -> None:
         """Add an end that the leader has acknowledged."""
+        if (report.task, report.run) in self.ignored_ends:
+            return
         lasts = self.get_phase(report.task).needs.lasts
         if report.end == RunEnd.done and not lasts:
             self.acknowledged_done.add(report.task)
@@ -535,7 +551,11 @@
     def check_capacity(self) -> None:
         """Check that no worker exceeds its CPU."""
         for worker in self.workers.values():
-            used = sum(run.cpu for run in worker.runs.values())
+            used = sum(
+                run.cpu
+                for run in worker.runs.values()
+                if not run.is_beyond_reach
+            )
             assert used <= RESOURCES.cpu, f'{worker.worker} runs {used}'
 
     def draw_end(self) -> RunEnd:
@@ -619,7 +639,7 @@
         deliver_held(self)
         for _, order in due:
             worker = self.workers.get(order.worker)
-            if worker is not None and not is_beyond_reach(self, worker, order):
+            if worker is not None:
                 worker.execute(order, self.now)
 
     def _apply_due_commits(self) -> None:
