Number calls to the leader anew after each start of a process

Callers would see: a job or a keyed call acknowledged by the answer to another call (LOST, a keyed call that runs twice). Cause: each start of a process numbered its calls from 1. An answer that was still on its way to the process before, which had the same identifier, was taken for the answer to the call that now had its number: so for calls to the leader, for log positions of forwarded proposals, and for requests of operators. Change: the numbers start at random, as those of relayed orders did already; both use CallNumbers. Evidence: two scenarios of leader_calls.feature failed before: the late answer was returned for the present call, the late position resolved the present proposal.

--- a/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
+++ b/packages/callers/hornbeamstair_callers/relay/endpoints/sender.py
@@ -2,7 +2,6 @@
 
 from asyncio import Future, get_running_loop
 from collections.abc import Callable, Coroutine, Mapping, Sequence
-from random import randrange
 from typing import Any, ClassVar, Final, TypeVar
 
 from attrs import define, field, frozen
@@ -19,7 +18,7 @@
 from hornbeamstair_core.events import log_event
 from hornbeamstair_core.ids import WorkerId, ZoneName
 from hornbeamstair_core.metrics import Metrics
-from hornbeamstair_core.units import MAX_EXACT_INTEGER
+from hornbeamstair_replicas.call_numbers import CallNumbers
 from hornbeamstair_replicas.calls.messages import (
     RelayedAnswers,
     RelayedOrders,
@@ -45,7 +44,6 @@
 # A relay gives up an order after about one second.
 _ORDER_SECONDS: Final = 1.4
 _CHECK_SECONDS: Final = 0.05
-_FIRST_NUMBERS: Final = MAX_EXACT_INTEGER // 2
 
 RelayOutcome = OrderAnswer | PollAnswer | RelayFailure
 RelayMap = Mapping[ZoneName, Sequence[VoterId]]
@@ -87,11 +85,7 @@
     is_check_scheduled: bool = field(default=False, init=False)
     pending: dict[int, _Pending] = field(factory=dict, init=False)
     batches: MessageBatches[RelayedOrder] = field(init=False)
-    # Answers to a previous process at this address have other numbers.
-    last_number: int = field(
-        factory=lambda: randrange(_FIRST_NUMBERS),
-        init=False,
-    )
+    numbers: CallNumbers = field(factory=CallNumbers, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Receive the answers of the relays."""
@@ -174,8 +168,7 @@
         valid_until: float,
     ) -> RelayOutcome:
         loop = get_running_loop()
-        self.last_number += 1
-        number = self.last_number
+        number = self.numbers.take()
         answer: Future[RelayOutcome] = loop.create_future()
         self.pending[number] = _Pending(relay, answer)
         relay_limit = self.get_relay_time(relay, valid_until)
--- a/packages/replicas/hornbeamstair_replicas/calls/endpoints/channel.py
+++ b/packages/replicas/hornbeamstair_replicas/calls/endpoints/channel.py
@@ -10,6 +10,7 @@
 
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.metrics import Metrics
+from hornbeamstair_replicas.call_numbers import CallNumbers
 from hornbeamstair_replicas.calls.attempts import AttemptResult, CallAttempts
 from hornbeamstair_replicas.calls.messages import LeaderAnswer, LeaderCall
 from hornbeamstair_replicas.calls.targets import LeaderTargets
@@ -81,7 +82,7 @@
         init=False,
     )
     serving: 'set[Task[None]]' = field(factory=set, init=False)
-    last_number: int = field(default=0, init=False)
+    numbers: CallNumbers = field(factory=CallNumbers, init=False)
 
     def start(self) -> None:
         """Start receiving calls and answers."""
@@ -185,8 +186,7 @@
         payload: bytes,
         deadline: float,
     ) -> LeaderAnswer | None:
-        self.last_number += 1
-        number = self.last_number
+        number = self.numbers.take()
         answer: Future[LeaderAnswer] = get_running_loop().create_future()
         self.waiting[number] = answer
         posting = self.transport.post(
--- a/packages/replicas/hornbeamstair_replicas/groups/admin.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/admin.py
@@ -18,6 +18,7 @@
     VoterChangeAnswer,
     VoterChangeRequest,
 )
+from hornbeamstair_replicas.call_numbers import CallNumbers
 from hornbeamstair_replicas.failures import (
     MembershipFailure,
     NotCommittedFailure,
@@ -57,7 +58,7 @@
     reports: dict[ProcessId, tuple[float, ProcessVersion]] = field(factory=dict)
     # Requests to the leader without an answer, by number.
     waiting: dict[int, 'Future[Any]'] = field(factory=dict)
-    last_number: int = 0
+    numbers: CallNumbers = field(factory=CallNumbers)
     timer: TimerHandle | None = None
 
     def start(self) -> None:
@@ -142,8 +143,7 @@
     ) -> Any:
         """Ask the leader; None if it does not answer in time."""
         leader = self._get_leader()
-        self.last_number += 1
-        number = self.last_number
+        number = self.numbers.take()
         answer: Future[Any] = get_running_loop().create_future()
         self.waiting[number] = answer
         self._send(leader, request_class(number, *fields))
--- a/packages/replicas/hornbeamstair_replicas/groups/forwarding.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/forwarding.py
@@ -7,6 +7,7 @@
 from expression import Error, Result
 
 from hornbeamstair_core.failures import Failure, PayloadTooLargeFailure
+from hornbeamstair_replicas.call_numbers import CallNumbers
 from hornbeamstair_replicas.failures import NotLeaderFailure
 from hornbeamstair_replicas.limits import MAX_PAYLOAD_BYTES
 
@@ -54,7 +55,7 @@
     """Forwarded proposals that wait for their log position, by number."""
 
     waiting: dict[int, 'Future[ProposalOutcome]'] = field(factory=dict)
-    last_number: int = 0
+    numbers: CallNumbers = field(factory=CallNumbers)
 
     def add(self, future: 'Future[ProposalOutcome]') -> int:
         """Add a proposal and return its number; drop those that are done."""
@@ -63,9 +64,9 @@
             for number, other in self.waiting.items()
             if not other.done()
         }
-        self.last_number += 1
-        self.waiting[self.last_number] = future
-        return self.last_number
+        number = self.numbers.take()
+        self.waiting[number] = future
+        return number
 
     def pop(self, number: int) -> 'Future[ProposalOutcome] | None':
         """Remove and return a proposal; None if its number is unknown."""
--- a/packages/replicas/hornbeamstair_replicas/groups/learning.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/learning.py
@@ -10,6 +10,7 @@
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import ProcessId
 from hornbeamstair_core.invariants import check_invariant
+from hornbeamstair_replicas.call_numbers import CallNumbers
 from hornbeamstair_replicas.failures import (
     NotCommittedFailure,
     NotLeaderFailure,
@@ -69,7 +70,7 @@
     unapplied: dict[int, 'Future[ProposalOutcome]'] = field(
         factory=dict, init=False
     )
-    last_number: int = field(default=0, init=False)
+    numbers: CallNumbers = field(factory=CallNumbers, init=False)
     timer: TimerHandle | None = field(default=None, init=False)
 
     def start(self) -> None:
@@ -82,9 +83,9 @@
         if not self.leader:
             return Error(NotLeaderFailure(''))
         future: Future[ProposalOutcome] = get_running_loop().create_future()
-        self.last_number += 1
-        self.forwarded[self.last_number] = future
-        self._send(self.leader, ForwardRequest(self.last_number, payload))
+        number = self.numbers.take()
+        self.forwarded[number] = future
+        self._send(self.leader, ForwardRequest(number, payload))
         try:
             async with timeout(_COMMIT_TIMEOUT_SECONDS):
                 return await future
--- a/tests/features/leader_calls.feature
+++ b/tests/features/leader_calls.feature
@@ -34,6 +34,15 @@
     When a call is made with a timeout of 3 seconds
     Then it is answered
 
+  # Guards against LOST: a job that is acknowledged by the answer to another call.
+  Scenario: A late answer to a call of before a restart answers no other call
+    Given a channel whose leader answered a moment ago and now answers nothing
+    When a call is made after a restart, and one of before is answered late
+    Then it fails within 2 seconds with code 5001
+
+  Scenario: A late log position of before a restart is for no other proposal
+    Then a log position for a proposal of before a restart is ignored
+
   # Guards against REFUSED: a job that runs although it was refused.
   Scenario Outline: A refusal after an unanswered attempt is not reported as not run
     Given a channel whose leader answered a moment ago and now answers all
--- a/tests/features/steps/leader_call_steps.py
+++ b/tests/features/steps/leader_call_steps.py
@@ -1,6 +1,6 @@
 """Steps for calls to a leader over a channel."""
 
-from asyncio import get_running_loop, run
+from asyncio import create_task, get_running_loop, run, sleep
 from time import monotonic
 from typing import Any
 
@@ -25,6 +25,7 @@
 from hornbeamstair_replicas.calls.endpoints.client import LeaderClient
 from hornbeamstair_replicas.calls.messages import LeaderAnswer, LeaderCall
 from hornbeamstair_replicas.calls.targets import LeaderTargets
+from hornbeamstair_replicas.groups.forwarding import ForwardedProposals
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.peer_messages import Envelope
 from hornbeamstair_replicas.transport.base import LocalTransport
@@ -53,6 +54,7 @@
     # Number of calls that are left unanswered before the others.
     unanswered: int = 0
     sent: list[bytes] = field(factory=list)
+    calls: list[LeaderCall] = field(factory=list)
     # Number of calls that the connection writes; None for all.
     writable: int | None = None
     postings: list[Posting] = field(factory=list)
@@ -64,13 +66,14 @@
         if not isinstance(call, LeaderCall):
             return
         self.sent.append(call.payload)
+        self.calls.append(call)
         seconds = self.answer_seconds
         if not call.payload:
             seconds = 0 if self.answers_probes else None
         elif len(self.sent) <= self.unanswered:
             seconds = None
         if seconds is not None:
-            get_running_loop().call_later(seconds, self._answer, call)
+            get_running_loop().call_later(seconds, self.answer_call, call)
 
     def post(self, envelope: Envelope) -> Posting:
         """Queue a call; write it only if the connection still does."""
@@ -88,7 +91,8 @@
         """Return whether the leader is connected."""
         return self.has_connection
 
-    def _answer(self, call: LeaderCall) -> None:
+    def answer_call(self, call: LeaderCall) -> None:
+        """Answer a call."""
         answer = LeaderAnswer(
             call.number,
             self.reply or call.payload,
@@ -164,6 +168,20 @@
     context.seconds = monotonic() - began
 
 
+@when('a call is made after a restart, and one of before is answered late')
+def call_after_restart(context: Any) -> None:
+    """Make a call, and answer a call of the previous process meanwhile."""
+    began = monotonic()
+    context.outcome = run(_call_after_restart(context))
+    context.seconds = monotonic() - began
+
+
+@then('a log position for a proposal of before a restart is ignored')
+def check_position(context: Any) -> None:
+    """Check that a process doesn't know the numbers of the previous one."""
+    run(_check_numbers())
+
+
 @given('a captured log')
 def start_log(context: Any) -> None:
     """Capture the log lines of the scenario."""
@@ -244,6 +262,26 @@
     return await _start_channel(context).ask(b'call', seconds)
 
 
+async def _call_after_restart(context: Any) -> Result[bytes, Failure]:
+    previous = create_task(_start_channel(context).ask(b'previous', 3))
+    await sleep(0)
+    late_call = context.transport.calls[0]
+    present = create_task(_call(context, 3))
+    await sleep(0)
+    context.transport.answer_call(late_call)
+    outcome = await present
+    previous.cancel()
+    return outcome
+
+
+async def _check_numbers() -> None:
+    loop = get_running_loop()
+    late_number = ForwardedProposals().add(loop.create_future())
+    present = ForwardedProposals()
+    present.add(loop.create_future())
+    assert present.pop(late_number) is None
+
+
 async def _ask_job(context: Any, seconds: int) -> Result[Reply, Failure]:
     reply = JobReply(JOB, JobState.running)
     context.transport.reply = CODEC.encode_outcome(Ok(reply))
--- a/tests/features/steps/planning_steps.py
+++ b/tests/features/steps/planning_steps.py
@@ -362,12 +362,14 @@
 class PlacingTransport(LocalTransport):
     """Transport that answers forwarded payloads with a set position."""
 
-    place: ForwardAnswer | None = None
+    index: int = 0
 
     def send(self, envelope: Envelope) -> None:
         """Answer a forwarded payload with its log position."""
         if isinstance(envelope.message, ForwardRequest):
-            self.receivers['keys'](VoterId('v/1'), self.place)
+            number = envelope.message.number
+            place = ForwardAnswer(number, self.index, 1)
+            self.receivers['keys'](VoterId('v/1'), place)
 
     def deliver_feed(self, feed: FeedAnswer) -> None:
         """Deliver a feed answer from the leader."""
@@ -377,7 +379,7 @@
 async def _claim(learner: LearnerGroup, feed: FeedAnswer, index: int) -> Any:
     learner.start()
     learner.transport.deliver_feed(feed)
-    learner.transport.place = ForwardAnswer(1, index, 1)
+    learner.transport.index = index
     outcome = await learner.propose_once(b'claim')
     await learner.stop()
     return outcome
