End the maintenance of a host whose worker is back under its ID

Operators would see: a wave that is never complete; no other wave takes its host down, and the host moves to no other pool. Cause: the host counted as back only with a worker of another ID. A worker may start again under the ID that it had. Change: a host that is listed as up is also back once the maintenance must be over, by a list that is newer than that, as a host without a worker was already. Evidence: the scenario in silent_hosts.feature failed before. A second one checks that a list that still shows the worker of before ends nothing within that time.

--- a/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/maintenance.py
@@ -431,13 +431,15 @@
     *,
     is_late: bool,
 ) -> bool:
-    """Return whether a host is up again with a new worker.
+    """Return whether a host is up again.
 
-    A host that is switched off has no worker before or after, so it is back
-    when the maintenance must be over. This is asked only of hosts whose order
-    the platform accepted, since a crashed worker is replaced as well.
+    Its worker may be back under the same ID, and a host that is switched off
+    has no worker before or after; both are back when the maintenance must be
+    over. This is asked only of hosts whose order the platform accepted, since
+    a crashed worker is replaced as well.
     """
     if host.state != HostState.up:
         return False
     before = progress.workers.get(host.host)
-    return host.worker != before if before else is_late
+    has_new_worker = bool(before) and host.worker != before
+    return has_new_worker or is_late
--- a/tests/features/silent_hosts.feature
+++ b/tests/features/silent_hosts.feature
@@ -52,6 +52,19 @@
     And the hosts are reconciled for 1 seconds
     Then no order was given
 
+  # Guards against a wave that is never complete, and whose host no other one may maintain.
+  Scenario: A maintenance is over although its worker is back under its id
+    Given a wave of hosts "m0" whose orders have the outcomes "done"
+    When the hosts are reconciled for 1 seconds
+    And host m0 is maintained for 2 seconds and back with the same worker
+    And the hosts are reconciled for 4 seconds
+    Then the wave is complete
+
+  Scenario: A list that still shows the worker of before does not end a maintenance
+    Given a wave of hosts "m0" whose orders have the outcomes "done"
+    When the hosts are reconciled for 3 seconds
+    Then host m0 is at the step taken
+
   Scenario: A throttled order does not show what became of the one before
     Given a wave of hosts "m0" whose orders have the outcomes "unknown throttled done"
     And a platform that executes each order
--- a/tests/features/steps/silent_host_steps.py
+++ b/tests/features/steps/silent_host_steps.py
@@ -114,6 +114,19 @@
     reconcile(context, seconds)
 
 
+@when(
+    'host {name} is maintained for {seconds:d} seconds and back with the same '
+    'worker'
+)
+def maintain_host(context: Any, name: str, seconds: int) -> None:
+    """Show a host as down for a while, and then as before."""
+    host = context.client.hosts[HostId(name)]
+    down = evolve(host, state=HostState.maintenance, worker=WorkerId(''))
+    context.client.hosts[host.host] = down
+    reconcile(context, seconds)
+    context.client.hosts[host.host] = host
+
+
 @when('another leader has the next worker of host {name} maintained')
 def maintain_elsewhere(context: Any, name: str) -> None:
     """Record an accepted order for another worker than the listed one."""
