Count no run as available that only a former incarnation has listed

Operators would see: AVAIL, a task stopped for its host while another one of its step is away. Cause: a run that may still be started is kept over a restart of its worker. It kept its state, its percentage and the time of the last answer, all of which the former incarnation had given, and counted as available until the next one was polled. Change: a run counts as available only once the incarnation has been polled. Evidence: the scenario in former_incarnations.feature failed before: the task was stopped.

--- a/packages/callers/hornbeamstair_callers/jobs/draining.py
+++ b/packages/callers/hornbeamstair_callers/jobs/draining.py
@@ -141,10 +141,10 @@
     oldest = now.monotonic - scheduler.terms.wait - _ANSWER_SECONDS
     for run, session in scheduler.index.phase_runs.get_runs(phase_id):
         # Runs of a worker that has not answered for a while may have ended,
-        # and those of a leaving worker end in any case.
-        is_counted = (
-            session.answered_at > oldest and not session.is_unresponsive
-        )
+        # and so may those that a former incarnation of it has listed. Those of
+        # a leaving worker end in any case.
+        is_counted = session.is_synced and session.answered_at > oldest
+        is_counted = is_counted and not session.is_unresponsive
         is_counted = is_counted and not session.announced.is_leaving
         if is_counted and _is_serving(run, now, stopping):
             yield run
