Ignore the feed that a learner asked for before its restart

Operators would see: a process without a vote that aborts right after a restart (invariant_broken: entries are applied in order). Cause: a learner keeps its identifier over a restart and starts without entries. An answer that was still on its way to the process before continues from what that one had applied, and reached the next one, whose invariant it broke. Change: entries that do not follow those applied are ignored. Evidence: the scenario in planning.feature failed before with the invariant.

--- a/packages/replicas/hornbeamstair_replicas/groups/learning.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/learning.py
@@ -162,6 +162,9 @@
             self.applied_index = snapshot.index
             self.entries.clear()
         for entry in feed.entries:
+            if entry.index > self.applied_index + 1:
+                # The feed is for a previous process, which had applied more.
+                return
             if entry.index > self.applied_index:
                 self._apply(entry)
 
--- a/tests/features/planning.feature
+++ b/tests/features/planning.feature
@@ -84,6 +84,14 @@
     When the leader answers that a claim was appended as entry 5
     Then the outcome of the claim is unknown
 
+  # Guards against a process that aborts: its entries were not applied in order.
+  Scenario: A learner ignores the late feed of the process before its restart
+    Given a learner without entries
+    When it is fed the entries from 6 to 8 that its previous process asked for
+    Then the learner has applied 0 entries
+    When it is fed the entries from 1 to 8
+    Then the learner has applied 8 entries
+
   Scenario: A stalled reader of the event log does not block writes
     Given a log stream whose reader has stalled
     When 10000 lines are written
--- a/tests/features/steps/planning_steps.py
+++ b/tests/features/steps/planning_steps.py
@@ -30,7 +30,12 @@
 from hornbeamstair_replicas.learning.members import Member
 from hornbeamstair_replicas.learning.source import FeedSource
 from hornbeamstair_replicas.membership.planner import MembershipPlanner
-from hornbeamstair_replicas.messages import LogEntry, Snapshot, VoterId
+from hornbeamstair_replicas.messages import (
+    EntryKind,
+    LogEntry,
+    Snapshot,
+    VoterId,
+)
 from hornbeamstair_replicas.peer_messages import (
     Envelope,
     FeedAnswer,
@@ -205,21 +210,41 @@
 @given('a learner whose snapshot covers entry {index:d}')
 def start_learner(context: Any, index: int) -> None:
     """Create a learner and a feed with a snapshot."""
-    own = Member(ProcessId('l'), ZONE, is_voter=False)
-    other = Member(ProcessId('v'), ZONE, is_voter=True)
-    learner = LearnerGroup(
-        'keys',
-        TableStateMachine((WorkerTable(),)),
-        FeedSource(own, (other,), NOW),
-        PlacingTransport(VoterId('l/')),
-        lambda: NOW,
-    )
+    learner = _make_learner()
     snapshot = Snapshot(index + 1, 1, b'')
     feed = FeedAnswer(snapshot, (), index + 1, VoterId('v/1'), ())
     context.learner = learner
     context.feed = feed
 
 
+@given('a learner without entries')
+def start_empty_learner(context: Any) -> None:
+    """Create a learner that receives feeds."""
+    context.learner = _make_learner()
+    run(_listen(context.learner))
+
+
+@when(
+    'it is fed the entries from {first:d} to {last:d} that its previous '
+    'process asked for'
+)
+@when('it is fed the entries from {first:d} to {last:d}')
+def feed_learner(context: Any, first: int, last: int) -> None:
+    """Deliver a feed."""
+    entries = tuple(
+        LogEntry(index, 1, b'', EntryKind.empty)
+        for index in range(first, last + 1)
+    )
+    feed = FeedAnswer(None, entries, last, VoterId('v/1'), ())
+    context.learner.transport.deliver_feed(feed)
+
+
+@then('the learner has applied {count:d} entries')
+def check_applied(context: Any, count: int) -> None:
+    """Check the index of the last applied entry."""
+    assert context.learner.get_applied_index() == count
+
+
 @when('the leader answers that a claim was appended as entry {index:d}')
 def place_claim(context: Any, index: int) -> None:
     """Forward a claim and receive its log position."""
@@ -376,6 +401,23 @@
         self.receivers['keys'](VoterId('v/1'), feed)
 
 
+def _make_learner() -> LearnerGroup:
+    own = Member(ProcessId('l'), ZONE, is_voter=False)
+    other = Member(ProcessId('v'), ZONE, is_voter=True)
+    return LearnerGroup(
+        'keys',
+        TableStateMachine((WorkerTable(),)),
+        FeedSource(own, (other,), NOW),
+        PlacingTransport(VoterId('l/')),
+        lambda: NOW,
+    )
+
+
+async def _listen(learner: LearnerGroup) -> None:
+    learner.start()
+    await learner.stop()
+
+
 async def _claim(learner: LearnerGroup, feed: FeedAnswer, index: int) -> Any:
     learner.start()
     learner.transport.deliver_feed(feed)
