Keep the newest announcement of a worker in the table

Cause: the record of an announcement replaced any other, also one of a later incarnation. A record of a previous leader, or one that was proposed again after a failure, may be applied late. Change: a record that is older by incarnation and sequence is ignored, as the leader does with late announcements. Evidence: two examples of the scenario in former_incarnations.feature failed before: the record of incarnation 1 replaced that of 2, and announcement 2 of it replaced 3.

--- a/packages/upstreams/hornbeamstair_upstreams/work/messages.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/messages.py
@@ -119,6 +119,13 @@
     # Minimum time for which a leaving worker keeps running.
     remaining_seconds: float = 0
 
+    def precedes(self, other: 'WorkerAnnouncement') -> bool:
+        """Return whether another announcement of the worker is newer."""
+        return (self.incarnation, self.sequence) < (
+            other.incarnation,
+            other.sequence,
+        )
+
     def differs(self, recorded: 'WorkerAnnouncement') -> bool:
         """Return whether more changed than the sequence or remaining time."""
         return recorded != evolve(
--- a/packages/upstreams/hornbeamstair_upstreams/work/table.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/table.py
@@ -36,7 +36,10 @@
         """Add, update or remove a worker."""
         match record:
             case WorkerSeen(announced):
-                self.workers[announced.worker] = announced
+                known = self.workers.get(announced.worker)
+                # The record of a previous leader may be late.
+                if known is None or not announced.precedes(known):
+                    self.workers[announced.worker] = announced
             case WorkerGone(worker, incarnation):
                 known = self.workers.get(worker)
                 if known is not None and known.incarnation <= incarnation:
--- a/tests/features/steps/former_incarnation_steps.py
+++ b/tests/features/steps/former_incarnation_steps.py
@@ -2,11 +2,17 @@
 
 from typing import Any
 
-from behave import then, when
+from attrs import evolve
+from behave import given, then, when
 
 from hornbeamstair_callers.jobs.draining import drain_workers
+from hornbeamstair_core.ids import WorkerId
+from hornbeamstair_upstreams.work.messages import WorkerSeen
+from hornbeamstair_upstreams.work.table import WorkerTable
 from tests.support.work_model import WorkModel, make_worker_announcement
 
+WORKER = WorkerId('w0')
+
 
 @when(
     'the worker of one of these tasks announces a restart within {seconds:g} '
@@ -43,6 +49,36 @@
     assert not context.other.stops, context.other.stops
 
 
+@given(
+    'a table with the announcement {sequence:d} of incarnation '
+    '{incarnation:d} of a worker'
+)
+def make_table(context: Any, sequence: int, incarnation: int) -> None:
+    """Make a table with one worker."""
+    context.worker_table = WorkerTable()
+    record_announcement(context, sequence, incarnation)
+
+
+@when(
+    'the announcement {sequence:d} of its incarnation {incarnation:d} is '
+    'recorded'
+)
+def record_announcement(context: Any, sequence: int, incarnation: int) -> None:
+    """Apply the record of an announcement."""
+    announced = make_worker_announcement(WORKER, incarnation)
+    context.worker_table.apply(WorkerSeen(evolve(announced, sequence=sequence)))
+
+
+@then(
+    'the table holds its announcement {sequence:d} of incarnation '
+    '{incarnation:d}'
+)
+def check_held(context: Any, sequence: int, incarnation: int) -> None:
+    """Check which announcement the table holds."""
+    held = context.worker_table.workers[WORKER]
+    assert (held.sequence, held.incarnation) == (sequence, incarnation), held
+
+
 def _are_proven(work: WorkModel) -> bool:
     runs = [
         run
