Bound the lease of a late start by the last order with a lease end

Callers saw: a task at two places at once (TWICE), in the model. Cause: four gaps in the wait for late orders. The bound looked at the orders of the run alone, although any late order prolongs the lease of all runs. A run that a poll had listed lost a count of open orders, and another one with the answer that came later. A worker that had been forgotten, and was back, counted as never seen. A start was sent again for as long as its run was open, so that the age of its record said nothing to the next leader. Change: the bound counts from the last order with a lease end; listing a run closes its order only if it is the only one; forgotten workers are remembered for as long as orders can be late; a start is sent for 5 s after its decision, then stopped and decided anew.

--- a/packages/callers/hornbeamstair_callers/jobs/crash_review.py
+++ b/packages/callers/hornbeamstair_callers/jobs/crash_review.py
@@ -20,6 +20,7 @@
 from hornbeamstair_core.ids import JobId, WorkerId
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
+from hornbeamstair_upstreams.work.messages import WorkerGone
 from hornbeamstair_upstreams.work.session import WorkerSession
 
 __all__ = ('CrashReview',)
@@ -59,14 +60,15 @@
     def get_last_records(self, session: WorkerSession) -> list[Record]:
         """Get the records of a worker that is about to be forgotten."""
         life = (session.announced.worker, session.announced.incarnation)
+        gone = WorkerGone(*life)
         if not self.jobs.lost_workers.is_silent(life):
-            return []
+            return [gone]
         # The order to a reserved host may be over when its next worker comes.
         record = self._judge(*life, is_replaced=session.is_reserved)
         if record is None:
-            return []
+            return [gone]
         log_event(SilenceExplainedEvent(*life, record.kind))
-        return [record]
+        return [gone, record]
 
     def _explain_silence(self, now: Moment) -> Iterator[Record]:
         silent = {
--- a/packages/callers/hornbeamstair_callers/jobs/inheritance.py
+++ b/packages/callers/hornbeamstair_callers/jobs/inheritance.py
@@ -10,9 +10,13 @@
 from hornbeamstair_callers.jobs.records import RunExpired
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.moments import Moment
+from hornbeamstair_upstreams.work.leases import WorkerLease
 from hornbeamstair_upstreams.work.messages import RunEnd
 from hornbeamstair_upstreams.work.runs import Run, RunState
-from hornbeamstair_upstreams.work.sender import LATE_ORDER_SECONDS
+from hornbeamstair_upstreams.work.sender import (
+    LATE_ORDER_SECONDS,
+    START_ORDER_SECONDS,
+)
 from hornbeamstair_upstreams.work.start_orders import get_run_expiry
 
 __all__ = ('InheritedRuns',)
@@ -22,6 +26,8 @@
 _TAKEOVER_SECONDS: Final = 5.0
 # A former leader may have repeated the order to start a run that is listed.
 _UNKNOWN_ORDERS: Final = 2
+# Time after its record in which an order to start a run may still be executed.
+_OPEN_SECONDS: Final = START_ORDER_SECONDS + LATE_ORDER_SECONDS
 
 
 @define(eq=False)
@@ -32,17 +38,10 @@
     was lost with a previous leader, or the worker was removed and came back.
     """
 
-    # Time at which this leader took over.
-    taken_at: float = 0
-    # Longest time for which a lease of the previous leader is valid.
-    longest_lease: float = 0
+    # Covers all leases that a previous leader has granted.
+    lease: WorkerLease
     runs_by_worker: dict[WorkerId, list[Run]] = field(factory=dict)
 
-    @property
-    def latest_expiry(self) -> float:
-        """Time by which every lease of a previous leader has expired."""
-        return self.taken_at + self.longest_lease
-
     def add_jobs(self, jobs: Iterable[Job], now: Moment) -> None:
         """Add the active runs of jobs."""
         for job in jobs:
@@ -55,24 +54,19 @@
 
     def expire(self, now: Moment) -> tuple[RunExpired, ...]:
         """Remove the runs whose leases have certainly expired, and end them."""
-        if not self.runs_by_worker or now.monotonic < self.latest_expiry:
+        if not self.runs_by_worker or now.monotonic < self.lease.latest_expiry:
             return ()
         remaining: dict[WorkerId, list[Run]] = {}
         expired: list[RunExpired] = []
         for worker, runs in self.runs_by_worker.items():
             for run in runs:
-                if now.monotonic < self._get_expiry(run):
+                if now.monotonic < get_run_expiry(run, self.lease):
                     remaining.setdefault(worker, []).append(run)
                 else:
                     expired.append(_make_record(run, now))
         self.runs_by_worker = remaining
         return tuple(expired)
 
-    def _get_expiry(self, run: Run) -> float:
-        return get_run_expiry(
-            run, self.latest_expiry, self.taken_at, self.longest_lease
-        )
-
 
 def _make_record(run: Run, now: Moment) -> RunExpired:
     return RunExpired(
@@ -95,7 +89,7 @@
             now.monotonic,
             task.checkpoint,
             ordered_at=now.monotonic,
-            open_orders=_UNKNOWN_ORDERS if age < LATE_ORDER_SECONDS else 0,
+            open_orders=_UNKNOWN_ORDERS if age < _OPEN_SECONDS else 0,
             is_proven=age > _TAKEOVER_SECONDS,
             isolation=job.get_isolation(task_id, now.wall),
         )
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -64,9 +64,9 @@
     StartOrder,
     StopOrder,
     WorkerAnnouncement,
-    WorkerGone,
 )
 from hornbeamstair_upstreams.work.polls import handle_poll_answer
+from hornbeamstair_upstreams.work.recent_workers import RecentWorkers
 from hornbeamstair_upstreams.work.runs import EndedRun, Run
 from hornbeamstair_upstreams.work.sender import ORDER_VALID_SECONDS
 from hornbeamstair_upstreams.work.session import WorkerSession
@@ -104,12 +104,13 @@
     fencing_token: int
     terms: LeaseTerms
     tokens: FencingTokens = field(init=False)
+    recent_workers: RecentWorkers = field(factory=RecentWorkers, init=False)
     sessions: dict[WorkerId, WorkerSession] = field(factory=dict)
     policies: SchedulingPolicies = field(factory=SchedulingPolicies)
     index: WorkerIndex = field(factory=WorkerIndex, init=False)
     effects: list[Effect] = field(factory=list)
     jobs_forgotten_at: float = 0
-    inherited: InheritedRuns = field(factory=InheritedRuns)
+    inherited: InheritedRuns = field(init=False)
     unstarted: UnstartedJobs = field(factory=UnstartedJobs, init=False)
     stats: PlacementStats = field(factory=PlacementStats, init=False)
     worker_event_log: WorkerEventLog = field(factory=WorkerEventLog, init=False)
@@ -130,6 +131,7 @@
         """Create the components that share the index of waiting jobs."""
         state = self.state
         self.tokens = FencingTokens(self.fencing_token)
+        self.inherited = InheritedRuns(self.terms.make_lease(0, 0))
         self.workspaces = WorkspacePolicies.make(
             state.manifest,
             state.jobs.usage,
@@ -181,7 +183,8 @@
         order of the previous leader.
         """
         longest = self.terms.expiry_delay
-        self.inherited = InheritedRuns(now.monotonic, longest)
+        lease = self.terms.make_lease(now.monotonic + longest, now.monotonic)
+        self.inherited = InheritedRuns(lease)
         self.inherited.add_jobs(self.state.jobs.jobs.values(), now)
         for announced in self.state.workers.workers.values():
             self._add_session(announced, now, now.monotonic + longest)
@@ -396,7 +399,7 @@
         self._commit_ends(session, session.expire(now.monotonic), now)
         self._resend_starts(session, now)
         if _is_expired_session(session, now):
-            self._forget_session(session)
+            self._forget_session(session, now)
         else:
             check_time = session.get_check_time(now.monotonic)
             self.index.checks.add(session, check_time)
@@ -430,16 +433,20 @@
     ) -> None:
         runs = self.inherited.pop_runs(announced.worker)
         if runs:
-            latest_expiry = max(latest_expiry, self.inherited.latest_expiry)
+            latest_expiry = max(
+                latest_expiry, self.inherited.lease.latest_expiry
+            )
         session = WorkerSession(
             announced,
             self.tokens,
             self.terms,
-            self.terms.make_lease(latest_expiry),
+            self.terms.make_lease(latest_expiry, now.monotonic),
             announced_at=now.monotonic,
         )
+        self.recent_workers.prune(now.monotonic)
         is_recorded = announced.worker in self.state.workers.workers
-        session.is_returning = is_recorded or bool(runs)
+        is_recent = self.recent_workers.contains(announced.worker)
+        session.is_returning = is_recorded or is_recent or bool(runs)
         session.observer = self.index
         session.notify_freed()
         self.index.on_check_due(session)
@@ -533,6 +540,8 @@
         """Make the start order of a run again, or request its stop."""
         job = self._find_job(run.task)
         is_obsolete = job is None or not job.is_open or run.is_stop_requested
+        # The next leader tells from its record whether orders may be late.
+        is_obsolete = is_obsolete or run.is_start_late(now.monotonic)
         # The worker may leave, or has restarted with other labels or resources.
         is_unfit = session.is_ending() or not session.has_label(run.needs)
         is_unfit = is_unfit or session.is_overcommitted()
@@ -582,14 +591,14 @@
             if session is not None and run is not None:
                 session.request_stop(run)
 
-    def _forget_session(self, session: WorkerSession) -> None:
-        announced = session.announced
-        explained = self.crash_review.get_last_records(session)
-        self.sessions.pop(announced.worker)
+    def _forget_session(self, session: WorkerSession, now: Moment) -> None:
+        records = self.crash_review.get_last_records(session)
+        worker = session.announced.worker
+        self.recent_workers.add(worker, now.monotonic)
+        self.sessions.pop(worker)
         session.detach()
         self.index.remove(session)
-        gone = WorkerGone(announced.worker, announced.incarnation)
-        self.effects.append(CommitBatch((gone, *explained)))
+        self.effects.append(CommitBatch(tuple(records)))
 
     def _forget_jobs(self, now: Moment) -> None:
         old = tuple(
--- a/packages/upstreams/hornbeamstair_upstreams/work/leases.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/leases.py
@@ -36,9 +36,12 @@
     # Maximum time until a run that is being stopped is listed as ended.
     stopping: float
 
-    def make_lease(self, latest_expiry: float) -> 'WorkerLease':
-        """Make the lease of a worker whose earlier leases expire by a time."""
-        return WorkerLease(self, latest_expiry)
+    def make_lease(self, latest_expiry: float, now: float) -> 'WorkerLease':
+        """Make the lease of a worker whose earlier leases expire by a time.
+
+        A previous leader may have sent orders with a lease end until now.
+        """
+        return WorkerLease(self, latest_expiry, sent_at=now)
 
 
 @define(eq=False)
@@ -51,11 +54,14 @@
     clock: WorkerClock | None = None
     # End of the granted lease on the worker's clock.
     end: float | None = None
+    # Time of the last order that carried a lease end.
+    sent_at: float = 0
 
     def grant(self, now: float) -> float | None:
         """Grant a lease; return its end on the worker's clock."""
         if self.clock is None:
             return None
+        self.sent_at = now
         self.end = self.clock.get_lowest_reading(now) + self.terms.lease
         expiry = (
             self.clock.get_latest_local_time(self.end) + _EXPIRY_MARGIN_SECONDS
@@ -71,6 +77,7 @@
         """
         if self.clock is None or self.end is None:
             return self.grant(now)
+        self.sent_at = now
         remaining = self.end - self.clock.get_lowest_reading(now)
         if remaining < self.terms.lease * _RENEWAL_SHARE:
             return self.grant(now)
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -9,6 +9,7 @@
 from hornbeamstair_upstreams.work.isolation import Isolation
 from hornbeamstair_upstreams.work.messages import RunEnd, TaskNeeds
 from hornbeamstair_upstreams.work.proofs import EndProof
+from hornbeamstair_upstreams.work.sender import START_ORDER_SECONDS
 
 __all__ = (
     'EndedRun',
@@ -93,6 +94,10 @@
     # The worker went down under the run, and not as planned.
     has_gone_down: bool = False
 
+    def is_start_late(self, now: float) -> bool:
+        """Return whether the start order must not be sent any more."""
+        return now - self.started_at > START_ORDER_SECONDS
+
     def may_have_started(self) -> bool:
         """Return whether the run may have started and was not to stop."""
         return self.state in _STARTED_STATES
--- a/packages/upstreams/hornbeamstair_upstreams/work/sender.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/sender.py
@@ -14,12 +14,16 @@
 __all__ = (
     'LATE_ORDER_SECONDS',
     'ORDER_VALID_SECONDS',
+    'START_ORDER_SECONDS',
     'WorkerSender',
 )
 
 # Time after its decision in which an order has to be sent.
 ORDER_VALID_SECONDS: Final = 0.5
-# Time after which an order without an answer is no longer executed.
+# Time after the decision to start a run in which its start order may be sent.
+START_ORDER_SECONDS: Final = 5.0
+# Time after which an order without an answer is no longer executed. Workers
+# and networks hold one for seconds; there is no stated bound.
 LATE_ORDER_SECONDS: Final = 12.0
 
 
@@ -27,8 +31,8 @@
     """Sender of orders to workers; sends each order at most once.
 
     An order is sent by `valid_until`, a time in seconds on the clock of this
-    process, or never. Its outcome is `unsent` only if it is certain that it was
-    not sent, otherwise `unknown`.
+    process, or never. Its outcome is `unsent` or `undelivered` only if it is
+    certain that it never reaches the worker.
     """
 
     name: ClassVar[str]
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -98,7 +98,7 @@
     # The incarnation has announced itself; one that was learned from an answer
     # may have other labels and resources than the one before.
     has_announced: bool = True
-    # The worker may have been up before under its id.
+    # Orders to a former incarnation may still be on their way.
     is_returning: bool = True
     end_cursor: EndCursor = field(factory=EndCursor)
     runs: dict[TaskId, Run] = field(factory=dict)
@@ -289,7 +289,8 @@
         """Handle the first answered poll of the incarnation.
 
         The worker has seen the token, and rejects all orders with an older one.
-        Those that came before may have prolonged its lease.
+        Those to a former incarnation that came before may have prolonged its
+        lease.
         """
         self.is_synced = True
         self.synced_at = sent_at
@@ -645,12 +646,7 @@
         ]
 
     def _get_expiry(self, run: Run) -> float:
-        return get_run_expiry(
-            run,
-            self.lease.latest_expiry,
-            self.polled_at,
-            self.terms.expiry_delay,
-        )
+        return get_run_expiry(run, self.lease, self.polled_at)
 
     def _find_order_time(self, order: StartOrder) -> float | None:
         run = self.runs.get(order.task)
--- a/packages/upstreams/hornbeamstair_upstreams/work/start_orders.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/start_orders.py
@@ -6,8 +6,10 @@
 """
 
 from collections.abc import Iterable
+from typing import Final
 
 from hornbeamstair_upstreams.work.clocks import WorkerClock
+from hornbeamstair_upstreams.work.leases import WorkerLease
 from hornbeamstair_upstreams.work.messages import (
     OrderAnswer,
     OrderOutcome,
@@ -26,6 +28,9 @@
     'note_listed',
 )
 
+# Send time of a poll where there was none.
+_NEVER: Final = float('-inf')
+
 
 def close_order(
     run: Run | None,
@@ -42,10 +47,10 @@
 
 
 def note_listed(run: Run) -> None:
-    """Close the order of a run that a poll has listed."""
-    if not run.is_executed:
-        run.is_executed = True
-        run.open_orders = max(run.open_orders - 1, 0)
+    """Close the only order of a run that a poll has listed."""
+    if not run.is_executed and run.open_orders == 1:
+        run.open_orders = 0
+    run.is_executed = True
 
 
 def is_attributable(
@@ -86,18 +91,20 @@
 
 def get_run_expiry(
     run: Run,
-    latest_expiry: float,
-    polled_at: float,
-    longest_lease: float,
+    lease: WorkerLease,
+    polled_at: float = _NEVER,
 ) -> float:
     """Get the time by which a run has ended on a worker that is silent.
 
-    The leases of the known incarnation expire by a given time. Another one
-    holds the run for the longest lease from the arrival of the order.
+    The leases of the known incarnation expire by a given time. Another one that
+    executes a late order holds the run for the longest lease from the arrival
+    of the last late order.
     """
-    if run.open_orders:
-        latest_arrival = run.ordered_at + LATE_ORDER_SECONDS
-        latest_expiry = max(latest_expiry, latest_arrival + longest_lease)
-    if run.doubted_at is not None and is_doubted(run, polled_at):
-        latest_expiry = max(latest_expiry, run.doubted_at + longest_lease)
-    return latest_expiry
+    expiry = lease.latest_expiry
+    latest_arrival = max(lease.sent_at, run.ordered_at) + LATE_ORDER_SECONDS
+    is_open = (
+        run.open_orders and run.ordered_at + LATE_ORDER_SECONDS > polled_at
+    )
+    if is_open or is_doubted(run, polled_at):
+        return max(expiry, latest_arrival + lease.terms.expiry_delay)
+    return expiry
