Count the answers to former orders for no later incarnation

Callers saw: a task of a cancelled job that ran on (UNASKED), runs of a living worker that were given up (TWICE), a worker without work until the next leader (LOST), all in the model. Cause: the answer to a start or a stop counted for the present incarnation, whichever the order was meant for: a confirmed stop, the answer of another worker at a former address (dated by the newest order), a rejected token; and a refusal ended a run that another copy of its order had started. Change: an answer counts only if its order carried the present token; a new incarnation has rejected no token; a refusal ends no run that is known to be executed.

--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -331,6 +331,7 @@
         self.lease.start_incarnation(now)
         self.end_cursor = EndCursor()
         self.is_synced = False
+        self.is_fenced = False
         self.polled_at = _LONG_AGO
         self.health = WorkerHealth()
         self.stops.clear()
@@ -494,8 +495,8 @@
         """Apply the answer to a start order."""
         run = self.runs.get(order.task)
         close_order(run, order, answer.outcome)
-        if self.is_older_incarnation(answer.incarnation):
-            # The outcome in the current incarnation is unknown.
+        if self._is_answer_former(order, answer):
+            # The outcome in the present incarnation is unknown.
             answer = OrderAnswer(OrderOutcome.unknown)
         if answer.outcome == OrderOutcome.other_life:
             return self.handle_other_life(self._find_order_time(order), now)
@@ -596,6 +597,9 @@
     ) -> list[EndedRun]:
         """Apply the answer to a stop order."""
         handle_stop_outcome(self, order, answer.outcome)
+        if order.fencing_token != self.fencing_token:
+            # The former incarnation may have answered.
+            return []
         if self.is_older_incarnation(answer.incarnation):
             return []
         if answer.outcome == OrderOutcome.other_life:
@@ -675,6 +679,14 @@
             return RunEnd.expired
         return RunEnd.lost
 
+    def _is_answer_former(self, order: StartOrder, answer: OrderAnswer) -> bool:
+        """Return whether an answer may come from a former incarnation."""
+        if self.is_newer_incarnation(answer.incarnation):
+            return False
+        if order.fencing_token != self.fencing_token:
+            return True
+        return self.is_older_incarnation(answer.incarnation)
+
     def _attribute_answer(
         self,
         run: Run,
@@ -708,6 +720,9 @@
 
     def _apply_refusal(self, run: Run, now: float) -> list[EndedRun]:
         self.health.handle_refusal(now)
+        if run.is_executed:
+            # Another copy of the order has started the run.
+            return []
         if run.open_orders:
             # After the stop, the worker rejects the earlier start order.
             self.request_stop(run)
