--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -81,9 +81,10 @@
     # Time of the first order without an answer since the worker last fell
     # silent; None while no order was sent.
     unanswered_since: float | None = None
-    # Start orders without an answer, each of which may still be executed.
+    # Start orders that are on their way or have no answer, each of which may
+    # still be executed.
     open_orders: int = 0
-    # One of the start orders is known to be executed.
+    # The present incarnation is known to have executed a start order.
     is_executed: bool = False
     # Time of the last answer to a start order that may come from an incarnation
     # which is not known yet.
--- a/packages/upstreams/hornbeamstair_upstreams/work/start_orders.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/start_orders.py
@@ -2,7 +2,19 @@
 
 The answer to a start order need not name the incarnation that gave it, and an
 order without an answer may be executed seconds later, by whichever incarnation
-the worker has by then.
+the worker has by then. What ends a run on a worker that lists neither it nor
+its end:
+
+=====================  ====================  ==================================
+orders of the run      next incarnation      silent worker
+=====================  ====================  ==================================
+executed by the known  ends it               the lease expires
+one
+without an answer      its polls miss it     no order can be late any more, and
+                                             the longest lease after that is
+                                             over
+answered by either     its polls miss it     the same
+=====================  ====================  ==================================
 """
 
 from collections.abc import Iterable
