--- a/packages/callers/hornbeamstair_callers/jobs/ends.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ends.py
@@ -6,6 +6,7 @@
 
 from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.messages import get_job_id, parse_task_id
+from hornbeamstair_callers.jobs.orphaned_runs import log_orphaned_runs
 from hornbeamstair_callers.jobs.records import (
     JobFailed,
     RunEnded,
@@ -13,7 +14,6 @@
 )
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.table import JobTable
-from hornbeamstair_callers.jobs.unexpected_runs import log_unexpected_runs
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_core.moments import Moment
 from hornbeamstair_core.records import Record
@@ -41,7 +41,7 @@
         now: Moment,
     ) -> Iterator[Record]:
         """Create the records of runs that ended on a worker."""
-        log_unexpected_runs(session, self.jobs)
+        log_orphaned_runs(session, self.jobs)
         for end in ended:
             run = end.run
             self.run_event_log.add_ended(session.announced.worker, end, now)
--- a/packages/callers/hornbeamstair_callers/jobs/run_events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/run_events.py
@@ -7,7 +7,7 @@
 
 from hornbeamstair_core.events import Event, EventLevel, register_event
 
-__all__ = ('RunsEndedEvent', 'RunsPlacedEvent', 'RunsUnexpectedEvent')
+__all__ = ('RunsEndedEvent', 'RunsPlacedEvent', 'RunsOrphanedEvent')
 
 
 @register_event
@@ -38,11 +38,11 @@
 
 @register_event
 @frozen
-class RunsUnexpectedEvent(Event):
+class RunsOrphanedEvent(Event):
     """Runs that a worker has listed and that were not expected on it."""
 
     number = 2018
-    name = 'runs_unexpected'
+    name = 'runs_orphaned'
     summary = 'A worker runs, or has ended, runs that were not expected on it.'
     level = EventLevel.warning
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/obstacles.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/obstacles.py
@@ -16,7 +16,7 @@
     reserved = 'reserved'
     # The worker has seen a higher fencing token.
     fenced = 'fenced'
-    # The worker runs something unexpected, which is being stopped.
+    # The worker has an orphaned run, which is being stopped.
     occupied = 'occupied'
     # The worker has not answered a poll, or not recently.
     unresponsive = 'unresponsive'
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -14,9 +14,9 @@
 from hornbeamstair_upstreams.work.proofs import EndProof
 from hornbeamstair_upstreams.work.runs import (
     EndedRun,
+    OrphanedRun,
     Run,
     RunState,
-    UnexpectedRun,
 )
 from hornbeamstair_upstreams.work.session import WorkerSession
 from hornbeamstair_upstreams.work.start_orders import note_listed
@@ -108,8 +108,8 @@
         session.stops.pop((report.task, report.run), None)
         run = session.runs.get(report.task)
         if run is None or run.run != report.run:
-            session.unexpected_runs.append(
-                UnexpectedRun(report.task, report.run, report.end.value),
+            session.orphaned_runs.append(
+                OrphanedRun(report.task, report.run, report.end.value),
             )
             continue
         session.remove_run(report.task)
@@ -164,8 +164,8 @@
         if run is not None and run.run == report.run:
             continue
         if (report.task, report.run) not in session.stops:
-            session.unexpected_runs.append(
-                UnexpectedRun(report.task, report.run, RunState.running.value),
+            session.orphaned_runs.append(
+                OrphanedRun(report.task, report.run, RunState.running.value),
             )
         session.queue_stop(report.task, report.run)
         session.occupied_at = now
--- a/packages/upstreams/hornbeamstair_upstreams/work/runs.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/runs.py
@@ -16,7 +16,7 @@
     'Run',
     'RunState',
     'UNCONFIRMED_STATES',
-    'UnexpectedRun',
+    'OrphanedRun',
 )
 
 
@@ -120,7 +120,7 @@
 
 
 @frozen
-class UnexpectedRun:
+class OrphanedRun:
     """Run that a worker has listed and the leader does not expect there."""
 
     task: TaskId
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -29,9 +29,9 @@
 from hornbeamstair_upstreams.work.proofs import EndProof
 from hornbeamstair_upstreams.work.runs import (
     EndedRun,
+    OrphanedRun,
     Run,
     RunState,
-    UnexpectedRun,
 )
 from hornbeamstair_upstreams.work.start_orders import (
     carry_over,
@@ -123,10 +123,10 @@
     # Number of long-running runs.
     long_running_count: int = 0
     isolated_runs: IsolatedRuns = field(factory=IsolatedRuns)
-    # Time of the last poll that listed an unexpected run as running.
+    # Time of the last poll that listed an orphaned run as running.
     occupied_at: float = _LONG_AGO
-    # Listed since the last call of `drain_unexpected`.
-    unexpected_runs: list[UnexpectedRun] = field(factory=list)
+    # Listed since the last call of `drain_orphaned`.
+    orphaned_runs: list[OrphanedRun] = field(factory=list)
     observer: SessionObserver = field(factory=NoObserver)
 
     @property
@@ -167,7 +167,7 @@
         return None
 
     def is_occupied(self, now: float) -> bool:
-        """Return whether an unexpected run may use resources of the worker."""
+        """Return whether an orphaned run may use resources of the worker."""
         return now - self.occupied_at < self.terms.stopping
 
     def is_ending(self) -> bool:
@@ -255,11 +255,11 @@
         self.is_unresponsive = False
         self.lease.update_clock(clock, now)
 
-    def drain_unexpected(self) -> list[UnexpectedRun]:
-        """Return and clear the unexpected runs that polls have listed."""
-        unexpected = self.unexpected_runs
-        self.unexpected_runs = []
-        return unexpected
+    def drain_orphaned(self) -> list[OrphanedRun]:
+        """Return and clear the orphaned runs that polls have listed."""
+        orphaned = self.orphaned_runs
+        self.orphaned_runs = []
+        return orphaned
 
     # Polls
 
--- a/tests/features/late_orders.feature
+++ b/tests/features/late_orders.feature
@@ -86,7 +86,7 @@
     And the second stop has no answer
     Then the stop to the present incarnation is sent again
 
-  Scenario: Nothing is placed beside an unexpected run that a poll has listed
+  Scenario: Nothing is placed beside an orphaned run that a poll has listed
     Given an overtaking work model with seed 307, 3 workers
     When 1 seconds pass
     And a job of 1 task with all CPU of a worker has been cancelled
@@ -96,7 +96,7 @@
     And 2 seconds pass
     Then no worker has run more than its CPU
 
-  Scenario: Nothing is placed beside an unexpected run while it is being stopped
+  Scenario: Nothing is placed beside an orphaned run while it is being stopped
     Given an overtaking work model with seed 308, 3 workers
     When 1 seconds pass
     And a job of 1 task with all CPU of a worker has been cancelled
--- a/tests/features/restarted_workers.feature
+++ b/tests/features/restarted_workers.feature
@@ -3,7 +3,7 @@
   A worker that is back under its id takes orders that were meant for its former
   incarnation, late or not, and knows nothing of before.
 
-  Scenario: The log names a run that a worker has started unexpectedly
+  Scenario: The log names an orphaned run
     Given a work model with seed 3, 3 workers and no faults
     And a log of the leader
     When 1 seconds pass
@@ -13,7 +13,7 @@
     And 6 seconds pass
     And a worker executes run 9 of its first task by a late order
     And 1 seconds pass
-    Then the log names run 9 of its first task as unexpected once
+    Then the log names run 9 of its first task as orphaned once
 
   # Seen as TWICE: the order was taken for one that the former incarnation alone could execute.
   Scenario Outline: A late start does not run beside the next run of its task on another worker
--- a/tests/features/steps/late_order_steps.py
+++ b/tests/features/steps/late_order_steps.py
@@ -368,7 +368,7 @@
     work.scheduler.handle_announcement(announced, work.get_moment())
 
 
-# Unexpected runs
+# Orphaned runs
 
 
 @when('a job of 1 task with all CPU of a worker has been cancelled')
@@ -383,7 +383,7 @@
     assert not any(worker.runs for worker in work.workers.values())
 
 
-def _get_unexpected_run(work: WorkModel) -> ModelRun:
+def _get_orphaned_run(work: WorkModel) -> ModelRun:
     worker = next(worker for worker in work.workers.values() if worker.runs)
     return next(iter(worker.runs.values()))
 
@@ -404,7 +404,7 @@
 @when('its stop has been answered')
 def wait_for_stop(context: Any) -> None:
     """Wait until the worker has confirmed the stop."""
-    while _get_unexpected_run(context.work).stops_at is None:
+    while _get_orphaned_run(context.work).stops_at is None:
         context.work.step()
 
 
--- a/tests/features/steps/restarted_worker_steps.py
+++ b/tests/features/steps/restarted_worker_steps.py
@@ -47,12 +47,12 @@
     )
 
 
-@then('the log names run {run:d} of its first task as unexpected once')
-def check_unexpected(context: Any, run: int) -> None:
-    """Check the lines on unexpected runs."""
+@then('the log names run {run:d} of its first task as orphaned once')
+def check_orphaned(context: Any, run: int) -> None:
+    """Check the lines on orphaned runs."""
     lines = read_log(context)
-    unexpected = [line for line in lines if line['event'] == 'runs_unexpected']
-    rows = [row for line in unexpected for row in line['runs']]
+    orphaned = [line for line in lines if line['event'] == 'runs_orphaned']
+    rows = [row for line in orphaned for row in line['runs']]
     running = [row['run'] for row in rows if row['listed_as'] == 'running']
     assert running == [run], rows
     assert {row['task'] for row in rows} == {context.task}, rows
