--- a/packages/replicas/hornbeamstair_replicas/events.py
+++ b/packages/replicas/hornbeamstair_replicas/events.py
@@ -9,6 +9,7 @@
 __all__ = (
     'LeaderCallLateEvent',
     'LeaderChangedEvent',
+    'LeaderUnknownEvent',
     'LogLoadEvent',
     'LogOpenedEvent',
     'MessageTooLargeEvent',
@@ -16,6 +17,7 @@
     'RecordRefusedEvent',
     'SnapshotWrittenEvent',
     'StorageFailedEvent',
+    'StorageFailingEvent',
     'StorageReopenedEvent',
     'TornTailCutEvent',
     'VotersChangeEvent',
@@ -208,3 +210,34 @@
     group: str
     # Time since the last failed write or sync.
     failed_ms: int
+
+
+@register_event
+@frozen
+class StorageFailingEvent(Event):
+    """Storage that has refused writes for a while."""
+
+    number = 5013
+    name = 'storage_failing'
+    summary = 'The disk still refuses writes; the voter takes no part.'
+    level = EventLevel.error
+
+    group: str
+    reason: str
+    # Time since the failed write or sync.
+    failed_ms: int
+
+
+@register_event
+@frozen
+class LeaderUnknownEvent(Event):
+    """Group of which a process has known no leader for a while."""
+
+    number = 5014
+    name = 'leader_unknown'
+    summary = 'No leader of the group has been known for some seconds.'
+    level = EventLevel.warning
+
+    group: str
+    term: int
+    unknown_ms: int
--- a/packages/replicas/hornbeamstair_replicas/groups/recovery.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/recovery.py
@@ -11,6 +11,7 @@
 from hornbeamstair_core.units import to_milliseconds
 from hornbeamstair_replicas.events import (
     StorageFailedEvent,
+    StorageFailingEvent,
     StorageReopenedEvent,
 )
 from hornbeamstair_replicas.failures import StorageFailure
@@ -21,6 +22,8 @@
 
 # Interval of the attempts to write to a disk that has refused a write.
 _REOPEN_SECONDS: Final = 0.5
+# A log that keeps only its last lines still shows a long failure.
+_REPORT_SECONDS: Final = 5.0
 
 
 @define(eq=False)
@@ -34,11 +37,13 @@
     # Set while the storage fails.
     failure: Failure | None = field(default=None, init=False)
     failed_at: float = field(default=0, init=False)
+    reported_at: float = field(default=0, init=False)
     timer: TimerHandle | None = field(default=None, init=False)
 
     def start(self, error: StorageError) -> Failure:
         """Start after a failed write or sync; return the failure."""
         self.failed_at = self.get_time()
+        self.reported_at = self.failed_at
         failure = StorageFailure(str(error))
         self.failure = failure
         log_event(StorageFailedEvent(self.node.group, failure.reason))
@@ -57,7 +62,8 @@
     def _reopen(self) -> None:
         try:
             self.node.reopen()
-        except StorageError:
+        except StorageError as error:
+            self._report_failing(error)
             self._set_timer()
             return
         self.failure = None
@@ -68,3 +74,16 @@
             ),
         )
         self.resume()
+
+    def _report_failing(self, error: StorageError) -> None:
+        now = self.get_time()
+        if now - self.reported_at < _REPORT_SECONDS:
+            return
+        self.reported_at = now
+        log_event(
+            StorageFailingEvent(
+                self.node.group,
+                str(error),
+                to_milliseconds(now - self.failed_at),
+            ),
+        )
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -9,9 +9,7 @@
 from attrs import Factory, define, field
 from expression import Error, Ok, Result
 
-from hornbeamstair_core.events import log_event
 from hornbeamstair_core.failures import Failure
-from hornbeamstair_replicas.events import LeaderChangedEvent
 from hornbeamstair_replicas.failures import (
     NotCommittedFailure,
     NotLeaderFailure,
@@ -28,6 +26,7 @@
     refuse_stale,
     set_outcome,
 )
+from hornbeamstair_replicas.groups.leader_watch import LeaderWatch
 from hornbeamstair_replicas.groups.node import AppliedEntry, LogNode
 from hornbeamstair_replicas.groups.recovery import StorageRecovery
 from hornbeamstair_replicas.messages import VoterId
@@ -87,7 +86,12 @@
         factory=OrderedDict,
         init=False,
     )
-    leader: VoterId = field(default=VoterId(''), init=False)
+    leader_watch: LeaderWatch = field(
+        default=Factory(
+            lambda group: LeaderWatch(group.group), takes_self=True
+        ),
+        init=False,
+    )
     has_caught_up: bool = field(default=False, init=False)
     recovery: StorageRecovery = field(
         default=Factory(_make_recovery, takes_self=True),
@@ -306,9 +310,7 @@
     def _update_leader(self) -> None:
         state = self.node.voter.state
         self.has_caught_up = self.has_caught_up or self.node.is_up_to_date()
-        if state.leader != self.leader:
-            self.leader = state.leader
-            log_event(LeaderChangedEvent(self.group, state.leader, state.term))
+        self.leader_watch.update(state.leader, state.term, self.get_time())
 
     def _set_timer(self) -> None:
         if self.timer is not None:
