Give up the term of a leader whose disk has refused a write

The disk of the leader refuses writes for 0.3 s.

Cause: the storage is opened again after 0.5 s, before the voters elect another leader, and the process goes on leading in its term. Its scheduler ended with the first failure, and a new one is made for the same term.

Change: a leader whose storage is open again resigns. Whoever leads next has a new term, whose tokens are higher than all before, and its first entry in the log ends what the former scheduler had proposed.

--- a/packages/replicas/hornbeamstair_replicas/groups/node.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/node.py
@@ -94,15 +94,17 @@
         self._compact()
         return FlushOutcome(tuple(messages), tuple(applied))
 
-    def reopen(self) -> None:
+    def reopen(self, now: float) -> None:
         """Open a failed storage again, and write and sync what it lacks.
 
-        Messages of the voter that wait for that are outdated and dropped.
+        Messages of the voter that wait for that are outdated and dropped. A
+        leader gives up its term: what has served its decisions has ended.
         Raises StorageError if the storage still fails.
         """
         self.storage.reopen()
         self.is_unsynced = True
         self._store(self.voter.drain_outputs().writes)
+        self.voter.resign(now)
 
     def is_up_to_date(self) -> bool:
         """Return whether all that a leader has committed is applied here.
--- a/packages/replicas/hornbeamstair_replicas/groups/recovery.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/recovery.py
@@ -61,7 +61,7 @@
 
     def _reopen(self) -> None:
         try:
-            self.node.reopen()
+            self.node.reopen(self.get_time())
         except StorageError as error:
             self._report_failing(error)
             self._set_timer()
--- a/packages/replicas/hornbeamstair_replicas/voting/voter.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/voter.py
@@ -141,6 +141,11 @@
             return Error(NotLeaderFailure(self.state.leader))
         return Result.Ok(self.leader_role)
 
+    def resign(self, now: float) -> None:
+        """Stop leading; this voter leads again only in a later term."""
+        if self.leader_role is not None:
+            self._change_role(RoleTrigger.step_down, now)
+
     def drain_outputs(self) -> Outputs:
         """Return the outputs since the last call and clear them."""
         outputs = self.state.outputs
--- a/tests/support/voters.py
+++ b/tests/support/voters.py
@@ -232,7 +232,7 @@
     def _reopen_failed(self) -> None:
         for voter, node in list(self.failed.items()):
             try:
-                node.reopen()
+                node.reopen(self.now)
             except StorageError:
                 continue
             self.nodes[voter] = self.failed.pop(voter)
