Count a silent leader as unknown in the log

Cause: a follower keeps the name of the last leader until the next term begins, and without a majority no term begins: leader_unknown stayed out in the very state that it is for. Change: the leader counts as unknown once its last message is older than two election timeouts, as for processes that do not vote.

--- a/packages/replicas/hornbeamstair_replicas/groups/leader_watch.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/leader_watch.py
@@ -24,16 +24,23 @@
 
     group: str
     leader: VoterId = field(default=VoterId(''), init=False)
-    # Time since which no leader has been known.
+    # Time since which no leader is known, or the known one is silent.
     unknown_since: float | None = field(default=None, init=False)
     reported_at: float = field(default=0, init=False)
 
-    def update(self, leader: VoterId, term: int, now: float) -> None:
-        """Log a change of the leader, or that none has been known for long."""
+    def update(
+        self,
+        leader: VoterId,
+        term: int,
+        now: float,
+        *,
+        is_silent: bool,
+    ) -> None:
+        """Log a change of the leader, or that none has been heard for long."""
         if leader != self.leader:
             self.leader = leader
             log_event(LeaderChangedEvent(self.group, leader, term))
-        if leader:
+        if leader and not is_silent:
             self.unknown_since = None
         elif self.unknown_since is None:
             self.unknown_since = now
--- a/packages/replicas/hornbeamstair_replicas/groups/voting.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/voting.py
@@ -310,7 +310,13 @@
     def _update_leader(self) -> None:
         state = self.node.voter.state
         self.has_caught_up = self.has_caught_up or self.node.is_up_to_date()
-        self.leader_watch.update(state.leader, state.term, self.get_time())
+        now = self.get_time()
+        self.leader_watch.update(
+            state.leader,
+            state.term,
+            now,
+            is_silent=not state.get_recent_leader(now),
+        )
 
     def _set_timer(self) -> None:
         if self.timer is not None:
--- a/tests/features/steps/leaderless_steps.py
+++ b/tests/features/steps/leaderless_steps.py
@@ -11,6 +11,7 @@
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.storage.memory import MemoryLogStorage
 from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.voting.messages import AppendRequest
 from hornbeamstair_replicas.voting.timing import Timing
 from tests.support.logs import read_log
 from tests.support.simulated_loop import SimulatedClock, SimulatedLoop
@@ -32,6 +33,13 @@
     _open(context, (OWN,))
 
 
+@when('a leader sends it one heartbeat')
+def receive_heartbeat(context: Any) -> None:
+    """Receive a heartbeat of the leader of the first term."""
+    heartbeat = AppendRequest(1, 0, 0, (), 0, 0)
+    context.runner.run(_receive(context.group, heartbeat))
+
+
 @when('{seconds:d} simulated seconds pass')
 def pass_time(context: Any, seconds: int) -> None:
     """Run the timers of the voter."""
@@ -92,5 +100,9 @@
     context.runner.run(_start(context.group))
 
 
+async def _receive(group: VotingGroup, message: AppendRequest) -> None:
+    group.transport.receivers['test'](PEERS[0], message)
+
+
 async def _start(group: VotingGroup) -> None:
     group.start()
