--- a/tests/features/steps/voting_steps.py
+++ b/tests/features/steps/voting_steps.py
@@ -15,6 +15,7 @@
 from hornbeamstair_replicas.messages import VoterId
 from hornbeamstair_replicas.storage.file import FileLogStorage
 from hornbeamstair_replicas.transport.base import LocalTransport
+from hornbeamstair_replicas.voting.messages import TransferRequest
 from hornbeamstair_replicas.voting.timing import Timing
 from tests.support.random_voters import (
     VoterMachine,
@@ -360,6 +361,43 @@
     context.network.transfer(context.first_leader, context.target)
 
 
+@when('the leadership is transferred while all transfer requests are lost')
+def lose_transfer(context: Any) -> None:
+    """Request a leadership transfer that no other voter hears of."""
+    context.network.lost_kinds = (TransferRequest,)
+    transfer_leadership(context)
+
+
+@when("the leader's disk refuses writes for {seconds:g} seconds")
+def refuse_briefly(context: Any, seconds: float) -> None:
+    """Have the disk refuse one write and accept the next."""
+    network = context.network
+    context.refused_term = _get_term(network, context.first_leader)
+    network.set_disk_fails(context.first_leader, fails=True)
+    network.propose(b'refused', context.first_leader)
+    network.run(seconds)
+    network.set_disk_fails(context.first_leader, fails=False)
+
+
+@then('some voter may serve reads within {seconds:g} seconds')
+def check_serves(context: Any, seconds: float) -> None:
+    """Check that a leader with a lease is left."""
+    network = context.network
+    network.run(seconds)
+    assert any(
+        network.get_leader_role(leader).can_read(network.now)
+        for leader in network.find_leaders()
+    )
+
+
+@then('no voter leads in the term of that refusal')
+def check_later_term(context: Any) -> None:
+    """Check the terms of the leaders."""
+    network = context.network
+    for leader in network.find_leaders():
+        assert _get_term(network, leader) > context.refused_term
+
+
 @then('that follower leads within {seconds:g} seconds')
 def check_transferred(context: Any, seconds: float) -> None:
     """Check that the target leads."""
--- a/tests/features/voting.feature
+++ b/tests/features/voting.feature
@@ -71,6 +71,14 @@
     And the leadership is transferred to a follower
     Then that follower leads within 1 seconds
 
+  # Fencing tokens that its scheduler had issued were issued again.
+  Scenario: A leader whose disk refused a write for a moment gives up its term
+    Given 3 voters with seed 18
+    When 20 payloads are proposed
+    And the leader's disk refuses writes for 0.3 seconds
+    Then some voter may serve reads within 3 seconds
+    And no voter leads in the term of that refusal
+
   Scenario: A partitioned voter is sent few entries, and the missing ones once
     Given 3 voters with seed 8 that write no snapshot
     When a follower is partitioned while 1500 payloads are proposed in 3 seconds
--- a/tests/support/voters.py
+++ b/tests/support/voters.py
@@ -83,6 +83,8 @@
     sent_chunks: 'Counter[VoterId]' = field(factory=Counter)
     # Larger messages are dropped; None carries all.
     max_message_bytes: int | None = None
+    # Kinds of messages that no link delivers.
+    lost_kinds: tuple[type[VoterMessage], ...] = ()
     snapshot_entries: int = SNAPSHOT_ENTRIES
     # Steps between two runs of a voter's event loop, where more than one.
     loop_steps: dict[VoterId, int] = field(factory=dict)
@@ -224,6 +226,8 @@
             receiver,
         ) in self.dropped_links or self.rng.random() < self.loss_rate:
             return
+        if isinstance(message, self.lost_kinds):
+            return
         if self._is_too_large(Envelope('test', sender, receiver, message)):
             return
         arrives_at = self.now + self.rng.uniform(0, self.max_delay)
