End the term of a leader whose transfer of the leadership has failed

Callers could see: nobody is served until a process restarts. A leader that hands over gives up its lease for the rest of its term, since the target may win at any time. If the target never hears of it, the leader goes on with its heartbeats, so that nobody else is elected, and without its lease it serves nobody. Change: without its lease, the leader steps down at the deadline of the transfer. Result: the new scenario of voting.feature failed before (no voter may serve 3 s after the transfer, all transfer requests lost) and passes; 27 of 27 pass.

--- a/packages/replicas/hornbeamstair_replicas/voting/roles/leader.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/roles/leader.py
@@ -67,13 +67,16 @@
         return None
 
     def tick(self, now: float) -> RoleTrigger | None:
-        """Send heartbeats; step down if no quorum answers."""
+        """Send heartbeats; step down without a quorum or after a transfer."""
         timing = self.state.timing
         if not self.replicator.has_quorum(now, timing.election_max):
             return RoleTrigger.step_down
         self.state.update_leader_contact(self.state.voter, now)
         if self.transfer_target and now >= self.transfer_deadline:
             self.transfer_target = None
+            if not self.has_lease:
+                # The target may still win: nobody is served in this term.
+                return RoleTrigger.step_down
         if now >= self.deadline:
             self._send_heartbeats(now)
         return None
--- a/tests/features/voting.feature
+++ b/tests/features/voting.feature
@@ -71,6 +71,13 @@
     And the leadership is transferred to a follower
     Then that follower leads within 1 seconds
 
+  # The leader kept its term, and served nobody for the rest of it.
+  Scenario: Some voter serves again after a transfer whose request was lost
+    Given 3 voters with seed 17
+    When 20 payloads are proposed
+    And the leadership is transferred while all transfer requests are lost
+    Then some voter may serve reads within 3 seconds
+
   # Fencing tokens that its scheduler had issued were issued again.
   Scenario: A leader whose disk refused a write for a moment gives up its term
     Given 3 voters with seed 18
