Report tasks that do not run though there are resources

Change: once a second the leader compares its tables with what it keeps in memory. tasks_overdue (2019) and the gauge hornbeamstair_state, kind tasks_overdue, count the tasks that have had no confirmed run for 6 s and 3 s, with resources for them, by the reason.

--- a/packages/callers/hornbeamstair_callers/jobs/events.py
+++ b/packages/callers/hornbeamstair_callers/jobs/events.py
@@ -17,6 +17,7 @@
     'RequestRefusedEvent',
     'SilenceExplainedEvent',
     'StartsUnconfirmedEvent',
+    'TasksOverdueEvent',
     'WorkWaitingEvent',
     'WorkerBelievedEvent',
     'WorkerQuarantinedEvent',
@@ -217,3 +218,23 @@
     task: str
     # Oldest first, confirmed or not.
     crashes: tuple[Mapping[str, Any], ...]
+
+
+@register_event
+@frozen
+class TasksOverdueEvent(Event):
+    """Tasks that are to run and have not for longer than callers are told."""
+
+    number = 2019
+    name = 'tasks_overdue'
+    summary = 'Tasks do not run though there are resources; lists the oldest.'
+    level = EventLevel.warning
+
+    fencing_token: int
+    count: int
+    # Since the last run ended, or since this leader knows of the task.
+    oldest_ms: int
+    reasons: Mapping[str, int]
+    tasks: tuple[Mapping[str, Any], ...]
+    # Workers of the services that the leader does not use, by the reason.
+    unusable: Mapping[str, int]
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -18,11 +18,11 @@
     SendStart,
     SendStop,
 )
+from hornbeamstair_callers.jobs.meter import measure_scheduler
 from hornbeamstair_callers.jobs.placement_event_log import PlacementEventLog
 from hornbeamstair_callers.jobs.policies import SchedulingPolicies
 from hornbeamstair_callers.jobs.scheduler import Scheduler, SchedulerState
 from hornbeamstair_callers.jobs.service import RecordCommitter
-from hornbeamstair_callers.workspaces.meter import measure_workspaces
 from hornbeamstair_core.background import repeat
 from hornbeamstair_core.failures import Failure
 from hornbeamstair_core.ids import WorkerId
@@ -158,9 +158,9 @@
         scheduler = self.find_scheduler()
         if scheduler is not None:
             self._measure_pass(scheduler.tick, scheduler)
-            measure_workspaces(self.metrics, scheduler.workspaces)
             self._execute_effects(scheduler)
             self.poller.poll_all(scheduler.sessions.values())
+        measure_scheduler(self.metrics, scheduler)
         return _TICK_SECONDS
 
     def _is_in_term(self, scheduler: Scheduler) -> bool:
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -21,7 +21,6 @@
 from hornbeamstair_callers.jobs.messages import get_job_id
 from hornbeamstair_callers.jobs.passes import PlacementPasses
 from hornbeamstair_callers.jobs.policies import SchedulingPolicies
-from hornbeamstair_callers.jobs.record_event_log import RecordEventLog
 from hornbeamstair_callers.jobs.recorded_runs import (
     discard_recorded_run,
     make_first_start,
@@ -36,11 +35,9 @@
 )
 from hornbeamstair_callers.jobs.run_event_log import RunEventLog
 from hornbeamstair_callers.jobs.run_time_learning import RunTimeLearner
+from hornbeamstair_callers.jobs.stall_event_logs import StallEventLogs
 from hornbeamstair_callers.jobs.starts import StartPlanner
 from hornbeamstair_callers.jobs.table import JobTable
-from hornbeamstair_callers.jobs.unconfirmed_event_log import (
-    UnconfirmedEventLog,
-)
 from hornbeamstair_callers.jobs.unstarted import UnstartedJobs
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_event_log import WaitingEventLog
@@ -118,8 +115,7 @@
     run_event_log: RunEventLog = field(init=False)
     waiting: WaitingJobs = field(init=False)
     waiting_event_log: WaitingEventLog = field(init=False)
-    unconfirmed_event_log: UnconfirmedEventLog = field(init=False)
-    record_event_log: RecordEventLog = field(init=False)
+    stall_event_logs: StallEventLogs = field(init=False)
     workspaces: WorkspacePolicies = field(init=False)
     starts: StartPlanner = field(init=False)
     passes: PlacementPasses = field(init=False)
@@ -142,10 +138,13 @@
             state.jobs, state.manifest, self.workspaces.ranking
         )
         self.waiting_event_log = WaitingEventLog(self.waiting)
-        self.unconfirmed_event_log = UnconfirmedEventLog(self.fencing_token)
-        self.record_event_log = RecordEventLog(
+        self.stall_event_logs = StallEventLogs(
             self.fencing_token,
+            state.jobs,
             self.waiting,
+            self.sessions,
+            self.inherited,
+            self.workspaces.quotas,
         )
         self.job_event_log = JobEventLog(
             state.manifest, self.policies.run_times
@@ -183,8 +182,7 @@
         order of the previous leader.
         """
         longest = self.terms.expiry_delay
-        lease = self.terms.make_lease(now.monotonic + longest)
-        self.inherited = InheritedRuns(lease)
+        self.inherited.lease = self.terms.make_lease(now.monotonic + longest)
         self.inherited.add_jobs(self.state.jobs.jobs.values(), now)
         for announced in self.state.workers.workers.values():
             self._add_session(announced, now, now.monotonic + longest)
@@ -338,8 +336,7 @@
         self._place_all(now)
         self.waiting_event_log.log_due(self.sessions.values(), now)
         self.workspaces.event_log.log_due(self.waiting.ready.values(), now)
-        self.unconfirmed_event_log.log_due(self.sessions.values(), now)
-        self.record_event_log.log_due(self.sessions.values(), now)
+        self.stall_event_logs.log_due(now)
 
     def place(self, now: Moment) -> None:
         """Place ready tasks of services with new work or freed resources."""
@@ -507,6 +504,7 @@
         job_id = get_job_id(record.task)
         self.waiting.in_flight.pop(record.task, None)
         self.unstarted.handle_end(record.task, record.end)
+        self.stall_event_logs.overdue.handle_end(record.task, record.end)
         self.run_time_learner.learn(record.task)
         self.waiting.mark_stale((job_id,))
         self._log_job_end(job_id, record.at)
