--- a/tests/support/random_simulations.py
+++ b/tests/support/random_simulations.py
@@ -6,11 +6,13 @@
 from attrs import define, field
 
 from hornbeamstair_core.ids import JobId
+from tests.support.task_waits import TaskWaits
 from tests.support.work_model import (
     ModelWorker,
     WorkModel,
     drain_worker,
     make_phase,
+    repair,
     repair_and_finish,
     replace_worker,
 )
@@ -31,6 +33,9 @@
     'change_leader': 6,
     'cancel': 3,
 }
+FAULTS = 'crash', 'partition_or_heal', 'drain', 'replace', 'change_leader'
+# Time without faults before the long-running jobs are cancelled.
+REPAIRED_SECONDS = 20
 
 
 @define(eq=False)
@@ -45,6 +50,8 @@
     rng: Random = field(init=False)
     model: WorkModel = field(init=False)
     accepted: int = 0
+    waits: TaskWaits = field(init=False)
+    last_fault: float = field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create separate random sources for the actions and the faults."""
@@ -56,6 +63,8 @@
             held_share=self.held_share,
             delayed_polls_share=self.delayed_polls_share,
         )
+        self.waits = TaskWaits(self.model)
+        self.model.observers.append(self.check_waits)
 
     def run(self) -> None:
         """Run random actions, repair all faults and check that all jobs end."""
@@ -63,8 +72,20 @@
         for name in self.rng.choices(names, WEIGHTS.values(), k=STEPS):
             step: Callable[[], None] = getattr(self, name)
             step()
+            if name in FAULTS:
+                self.last_fault = self.model.now
+        repair(self.model)
+        self.last_fault = self.model.now
+        self.model.run(REPAIRED_SECONDS)
         repair_and_finish(self.model)
 
+    def check_waits(self) -> None:
+        """Check that no task waits for too long without any fault."""
+        workers = self.model.workers.values()
+        if any(worker.is_partitioned for worker in workers):
+            self.last_fault = self.model.now
+        self.waits.observe(self.last_fault)
+
     def accept(self) -> None:
         """Accept a job of one to three consecutive phases."""
         self.accepted += 1
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -404,6 +404,8 @@
     rack_factor: float = 1
     # Fixed durations of the runs of some jobs.
     seconds_by_job: dict[JobId, float] = field(factory=dict)
+    # Called after each step.
+    observers: list[Callable[[], None]] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         """Start the workers and the first leader."""
@@ -487,6 +489,8 @@
         self.scheduler.tick(self.get_moment())
         self._execute_effects()
         self.check_capacity()
+        for observer in self.observers:
+            observer()
 
     def get_moment(self) -> Moment:
         """Get the current time."""
@@ -880,13 +884,18 @@
             session.request_stop(run)
 
 
-def repair_and_finish(model: WorkModel) -> None:
-    """Repair all faults and check that all jobs end."""
+def repair(model: WorkModel) -> None:
+    """Repair all faults."""
     for worker in model.workers.values():
         worker.is_partitioned = False
     model.lost_share = 0
     model.delayed_share = 0
     model.refuse_share = 0
+
+
+def repair_and_finish(model: WorkModel) -> None:
+    """Repair all faults and check that all jobs end."""
+    repair(model)
     for long_running_job in list(model.tables.jobs.get_open()):
         if long_running_job.spec.lasts:
             model.cancel(long_running_job.spec.job)
