Keep a voter in when the close of a segment reports an error

Seen by callers: nothing yet; found by disk_faults.feature. A planned stop would raise the error.

Cause: the error was a plain OSError, so no recovery was started, and the storage went on to hold a file that was closed already: each later write raised a ValueError, which nobody takes for a failed storage.

Change: the close forgets the file whatever it reports, and logs the error. All in a segment is synced before the next one is opened, so the error says nothing about what is stored; in a recovery it is written again to a new one.

--- a/packages/replicas/hornbeamstair_replicas/storage/file.py
+++ b/packages/replicas/hornbeamstair_replicas/storage/file.py
@@ -145,13 +145,14 @@
 
     def close(self) -> None:
         """Close the files."""
-        if self.segment is not None:
+        if self.segment is None:
+            return
+        # A full disk does not keep a process from stopping as planned.
+        errors = (StorageError, OSError)
+        with logged_failure('closing of the log', *errors), self.segment:
             if not self.has_failed:
-                # A full disk does not keep a process from stopping as planned.
-                with logged_failure('closing of the log', StorageError):
-                    self._write_pending(self.segment)
-            self.segment.close()
-            self.segment = None
+                self._write_pending(self.segment)
+        self.segment = None
 
     def _replace_snapshot(self, snapshot: Snapshot, records: bytes) -> None:
         """Replace the snapshot, then begin a segment with some records."""
@@ -211,9 +212,7 @@
 
         An incomplete record is accepted only at the end of the last segment.
         """
-        if self.segment is not None:
-            self.segment.close()
-            self.segment = None
+        self.close()
         path = self._get_path(self.segment_number)
         if not self.synced_bytes:
             path.unlink(missing_ok=True)
