Keep acknowledged entries when the reopening of a storage fails as well

Seen by callers: nothing yet; found by disk_faults.feature. Could be seen as LOST: a voter that restarts lacks entries that it has acknowledged, and a leader may be elected without them, or its log is refused as damaged.

A recovery took the note of the failed segment over only once the new one was open.

Change: the note is taken over before the segment is opened, so it goes on through any number of failures.

--- a/packages/replicas/hornbeamstair_replicas/storage/file.py
+++ b/packages/replicas/hornbeamstair_replicas/storage/file.py
@@ -135,10 +135,10 @@
             self._cut_segment()
         except OSError as error:
             raise self._set_failed(error) from error
-        # The new segment may hold any of the entries of the failed one.
+        # A new segment may hold any of the entries of the failed one.
         last_index = self.last_indexes.get(self.segment_number, 0)
+        self.last_indexes[self.segment_number + 1] = last_index
         self._open_segment(self.segment_number + 1)
-        self.last_indexes[self.segment_number] = last_index
         self.has_failed = False
         self.unsynced.clear()
         self.pending = bytearray(encode_vote_record(self.vote) + content)
