Sync the cut of a failed segment also when its first sync fails

Seen by callers: nothing yet; found by disk_faults.feature. Could be seen as a voter whose log is refused as damaged after a power loss.

Cause: a recovery cuts off what is not durable and syncs that. If this sync failed, the next recovery found the segment short enough, and went on to the next segment without a sync. After a power loss the torn record could be back in a segment that is no longer the last.

Change: each recovery cuts and syncs until both have worked.

--- a/packages/replicas/hornbeamstair_replicas/storage/file.py
+++ b/packages/replicas/hornbeamstair_replicas/storage/file.py
@@ -216,7 +216,8 @@
         path = self._get_path(self.segment_number)
         if not self.synced_bytes:
             path.unlink(missing_ok=True)
-        elif path.stat().st_size > self.synced_bytes:
+        elif path.stat().st_size >= self.synced_bytes:
+            # Also where it was cut before, and the sync of that has failed.
             os.truncate(path, self.synced_bytes)
             sync_path(path)
 
