--- a/tests/features/disk_faults.feature
+++ b/tests/features/disk_faults.feature
@@ -10,3 +10,7 @@
       | 150  | two failures of file operations      |
       | 150  | a row of failures of file operations |
       | 30   | a row of failures of file operations |
+
+  Scenario: A voter whose recovery meets an unexpected error tries again
+    When a voter restores a snapshot after a failed sync and meets an error
+    Then it takes part again each time and keeps what it has acknowledged
--- a/tests/support/disk_follower.py
+++ b/tests/support/disk_follower.py
@@ -13,6 +13,7 @@
 from hornbeamstair_replicas.groups.voting import VotingGroup
 from hornbeamstair_replicas.messages import LogEntry, StoredLog, VoterId
 from hornbeamstair_replicas.peer_messages import Envelope
+from hornbeamstair_replicas.state_machine import StateMachine
 from hornbeamstair_replicas.storage.file import FileLogStorage
 from hornbeamstair_replicas.transport.base import LocalTransport
 from hornbeamstair_replicas.voting.messages import (
@@ -133,6 +134,7 @@
     segment_bytes: int
     clock: SimulatedClock
     files: FaultyFiles
+    state_machine: StateMachine = field(factory=PayloadLog)
     # Steps acknowledged so far.
     done: int = field(default=0, init=False)
     failed_at: float = field(default=0, init=False)
@@ -184,7 +186,7 @@
             _GROUP,
             _OWN,
             FileLogStorage(self.folder, self.segment_bytes),
-            PayloadLog(),
+            self.state_machine,
             _VOTERS,
             Timing(),
             Random(1),
