Try to open a storage again after any error of an attempt

Seen by callers: nothing yet.

Cause: the next attempt was set only after a StorageError.

Change: the next attempt is set before the attempt, and cancelled once it has worked. The error still reaches the log of the event loop.

disk_faults.feature, "A voter whose recovery meets an unexpected error tries again", failed before in 15 of 56 plays and passes.

--- a/packages/replicas/hornbeamstair_replicas/groups/recovery.py
+++ b/packages/replicas/hornbeamstair_replicas/groups/recovery.py
@@ -55,11 +55,13 @@
         self.timer = loop.call_later(_REOPEN_SECONDS, self._reopen)
 
     def _reopen(self) -> None:
+        # Set before anything can fail: no error ends the attempts.
+        self._set_timer()
         try:
             self.node.reopen()
         except StorageError:
-            self._set_timer()
             return
+        self.stop()
         self.failure = None
         failed_seconds = self.get_time() - self.failed_at
         log_event(
