--- a/packages/replicas/hornbeamstair_replicas/storage/file.py
+++ b/packages/replicas/hornbeamstair_replicas/storage/file.py
@@ -135,23 +135,24 @@
             self._cut_segment()
         except OSError as error:
             raise self._set_failed(error) from error
-        # The new segment may hold any of the entries of the failed one.
+        # A new segment may hold any of the entries of the failed one.
         last_index = self.last_indexes.get(self.segment_number, 0)
+        self.last_indexes[self.segment_number + 1] = last_index
         self._open_segment(self.segment_number + 1)
-        self.last_indexes[self.segment_number] = last_index
         self.has_failed = False
         self.unsynced.clear()
         self.pending = bytearray(encode_vote_record(self.vote) + content)
 
     def close(self) -> None:
         """Close the files."""
-        if self.segment is not None:
+        if self.segment is None:
+            return
+        # A full disk does not keep a process from stopping as planned.
+        errors = (StorageError, OSError)
+        with logged_failure('closing of the log', *errors), self.segment:
             if not self.has_failed:
-                # A full disk does not keep a process from stopping as planned.
-                with logged_failure('closing of the log', StorageError):
-                    self._write_pending(self.segment)
-            self.segment.close()
-            self.segment = None
+                self._write_pending(self.segment)
+        self.segment = None
 
     def _replace_snapshot(self, snapshot: Snapshot, records: bytes) -> None:
         """Replace the snapshot, then begin a segment with some records."""
@@ -211,13 +212,12 @@
 
         An incomplete record is accepted only at the end of the last segment.
         """
-        if self.segment is not None:
-            self.segment.close()
-            self.segment = None
+        self.close()
         path = self._get_path(self.segment_number)
         if not self.synced_bytes:
             path.unlink(missing_ok=True)
-        elif path.stat().st_size > self.synced_bytes:
+        elif path.stat().st_size >= self.synced_bytes:
+            # Also where it was cut before, and the sync of that has failed.
             os.truncate(path, self.synced_bytes)
             sync_path(path)
 
