--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -92,9 +92,10 @@
 class Scheduler:
     """Scheduling decisions of the leader, without any I/O.
 
-    An instance exists for one term of its process as the leader. The term is
-    the fencing token of its orders about hosts, and each incarnation of a
-    worker has a token of that term. It acts only on committed records.
+    Exactly one instance exists for a term of its process as the leader: a
+    second one would issue fencing tokens of that term again. The term is the
+    token of its orders about hosts, and each incarnation of a worker has a
+    token of that term. It acts only on committed records.
     """
 
     state: SchedulerState
--- a/packages/replicas/hornbeamstair_replicas/voting/voter.py
+++ b/packages/replicas/hornbeamstair_replicas/voting/voter.py
@@ -158,10 +158,8 @@
 
     def has_lagging_peer(self) -> bool:
         """Return whether this voter leads and a peer is catching up."""
-        role = self.role
-        return (
-            isinstance(role, LeaderRole) and role.replicator.has_lagging_peer()
-        )
+        role = self.leader_role
+        return role is not None and role.replicator.has_lagging_peer()
 
     def set_synced(self) -> None:
         """Mark all entries of this voter as synced."""
