--- a/packages/callers/hornbeamstair_callers/jobs/overdue_tasks.py
+++ b/packages/callers/hornbeamstair_callers/jobs/overdue_tasks.py
@@ -12,8 +12,8 @@
 
 __all__ = ('OverdueTasks',)
 
-# Users count a task as lost that does not run, with resources for it during
-# the second span, when both have passed since its last run.
+# A task may rest for the first span after its last run, and for the second
+# one while there are resources for it.
 _GRACE_SECONDS: Final = 6.0
 _LOST_SECONDS: Final = 3.0
 # Ends of runs that had certainly started.
--- a/packages/callers/hornbeamstair_callers/jobs/spare_places.py
+++ b/packages/callers/hornbeamstair_callers/jobs/spare_places.py
@@ -33,7 +33,7 @@
     usable = 'usable'
     # Only workers that the leader does not use have them.
     unused = 'unused'
-    # Nor does a task start that its quota holds back.
+    # No worker has them, or the quota of the workspace is used up.
     missing = 'missing'
 
 
