--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,20 +1,25 @@
-"""The list's entry of one machine of a wave cannot be read for some seconds."""
+"""A frontend machine stands still with a job; the caller gives up and cancels."""
 
 import asyncio
+import json
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'support2'))
 
-from http_stand_in import call  # noqa: E402
-from world import HOST, run_case  # noqa: E402
+from world import HOST, CannotRun, run_case  # noqa: E402
 
 ROUTE = {
-    'kind': 'unsafe', 'timeout_ms': 3000, 'completion_target_ms': 2500,
-    'priority': 0, 'max_attempts': 2, 'stretch': 2.2, 'host': HOST,
-    'service': 'alpha', 'name': 'r-serve', 'path_prefix': '/serve/',
+    'kind': 'unsafe', 'timeout_ms': 3000, 'completion_target_ms': 600,
+    'priority': 0, 'max_attempts': 3, 'stretch': 1.6, 'host': HOST,
+    'service': 'alpha', 'name': 'r-pay', 'path_prefix': '/pay/',
 }
-ODD_SECONDS = 9
+FREEZE_SECONDS = 5
+WORK_MS = 20_000
+CONTACT_MS = 3000
+CANCEL_MS = 3000
+STOP_TIMEOUT_MS = 200
 
 
 async def case(world):
@@ -24,58 +29,57 @@
             f'w{number}', 'alpha', rack=f'r{number // 4}', zone=f'z{number % 3 + 1}'
         )
     await asyncio.sleep(4)
-    wave = ['m-w0', 'm-w1', 'm-w2']
+    job = f'{world.random.getrandbits(64):016x}'
+    body = {
+        'spec': json.dumps([{'ms': WORK_MS}]),
+        'phases': [{'count': 2, 'cpu': 1900, 'mem_mb': 2000,
+                    'estimate_ms': WORK_MS}],
+    }
+    front = world.entries[0]
     if world.has_trouble:
-        # Another writer's entry: a field of another type.
-        odd = world.machines['m-w2']
-        labels = odd['labels']
-        odd['labels'] = {'kind': 'a'}
-        world.note(f'the entry of m-w2 is odd: {odd}')
+        front.send(signal.SIGSTOP)
 
-        async def mend():
-            await asyncio.sleep(ODD_SECONDS)
-            odd['labels'] = labels
-            world.note('the entry of m-w2 is as before')
+        async def thaw():
+            await asyncio.sleep(FREEZE_SECONDS)
+            front.send(signal.SIGCONT)
 
-        mending = asyncio.create_task(mend())
-    control = 0
-    while True:
-        status, _ = await call(
-            world.controls[control % 3].ip, world.control_port, 'POST',
-            '/hornbeamstair/wave-start',
-            {'wave': 1, 'machines': wave, 'deadline_s': 60, 'max_count': 1},
-        )
-        world.note(f'operator: wave 1 at {world.controls[control % 3].name}: {status}')
-        if status == 200:
+        thawing = asyncio.create_task(thaw())
+    status, _ = await world.ask('POST', f'/pay/{job}', body, entry=0, seconds=3)
+    if world.has_trouble and status:
+        raise CannotRun('the frozen machine has answered')
+    # The deadline is over: the caller gives up and cancels what it has sent.
+    cancelled_at = None
+    for at in range(1, 9):
+        status, _ = await world.ask('DELETE', f'/pay/{job}', entry=at)
+        if 200 <= status < 300 or status == 410:
+            cancelled_at = world.now
             break
-        control += 1
         await asyncio.sleep(0.3)
-    end = world.now + 60
-    while world.now < end:
-        await asyncio.sleep(0.5)
-        status, answer = await call(
-            world.controls[0].ip, world.control_port, 'GET',
-            '/hornbeamstair/wave-get/1',
-        )
-        world.note(f'operator: wave 1 is {status} {answer}')
-        if status == 200 and answer['state'] == 'completed':
-            break
-    else:
-        # A wave that is late costs a duty and breaks no rule.
-        return []
-    taken = {
-        order['machine'] for _, path, order in world.moves
-        if path.endswith('machine-upkeep')
-    }
+    if cancelled_at is None:
+        raise CannotRun('the cancel was not acknowledged')
     if world.has_trouble:
-        await mending
-    left = [machine for machine in wave if machine not in taken]
-    return [
-        f'wave 1 is said to be completed, and {machine} (state '
-        f'{world.machines[machine]["state"]}, worker '
-        f'{world.machines[machine]["id"]} up) has not begun its upkeep'
-        for machine in left
-    ]
+        await thawing
+    # A calm stretch: contact_ms after the thaw, then the bound of the rule.
+    await asyncio.sleep((CONTACT_MS + CANCEL_MS + STOP_TIMEOUT_MS) / 1000 + 1)
+    seen_at = world.now
+    status, answer = await world.ask('GET', f'/pay/{job}', entry=1)
+    breaks = []
+    for at, _, item, _ in world.starts:
+        if not item.startswith(job):
+            continue
+        if at > cancelled_at + CANCEL_MS / 1000:
+            breaks.append(
+                f'{item} was started {at - cancelled_at:.2f} s after the cancel '
+                'was acknowledged'
+            )
+        if world.where(item):
+            breaks.append(
+                f'{item}, started {at - cancelled_at:.2f} s after the cancel was '
+                f'acknowledged, still runs {seen_at - cancelled_at:.2f} s after it'
+            )
+    if breaks:
+        breaks.append(f'the cancelled job is shown as {status} {answer}')
+    return breaks
 
 
 if __name__ == '__main__':
--- a/review/support2/world.py
+++ b/review/support2/world.py
@@ -70,7 +70,8 @@
     """Stand-in for a worker: runs work items under leases and fences."""
 
     def __init__(self, world, name, service, machine, host, port, rack='r1',
-                 kind='a', cpu=16000, mem=32768, zone='z1'):
+                 kind='a', cpu=16000, mem=32768, zone='z1',
+                 before_order=None):
         self.world = world
         self.name = name
         self.service = service
@@ -98,7 +99,7 @@
         self.is_beating = True
         self.server = Server(host, port, self.handle)
         # Hook of a case: awaited before an order is carried out.
-        self.before_order = None
+        self.before_order = before_order
         self.tasks = []
 
     @property
@@ -223,6 +224,7 @@
         if headers.get('x-expect-instance', self.name) != self.name:
             return 421, {}
         order = json.loads(body)
+        self.world.calls.append((self.world.now, self.name))
         if self.before_order is not None:
             await self.before_order(path, order)
         token = order.get('fencing_token', 0)
@@ -397,6 +399,7 @@
         self.starts = []
         self.ends = []
         self.acked = []
+        self.calls = []
         self.moves = []
         self.has_trouble = os.environ.get('TROUBLE', '1') != '0'
         number = os.getpid() % 60000
