Acknowledge no ends while a start may reach the next incarnation

Cause: a late start is executed by the next incarnation and ends there under a number that a late poll of the former one acknowledges, so that the worker drops the end before it is listed.

Change: ends are not acknowledged while a start without an answer may arrive, and a start beside an acknowledgement without an answer carries a higher token, so that the worker rejects whichever of the two could do harm after the other.

--- a/packages/callers/hornbeamstair_callers/endpoints/worker_poller.py
+++ b/packages/callers/hornbeamstair_callers/endpoints/worker_poller.py
@@ -9,7 +9,11 @@
 
 from hornbeamstair_core.metrics import Metrics
 from hornbeamstair_core.step_failures import log_step_failure
-from hornbeamstair_upstreams.work.messages import OrderOutcome, PollAnswer
+from hornbeamstair_upstreams.work.messages import (
+    OrderOutcome,
+    PollAnswer,
+    PollOrder,
+)
 from hornbeamstair_upstreams.work.sender import (
     ORDER_VALID_SECONDS,
     WorkerSender,
@@ -82,7 +86,7 @@
 
     async def _poll_continuously(self, session: WorkerSession) -> None:
         while self.is_known(session):
-            if session.end_cursor.is_recorded() and self.leads():
+            if session.is_poll_due(self.get_time()) and self.leads():
                 await self._poll(session)
             else:
                 await self._wait(session)
@@ -104,9 +108,19 @@
         if answer.outcome != OrderOutcome.done:
             # The prefix is part of the metric's label values.
             self.metrics.count_retry(f'look_{answer.outcome.value}')
-            await sleep(_get_retry_seconds(answer.outcome))
-
-
-def _get_retry_seconds(outcome: OrderOutcome) -> float:
-    # A poll that was not sent has waited long enough.
-    return 0 if outcome == OrderOutcome.unsent else _RETRY_SECONDS
+            await sleep(_get_retry_seconds(session, order, answer.outcome))
+
+
+def _get_retry_seconds(
+    session: WorkerSession,
+    order: PollOrder,
+    outcome: OrderOutcome,
+) -> float:
+    # A poll that was not sent has waited long enough, and one that a start has
+    # overtaken is rejected although the worker is well.
+    is_overtaken = (
+        outcome == OrderOutcome.fenced
+        and order.fencing_token != session.fencing_token
+    )
+    is_unsent = outcome == OrderOutcome.unsent
+    return 0 if is_unsent or is_overtaken else _RETRY_SECONDS
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -443,7 +443,10 @@
         )
         self.recent_workers.prune(now.monotonic)
         is_recorded = announced.worker in self.state.workers.workers
-        is_recent = self.recent_workers.contains(announced.worker)
+        arrival = self.recent_workers.get_latest_arrival(announced.worker)
+        if arrival is not None:
+            session.acknowledgements.starts_until = arrival
+        is_recent = arrival is not None
         session.is_returning = is_recorded or is_recent or bool(runs)
         session.observer = self.index
         session.notify_freed()
--- a/packages/upstreams/hornbeamstair_upstreams/work/polls.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/polls.py
@@ -41,6 +41,7 @@
     if session.is_older_incarnation(answer.incarnation):
         # A delayed answer: its clock and its runs no longer apply.
         return []
+    session.acknowledgements.handle_outcome(answer.outcome)
     if answer.outcome == OrderOutcome.other_life:
         return session.handle_other_life(sent_at, now)
     if answer.outcome == OrderOutcome.unsent:
@@ -49,7 +50,7 @@
     if session.is_newer_incarnation(answer.incarnation):
         return session.end_incarnation(answer.incarnation, now)
     poll = session.last_poll
-    if poll is None or poll.fencing_token != session.fencing_token:
+    if poll is None or not session.is_present(poll.fencing_token):
         # Orders of before may be executed after this poll.
         return []
     if answer.outcome == OrderOutcome.fenced:
@@ -112,6 +113,7 @@
                 OrphanedRun(report.task, report.run, report.end.value),
             )
             continue
+        note_listed(run)
         session.remove_run(report.task)
         session.health.handle_end(report.end, run.phase_id)
         checkpoint = report.checkpoint or run.checkpoint
--- a/packages/upstreams/hornbeamstair_upstreams/work/recent_workers.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/recent_workers.py
@@ -27,6 +27,9 @@
                 return
             self.forgotten_at.pop(worker)
 
-    def contains(self, worker: WorkerId) -> bool:
-        """Return whether a worker was forgotten a short time ago."""
-        return worker in self.forgotten_at
+    def get_latest_arrival(self, worker: WorkerId) -> float | None:
+        """Get the time until which orders of before may reach a worker."""
+        forgotten_at = self.forgotten_at.get(worker)
+        if forgotten_at is None:
+            return None
+        return forgotten_at + LATE_ORDER_SECONDS
--- a/packages/upstreams/hornbeamstair_upstreams/work/session.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/session.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define, evolve, field
 
 from hornbeamstair_core.ids import TaskId
+from hornbeamstair_upstreams.work.acknowledgements import Acknowledgements
 from hornbeamstair_upstreams.work.drain_stops import handle_stop_outcome
 from hornbeamstair_upstreams.work.end_cursor import EndCursor
 from hornbeamstair_upstreams.work.fencing import FencingTokens
@@ -85,13 +86,20 @@
     joined_at: float = field(
         default=Factory(lambda session: session.announced_at, takes_self=True),
     )
-    # Token of the orders to the incarnation.
-    fencing_token: int = field(
+    # Lowest token of the orders to the incarnation.
+    incarnation_token: int = field(
         default=Factory(
             lambda session: session.tokens.issue(),
             takes_self=True,
         ),
     )
+    # Token of the next order.
+    fencing_token: int = field(
+        default=Factory(
+            lambda session: session.incarnation_token,
+            takes_self=True,
+        ),
+    )
     last_poll: PollOrder | None = None
     # The last poll has no answer: the worker may have restarted since.
     has_missed_poll: bool = False
@@ -101,6 +109,7 @@
     # Orders to a former incarnation may still be on their way.
     is_returning: bool = True
     end_cursor: EndCursor = field(factory=EndCursor)
+    acknowledgements: Acknowledgements = field(factory=Acknowledgements)
     runs: dict[TaskId, Run] = field(factory=dict)
     # Time of the last stop order by run; confirmed or ended runs are removed.
     stops: dict[tuple[TaskId, int], float] = field(factory=dict)
@@ -234,6 +243,7 @@
             )
             self.long_running_count -= run.needs.lasts
             self.isolated_runs.discard(task)
+            self.acknowledgements.handle_removed(run, self.polled_at)
             self.observer.on_run_removed(self, run)
         return run
 
@@ -269,7 +279,9 @@
         A poll that may be the first one of another incarnation carries neither
         a lease end nor a cursor, which would be those of the former one.
         """
+        self._supersede_acknowledgement()
         is_first = self.has_missed_poll or not self.is_synced
+        cursor = 0 if is_first else self._get_cursor(now)
         is_renewal = not is_first and self.is_responsive(now)
         wait = self.terms.wait
         if self.isolated_runs.levels:
@@ -279,12 +291,25 @@
             address=self.announced.address,
             port=self.announced.port,
             fencing_token=self.fencing_token,
-            cursor=0 if is_first else self.end_cursor.get_unacknowledged(),
+            cursor=cursor,
             wait_seconds=wait if is_renewal else 0,
             lease_end=self.lease.grant(now) if is_renewal else None,
         )
+        self.acknowledgements.is_open = cursor > 0
         return self.last_poll
 
+    def is_poll_due(self, now: float) -> bool:
+        """Return whether the next poll may be sent."""
+        if not self.end_cursor.is_recorded():
+            return False
+        if not self.end_cursor.get_unacknowledged() or self._get_cursor(now):
+            return True
+        return self.acknowledgements.is_poll_due(self.polled_at, now)
+
+    def is_present(self, fencing_token: int) -> bool:
+        """Return whether an order was meant for the present incarnation."""
+        return fencing_token >= self.incarnation_token
+
     def synchronize(self, sent_at: float, now: float) -> None:
         """Handle the first answered poll of the incarnation.
 
@@ -299,7 +324,7 @@
 
     def handle_fenced(self, fencing_token: int) -> None:
         """Handle that the worker has rejected the token of an order."""
-        # A token of before the incarnation was known is rejected as intended.
+        # A token that a later order has superseded is rejected as intended.
         if fencing_token == self.fencing_token:
             self.is_fenced = True
 
@@ -324,7 +349,9 @@
         """
         polled_at = self.polled_at
         self._mark_gone_down(answered)
-        self.fencing_token = self.tokens.issue()
+        self.incarnation_token = self.tokens.issue()
+        self.fencing_token = self.incarnation_token
+        self.acknowledgements.is_open = False
         self.joined_at = now
         self.has_announced = False
         self.is_returning = True
@@ -470,6 +497,7 @@
         lease_end = self.lease.grant_with_start(now)
         if lease_end is None:
             return None
+        self._supersede_acknowledgement()
         run.state = RunState.ordered
         run.ordered_at = now
         run.open_orders += 1
@@ -597,7 +625,7 @@
     ) -> list[EndedRun]:
         """Apply the answer to a stop order."""
         handle_stop_outcome(self, order, answer.outcome)
-        if order.fencing_token != self.fencing_token:
+        if not self.is_present(order.fencing_token):
             # The former incarnation may have answered.
             return []
         if self.is_older_incarnation(answer.incarnation):
@@ -607,6 +635,7 @@
             return self.handle_other_life(sent_at, now)
         if answer.outcome == OrderOutcome.fenced:
             self.handle_fenced(order.fencing_token)
+            self._repeat_superseded(order)
         if answer.outcome == OrderOutcome.done:
             self.stops.pop((order.task, order.run), None)
             run = self.runs.get(order.task)
@@ -649,6 +678,27 @@
             if run is not None
         ]
 
+    def _get_cursor(self, now: float) -> int:
+        cursor = self.end_cursor.get_unacknowledged()
+        if not cursor:
+            return 0
+        runs = self.runs.values()
+        may_send = self.acknowledgements.may_send(runs, self.polled_at, now)
+        return cursor if may_send else 0
+
+    def _supersede_acknowledgement(self) -> None:
+        """Have the worker reject an acknowledgement that comes later."""
+        if self.acknowledgements.is_open:
+            self.fencing_token = self.tokens.issue_next(self.fencing_token)
+            self.acknowledgements.is_open = False
+
+    def _repeat_superseded(self, order: StopOrder) -> None:
+        """Send a stop again that a start with a higher token has overtaken."""
+        key = order.task, order.run
+        if order.fencing_token != self.fencing_token and key in self.stops:
+            self.stops[key] = _LONG_AGO
+            self.observer.on_stop_requested(self)
+
     def _get_expiry(self, run: Run) -> float:
         return get_run_expiry(run, self.lease, self.polled_at)
 
@@ -683,7 +733,7 @@
         """Return whether an answer may come from a former incarnation."""
         if self.is_newer_incarnation(answer.incarnation):
             return False
-        if order.fencing_token != self.fencing_token:
+        if not self.is_present(order.fencing_token):
             return True
         return self.is_older_incarnation(answer.incarnation)
 
--- a/packages/upstreams/hornbeamstair_upstreams/work/start_orders.py
+++ b/packages/upstreams/hornbeamstair_upstreams/work/start_orders.py
@@ -32,6 +32,7 @@
 
 __all__ = (
     'carry_over',
+    'get_latest_arrival',
     'close_order',
     'get_run_expiry',
     'is_attributable',
@@ -94,6 +95,13 @@
     return not run.open_orders or now > run.ordered_at + LATE_ORDER_SECONDS
 
 
+def get_latest_arrival(run: Run, polled_at: float) -> float | None:
+    """Get the time until which another incarnation may get a start of a run."""
+    if run.open_orders or is_doubted(run, polled_at):
+        return run.ordered_at + LATE_ORDER_SECONDS
+    return None
+
+
 def carry_over(runs: Iterable[Run]) -> None:
     """Keep runs for the next incarnation, which may have started them."""
     for run in runs:
--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -358,6 +358,8 @@
     # which has no answer.
     start_delays: list[float] = field(factory=list)
     poll_delays: dict[WorkerId, list[float]] = field(factory=dict)
+    # Delays of the next polls that acknowledge ends, which have no answer.
+    acknowledgement_delays: list[float] = field(factory=list)
     # Share of the polls that are executed late and have no answer.
     delayed_polls_share: float = 0
     # Ends of runs that were started beyond the reach of a leader.
@@ -590,7 +592,7 @@
         for name, session in list(self.scheduler.sessions.items()):
             delay = max(self.rng.choice((0, 0.3)), self.poll_seconds)
             due = self.polled_at.get(name, 0) + delay
-            if self.now < due or not session.end_cursor.is_recorded():
+            if self.now < due or not session.is_poll_due(self.now):
                 continue
             self.polled_at[name] = self.now
             answer = poll_worker(self, session.make_poll(self.now))
@@ -699,6 +701,10 @@
     if delays and order.lease_end is not None:
         model.delayed_orders.append((model.now + delays.pop(0), order))
         return True
+    if model.acknowledgement_delays and order.cursor:
+        due = model.now + model.acknowledgement_delays.pop(0)
+        model.delayed_orders.append((due, order))
+        return True
     if not model.delayed_polls_share:
         return False
     is_delayed = model.rng.random() < model.delayed_polls_share
