Have backfill yield its worker to a serving task that waits

Cause: placement keeps the two apart, and nothing took backfill away; the demand for hosts saw free workers.

A poll that waits to acknowledge ends is woken by the answer to a start.

--- a/packages/callers/hornbeamstair_callers/jobs/draining.py
+++ b/packages/callers/hornbeamstair_callers/jobs/draining.py
@@ -1,8 +1,8 @@
 """Decision which runs to stop on workers that are to be drained."""
 
-from collections.abc import Collection, Iterator
+from collections.abc import Collection
 
-from hornbeamstair_callers.jobs.messages import parse_task_id
+from hornbeamstair_callers.jobs.availability import PhaseAvailability
 from hornbeamstair_callers.jobs.scheduler import Scheduler
 from hornbeamstair_core.ids import WorkerId
 from hornbeamstair_core.moments import Moment
@@ -18,9 +18,6 @@
 # Estimated time until a long-running run is restarted elsewhere, which must
 # happen before its host is free.
 _LONG_RUNNING_MOVE_SECONDS = 8.0
-# Time for which a poll may take beyond its wait. A worker that answers later
-# may lose its lease, and its runs, before a stop of another run arrives.
-_ANSWER_SECONDS = 0.7
 
 
 def get_loads(scheduler: Scheduler) -> dict[WorkerId, HostLoad]:
@@ -120,40 +117,9 @@
 ) -> bool:
     if not fits_elsewhere(scheduler, session, run, now):
         return False
-    if run.needs.max_away is None or session.announced.is_leaving:
+    if session.announced.is_leaving:
         return True
-    position = parse_task_id(run.task)
-    job = scheduler.state.jobs.jobs.get(position.key.job)
-    if job is None:
-        return True
-    total = job.spec.phases[position.key.phase].count
-    serving = sum(1 for _ in _find_serving_runs(scheduler, run.phase_id, now))
-    # Whether or not the run itself serves, it becomes unavailable.
-    return total - serving < run.needs.max_away
-
-
-def _find_serving_runs(
-    scheduler: Scheduler,
-    phase_id: str,
-    now: Moment,
-) -> Iterator[Run]:
-    stopping = scheduler.terms.stopping
-    oldest = now.monotonic - scheduler.terms.wait - _ANSWER_SECONDS
-    for run, session in scheduler.index.phase_runs.get_runs(phase_id):
-        # Runs of a worker that has not answered for a while may have ended,
-        # and so may those that a former incarnation of it has listed. Those of
-        # a leaving worker end in any case.
-        is_counted = session.is_synced and session.answered_at > oldest
-        is_counted = is_counted and not session.is_unresponsive
-        is_counted = is_counted and not session.announced.is_leaving
-        if is_counted and _is_serving(run, now, stopping):
-            yield run
-
-
-def _is_serving(run: Run, now: Moment, stopping: float) -> bool:
-    if run.state != RunState.running or run.is_stop_requested:
-        return False
-    # The previous leader may have ordered a stop that is not listed yet.
-    if run.confirmed_at is None or run.confirmed_at + stopping > now.monotonic:
-        return False
-    return run.percent >= _COMPLETE_PERCENT
+    availability = PhaseAvailability(
+        scheduler.index, scheduler.state.jobs, scheduler.terms
+    )
+    return availability.may_interrupt(run, now)
--- a/packages/callers/hornbeamstair_callers/jobs/ranking.py
+++ b/packages/callers/hornbeamstair_callers/jobs/ranking.py
@@ -29,6 +29,9 @@
 # less, a full pool starts each job at its last moment, and most are late by the
 # spread of their run times.
 _BEGIN_MARGIN_SHARE: Final = 0.4
+# Class of long-running backfill: behind the other long-running jobs, whose
+# workers it would take, and before all others.
+_BACKFILL_CLASS: Final = 0.5
 
 
 @frozen
@@ -75,7 +78,9 @@
     ) -> tuple[float, ...]:
         """Get the key by lateness, priority and release time."""
         if job.spec.lasts:
-            return (0, queue.priority, job.accepted_at)
+            fills = all(phase.needs.fills for phase in job.spec.phases)
+            rank = _BACKFILL_CLASS if fills else 0
+            return (rank, queue.priority, job.accepted_at)
         return (
             1 + (wall > self._get_latest_start(job, queue)),
             queue.priority,
--- a/packages/callers/hornbeamstair_callers/jobs/runner.py
+++ b/packages/callers/hornbeamstair_callers/jobs/runner.py
@@ -272,6 +272,8 @@
         answer = await self.sender.start(effect.order, effect.valid_until)
         now = self.get_moment()
         scheduler.handle_start_answer(effect.session, effect.order, answer, now)
+        # The next poll may wait for the answer to acknowledge ends.
+        self.poller.wake_poll(effect.session)
         if answer.outcome != OrderOutcome.done:
             self._schedule_pass()
         self._execute_effects(scheduler)
--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from hornbeamstair_callers.jobs.crash_review import CrashReview
+from hornbeamstair_callers.jobs.displacement import BackfillDisplacement
 from hornbeamstair_callers.jobs.effects import (
     CommitBatch,
     PollWorker,
@@ -120,6 +121,7 @@
     workspaces: WorkspacePolicies = field(init=False)
     starts: StartPlanner = field(init=False)
     passes: PlacementPasses = field(init=False)
+    displacement: BackfillDisplacement = field(init=False)
     ends: EndRecorder = field(init=False)
     crash_review: CrashReview = field(init=False)
     run_time_learner: RunTimeLearner = field(init=False)
@@ -165,6 +167,9 @@
             self.workspaces.quotas,
             self.workspaces.shares,
         )
+        self.displacement = BackfillDisplacement.make(
+            self.waiting, self.index, self.workspaces.quotas, self.terms
+        )
         self.ends = EndRecorder(
             state.jobs,
             state.manifest,
@@ -412,6 +417,7 @@
         self.workspaces.shares.refresh(self.sessions.values(), now.monotonic)
         for service, queue in self.waiting.get_queues(now.wall).items():
             records.extend(self.passes.place_all(service, queue, now))
+        self.displacement.displace(now)
         self._emit_effects(records, now)
 
     def _emit_effects(self, records: list[Record], now: Moment) -> None:
--- a/packages/callers/hornbeamstair_callers/jobs/starts.py
+++ b/packages/callers/hornbeamstair_callers/jobs/starts.py
@@ -77,7 +77,8 @@
         """Place the ready tasks of a job for which there are resources."""
         unplaced: list[ReadyPhase] = []
         is_unchanged = True
-        for ready in waiting_job.phases:
+        # Serving tasks would find their workers taken by backfill.
+        for ready in sorted(waiting_job.phases, key=_fills):
             self.stats.asked += 1
             if placement.is_unplaceable(ready.phase.needs, ready.phase_id):
                 unplaced.append(ready)
@@ -256,6 +257,10 @@
     return isolation
 
 
+def _fills(ready: ReadyPhase) -> bool:
+    return ready.phase.needs.fills
+
+
 def _make_run(
     job: Job,
     ready: ReadyPhase,
