Keep the cancellation of a job that is not known yet

Cause: the cancellation of an unknown job left nothing behind.

A job that is accepted afterwards is stored as cancelled.

--- a/packages/callers/hornbeamstair_callers/jobs/scheduler.py
+++ b/packages/callers/hornbeamstair_callers/jobs/scheduler.py
@@ -484,6 +484,10 @@
 
     def _add_accepted(self, job_id: JobId) -> None:
         job = self.state.jobs.jobs[job_id]
+        if not job.is_open:
+            # It was cancelled before.
+            self._log_job_end(job_id, job.ended_at)
+            return
         self.workspaces.promises.add_job(job)
         self.unstarted.add_job(job)
 
--- a/packages/callers/hornbeamstair_callers/jobs/service.py
+++ b/packages/callers/hornbeamstair_callers/jobs/service.py
@@ -152,6 +152,8 @@
     async def _cancel(self, request: CancelJob) -> Result[Reply, Failure]:
         job = self._find_job(request)
         if job.is_error():
+            if isinstance(job.error, JobUnknownFailure):
+                return await self._cancel_unknown(request, job.error)
             return Error(job.error)
         if job.ok.is_open:
             record = JobCancelled(request.job, self.get_moment().wall)
@@ -160,6 +162,25 @@
                 return Error(committed.error)
         return Ok(DoneReply())
 
+    async def _cancel_unknown(
+        self,
+        request: CancelJob,
+        failure: JobUnknownFailure,
+    ) -> Result[Reply, Failure]:
+        """Cancel a job whose submission may still be on its way."""
+        access = find_access(self.state.manifest, request.place)
+        jobs = self.state.jobs
+        if access.is_error() or request.job in jobs.jobs:
+            return Error(failure)
+        record = jobs.early_cancellations.make_record(
+            request.job, self.get_moment().wall, access.ok.workspace
+        )
+        if record is not None:
+            committed = await self.committer.commit((record,))
+            if committed.is_error():
+                return Error(committed.error)
+        return Error(failure)
+
     def _find_job(
         self,
         request: ShowJob | CancelJob,
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -6,6 +6,11 @@
 from attrs import define, field, frozen
 
 from hornbeamstair_callers.jobs.crashes import Crash
+from hornbeamstair_callers.jobs.early_cancellations import (
+    EarlyCancellation,
+    EarlyCancellations,
+    UnknownJobCancelled,
+)
 from hornbeamstair_callers.jobs.job import NO_WORKER, Job, Task
 from hornbeamstair_callers.jobs.lost_workers import LostWorkers
 from hornbeamstair_callers.jobs.messages import (
@@ -44,6 +49,7 @@
     """Jobs as stored in a snapshot."""
 
     jobs: tuple[Job, ...]
+    early_cancellations: tuple[EarlyCancellation, ...] = ()
 
 
 @define(eq=False)
@@ -59,12 +65,14 @@
         RunEnded,
         RunExpired,
         RunStarted,
+        UnknownJobCancelled,
         WorkerDied,
         WorkerSurvived,
     )
     state_class: ClassVar[type[Any]] = JobTableState
 
     jobs: dict[JobId, Job] = field(factory=dict)
+    early_cancellations: EarlyCancellations = field(factory=EarlyCancellations)
     lost_workers: LostWorkers = field(factory=LostWorkers)
     # Follows from the active runs of the tasks.
     usage: WorkspaceUsage = field(factory=WorkspaceUsage)
@@ -88,11 +96,16 @@
 
     def get_state(self) -> JobTableState:
         """Get the state for a snapshot."""
-        return JobTableState(tuple(self.jobs.values()))
+        return JobTableState(
+            tuple(self.jobs.values()), self.early_cancellations.get_all()
+        )
 
     def restore_state(self, state: Any) -> None:
         """Replace the jobs by those of a snapshot."""
         jobs = () if state is None else state.jobs
+        self.early_cancellations.restore(
+            () if state is None else state.early_cancellations
+        )
         for job in jobs:
             job.trim()
         self.jobs = {job.spec.job: job for job in jobs}
@@ -107,8 +120,8 @@
         match record:
             case JobAccepted():
                 return self._accept(record)
-            case JobCancelled(job, at):
-                return self._end_job(job, JobState.cancelled, at)
+            case JobCancelled():
+                return self._cancel(record)
             case JobFailed(job, at):
                 return self._end_job(job, JobState.failed, at)
             case JobsForgotten(jobs):
@@ -132,8 +145,25 @@
             record.accepted_at,
             workspace=record.workspace,
         )
+        cancelled = self.early_cancellations.find(job, record.workspace)
+        if cancelled is not None:
+            self._end_job(job, JobState.cancelled, record.accepted_at)
         return True
 
+    def _cancel(self, record: JobCancelled) -> bool:
+        if isinstance(record, UnknownJobCancelled):
+            job = self.jobs.get(record.job)
+            if job is None:
+                self.early_cancellations.add(
+                    EarlyCancellation(record.job, record.workspace, record.at)
+                )
+                return True
+            # The job was accepted in the meantime.
+            is_foreign = job.workspace != record.workspace
+            if is_foreign and job.workspace and record.workspace:
+                return False
+        return self._end_job(record.job, JobState.cancelled, record.at)
+
     def _end_job(self, job_id: JobId, state: JobState, at: float) -> bool:
         job = self.jobs.get(job_id)
         if job is None or not job.is_open:
