Send the orders of the model as soon as their records are applied

Cause: a poll of the model came between the record of a start and its order, which the programs send in the same turn of the loop.

Change: the model sends orders right after the records are applied. No check is changed.

--- a/tests/support/work_model.py
+++ b/tests/support/work_model.py
@@ -486,6 +486,8 @@
         crash_and_return(self)
         self._deliver_delayed()
         self._apply_due_commits()
+        # Orders are sent as soon as their records are applied.
+        self._execute_effects()
         self._announce()
         self._poll()
         self.scheduler.tick(self.get_moment())
