--- a/packages/callers/hornbeamstair_callers/jobs/displacement.py
+++ b/packages/callers/hornbeamstair_callers/jobs/displacement.py
@@ -12,6 +12,7 @@
 from attrs import define
 
 from hornbeamstair_callers.jobs.availability import PhaseAvailability
+from hornbeamstair_callers.jobs.job import Job
 from hornbeamstair_callers.jobs.ready import ReadyPhase
 from hornbeamstair_callers.jobs.waiting import WaitingJobs
 from hornbeamstair_callers.jobs.waiting_queue import ServiceQueue, WaitingJob
@@ -70,12 +71,12 @@
     ) -> Iterator[tuple[ReadyPhase, int]]:
         workspace = waiting_job.job.workspace
         for ready in waiting_job.phases:
-            due = self._count_due(ready, now)
+            due = self._count_due(waiting_job.job, ready, now)
             count = self.quotas.count_startable(workspace, ready.phase, due)
             if count:
                 yield ready, count
 
-    def _count_due(self, ready: ReadyPhase, now: Moment) -> int:
+    def _count_due(self, job: Job, ready: ReadyPhase, now: Moment) -> int:
         """Count the serving tasks of a phase that have waited for a worker."""
         needs = ready.phase.needs
         if not needs.target_seconds or needs.fills:
@@ -83,8 +84,12 @@
         wait_seconds = self.waiting.get_wait_seconds(ready, now.wall)
         if wait_seconds < _MIN_WAIT_SECONDS:
             return 0
-        in_flight = self.waiting.in_flight
-        due = sum(task not in in_flight for task in ready.tasks)
+        # Backfill would take the worker of a paused task again.
+        due = sum(
+            task not in self.waiting.in_flight
+            and not job.crash_history.is_paused(task, now.wall)
+            for task in ready.tasks
+        )
         is_partial_gang = ready.phase.is_gang and due < ready.phase.count
         return 0 if is_partial_gang else due
 
--- a/tests/features/backfill_displacement.feature
+++ b/tests/features/backfill_displacement.feature
@@ -53,3 +53,12 @@
       | needs                   |
       | is larger than a worker |
       | requires another label  |
+
+  # A paused task left its vacated worker to the backfill, which was stopped again and again.
+  Scenario: Backfill is not stopped for a serving task that is paused
+    Given a work model with seed 8, 3 workers and no faults
+    When 1 seconds pass
+    And 3 backfill tasks run on all workers
+    And a job with 1 serving task is accepted whose task is paused
+    And 5 seconds pass
+    Then 0 backfill tasks have been stopped
--- a/tests/features/steps/backfill_displacement_steps.py
+++ b/tests/features/steps/backfill_displacement_steps.py
@@ -5,10 +5,16 @@
 from attrs import evolve
 from behave import then, when
 
+from hornbeamstair_callers.jobs.crashes import Crash
 from hornbeamstair_callers.jobs.messages import Phase
-from hornbeamstair_core.ids import JobId, TaskId
+from hornbeamstair_core.ids import JobId, TaskId, WorkerId
 from hornbeamstair_upstreams.work.messages import RunEnd
-from tests.support.work_model import RESOURCES, WorkModel, make_phase
+from tests.support.work_model import (
+    MAX_CRASHES,
+    RESOURCES,
+    WorkModel,
+    make_phase,
+)
 
 SERVING_JOB = JobId(f'{90:016x}')
 BACKFILL_JOB = JobId(f'{91:016x}')
@@ -99,6 +105,19 @@
     context.work.accept(SERVING_JOB, (_make_serving(count),))
 
 
+@when('a job with 1 serving task is accepted whose task is paused')
+def accept_paused(context: Any) -> None:
+    """Accept a serving task under which workers have just fallen silent."""
+    work = context.work
+    accept_serving(context, 1)
+    job = work.tables.jobs.jobs[SERVING_JOB]
+    task = TaskId(f'{SERVING_JOB}.0.0.0')
+    for number in range(MAX_CRASHES):
+        crash = Crash(WorkerId(f'w9{number}'), 1, work.now, is_early=True)
+        job.crash_history.add(task, crash)
+    assert job.crash_history.is_paused(task, work.now)
+
+
 @when('a job with a serving task that {needs} is accepted')
 def accept_unplaceable(context: Any, needs: str) -> None:
     """Accept a serving task that fits on no worker."""
