Count the age of an early cancellation when a job is accepted

Cause: a cancellation that was repeated was never recorded anew, so that a job could run 180 s after the first one though the second had just been acknowledged; old ones counted until the next came. Found by reading the change.

Change: the age counts when a job is accepted, and a cancellation is recorded again after 10 s. Two scenarios of early_cancellations.feature are new and one no longer needs another cancellation; 12 passed. They were not run on the code before.

--- a/packages/callers/hornbeamstair_callers/jobs/early_cancellations.py
+++ b/packages/callers/hornbeamstair_callers/jobs/early_cancellations.py
@@ -18,6 +18,8 @@
 _RETENTION_SECONDS: Final = 180.0
 # Bounds the memory that callers of unknown jobs can take.
 _MAX_CANCELLATIONS: Final = 10_000
+# A cancellation that is repeated later is recorded again.
+_REPEAT_SECONDS: Final = 10.0
 
 
 @frozen
@@ -64,17 +66,22 @@
     def make_record(
         self, job: JobId, at: float, workspace: WorkspaceName
     ) -> UnknownJobCancelled | None:
-        """Make the record of a cancellation; None if there is one already."""
-        if (job, workspace) in self.recent:
+        """Make the record of a cancellation; None if there is a recent one."""
+        earlier = self.recent.get((job, workspace))
+        if earlier is not None and at - earlier.at < _REPEAT_SECONDS:
             return None
         return UnknownJobCancelled(job, at, workspace)
 
-    def find(
-        self, job: JobId, owner: WorkspaceName
-    ) -> EarlyCancellation | None:
-        """Find a cancellation by the owner of a job or over an open queue."""
-        own = self.recent.get((job, owner))
-        return own or self.recent.get((job, WorkspaceName('')))
+    def covers(self, job: JobId, owner: WorkspaceName, at: float) -> bool:
+        """Return whether the owner, or anybody, has cancelled a job."""
+        earlier = [
+            self.recent.get((job, canceller))
+            for canceller in (owner, WorkspaceName(''))
+        ]
+        return any(
+            found is not None and at - found.at <= _RETENTION_SECONDS
+            for found in earlier
+        )
 
     def get_all(self) -> tuple[EarlyCancellation, ...]:
         """Get the cancellations, oldest first."""
--- a/packages/callers/hornbeamstair_callers/jobs/table.py
+++ b/packages/callers/hornbeamstair_callers/jobs/table.py
@@ -145,8 +145,10 @@
             record.accepted_at,
             workspace=record.workspace,
         )
-        cancelled = self.early_cancellations.find(job, record.workspace)
-        if cancelled is not None:
+        is_cancelled = self.early_cancellations.covers(
+            job, record.workspace, record.accepted_at
+        )
+        if is_cancelled:
             self._end_job(job, JobState.cancelled, record.accepted_at)
         return True
 
--- a/tests/features/early_cancellations.feature
+++ b/tests/features/early_cancellations.feature
@@ -38,11 +38,28 @@
     Given a work model with seed 5, 3 workers and no faults
     When 1 seconds pass
     And a caller cancels a job that is not known
-    And another unknown job is cancelled 181 seconds later
+    And 181 seconds pass
     And the job is submitted
     And 5 seconds pass
     Then the state of the job is completed
 
+  Scenario: A cancellation that is repeated later counts anew
+    Given a work model with seed 9, 3 workers and no faults
+    When 1 seconds pass
+    And a caller cancels a job that is not known
+    And 175 seconds pass
+    And a caller cancels a job that is not known
+    And 10 seconds pass
+    And the job is submitted
+    And 5 seconds pass
+    Then the job was cancelled, has never run and is not pending
+
+  Scenario: Old cancellations are removed with the next one
+    Given a work model with seed 10, 3 workers and no faults
+    When a caller cancels a job that is not known
+    And another unknown job is cancelled 181 seconds later
+    Then one cancellation is kept
+
   Scenario: The number of cancellations that are kept is bounded
     Given a work model with seed 6, 3 workers and no faults
     When 10100 unknown jobs are cancelled
--- a/tests/features/steps/early_cancellation_steps.py
+++ b/tests/features/steps/early_cancellation_steps.py
@@ -183,6 +183,13 @@
     assert [found.job for found in kept] == context.jobs[-count:], len(kept)
 
 
+@then('one cancellation is kept')
+def check_last(context: Any) -> None:
+    """Check that only the last cancellation is kept."""
+    kept = context.work.tables.jobs.early_cancellations.get_all()
+    assert [found.job for found in kept] == [OTHER_JOB], kept
+
+
 @then('no cancellations are kept')
 def check_empty(context: Any) -> None:
     """Check that the table keeps no cancellations."""
