--- a/tests/features/steps/late_acknowledgement_steps.py
+++ b/tests/features/steps/late_acknowledgement_steps.py
@@ -32,7 +32,7 @@
 POLL_SECONDS = 0.4
 # Longer than any step of the scenarios waits.
 MOST_SECONDS = 60
-# Workers of one site start, end and are acknowledged for years.
+# More than a term has.
 MANY_TOKENS = 2**28 + 5
 
 
